--- /dev/null
+++ b/crates/benchlink/src/lib.rs
@@ -0,0 +1,7 @@
+//! The simulator's wire, joined to the planner.
+#![forbid(unsafe_code)]
+
+mod start;
+mod wire;
+
+pub use wire::Link;
--- /dev/null
+++ b/crates/benchlink/src/start.rs
@@ -0,0 +1,154 @@
+//! Reads the start text of an instance into the planner's terms. Absent keys mean "no such thing here".
+
+use pewtergap_planner::{Channel, Fleet, KeyScope, Pledge, Reach, Repeats, Route, Slicing, Span, Throttle};
+use serde_json::Value;
+
+pub struct Start {
+    pub fleet: Fleet,
+    pub routes: Vec<Route>,
+    pub channel: Channel,
+    pub pledge: Pledge,
+    pub reach: Reach,
+    pub slicing: Slicing,
+    pub zone_names: Vec<String>,
+    pub route_names: Vec<String>,
+}
+
+/// Looks a dotted path up; absent and null are the same.
+fn find<'a>(text: &'a Value, path: &str) -> Option<&'a Value> {
+    path.split('.').try_fold(text, |value, key| value.get(key)).filter(|value| !value.is_null())
+}
+
+fn number(text: &Value, path: &str) -> Result<f64, String> {
+    match find(text, path) {
+        None => Ok(0.0),
+        Some(value) => value
+            .as_f64()
+            .filter(|n| *n >= 0.0)
+            .ok_or(format!("field BootInfo: {path} is not a number of 0 or more")),
+    }
+}
+
+fn span(text: &Value, path: &str) -> Result<Span, String> {
+    Ok(Span(number(text, path)? as u64))
+}
+
+fn flag(text: &Value, path: &str) -> Result<bool, String> {
+    match find(text, path) {
+        None => Ok(false),
+        Some(value) => value.as_bool().ok_or(format!("field BootInfo: {path} is not true or false")),
+    }
+}
+
+fn word<'a>(text: &'a Value, path: &str) -> Result<&'a str, String> {
+    match find(text, path) {
+        None => Ok(""),
+        Some(value) => value.as_str().ok_or(format!("field BootInfo: {path} is not text")),
+    }
+}
+
+fn list<'a>(text: &'a Value, path: &str) -> Result<&'a [Value], String> {
+    match find(text, path) {
+        None => Ok(&[]),
+        Some(value) => {
+            value.as_array().map(Vec::as_slice).ok_or(format!("field BootInfo: {path} is not a list"))
+        }
+    }
+}
+
+fn names(text: &Value, path: &str) -> Result<Vec<String>, String> {
+    list(text, path)?
+        .iter()
+        .map(|name| name.as_str().map(str::to_string).ok_or(format!("field BootInfo: {path} holds no names")))
+        .collect()
+}
+
+fn route(profile: &Value, zone_bound: bool, writes: bool) -> Result<(String, Route), String> {
+    let name =
+        profile.get("Name").and_then(Value::as_str).ok_or("field BootInfo: Profiles.Name is missing")?;
+    let repeats = match word(profile, "Semantics")? {
+        "free" => Repeats::Repeatable,
+        "guarded" => Repeats::Keyed {
+            scope: match word(profile, "KeyScope")? {
+                "all" => KeyScope::All,
+                "zone" => KeyScope::Zone,
+                _ => KeyScope::Cell,
+            },
+            window: span(profile, "WindowNs")?,
+        },
+        "single_shot" => Repeats::Mutating,
+        other => return Err(format!("field BootInfo: Profiles.Semantics is '{other}'")),
+    };
+    let route = Route {
+        importance: number(profile, "Credit")?,
+        slo_time: span(profile, "SloNs")?,
+        time_limit: span(profile, "DeadlineNs")?,
+        repeats,
+        zone_bound,
+        writes,
+    };
+    Ok((name.to_string(), route))
+}
+
+pub fn read(text: &str) -> Result<Start, String> {
+    let text: Value = serde_json::from_str(text).map_err(|e| format!("field BootInfo: {e}"))?;
+    if !text.is_object() {
+        return Err("field BootInfo: not an object".into());
+    }
+    let marked = |path: &str, at: usize| -> Result<bool, String> {
+        Ok(list(&text, path)?.get(at).and_then(Value::as_bool).unwrap_or(false))
+    };
+    let mut routes = Vec::new();
+    let mut route_names = Vec::new();
+    for (at, profile) in list(&text, "Profiles")?.iter().enumerate() {
+        let (name, route) =
+            route(profile, marked("FamilyInfo.ZoneBound", at)?, marked("FamilyInfo.ClassWrites", at)?)?;
+        route_names.push(name);
+        routes.push(route);
+    }
+    if routes.is_empty() {
+        return Err("field BootInfo: Profiles is missing or empty".into());
+    }
+    let zone_names = names(&text, "Zones")?;
+    Ok(Start {
+        fleet: Fleet {
+            zones: zone_names.len(),
+            proxies: number(&text, "FamilyInfo.DataPlaneSize")? as usize,
+            planners: number(&text, "Balancers")? as usize,
+            on_request: word(&text, "Discovery")? == "on_request",
+            ask_within: span(&text, "Contract.AskWithinNs")?,
+            crossing_price: number(&text, "Deductions.CrossZone")?,
+        },
+        routes,
+        channel: Channel {
+            head: number(&text, "FamilyInfo.Head")?,
+            most_waiting: number(&text, "FamilyInfo.PendingMax")?,
+            messages_most: number(&text, "FamilyInfo.ReloadsMax")? as usize,
+            messages_over: span(&text, "FamilyInfo.ReloadSpanNs")?,
+            lines_per_s: number(&text, "FamilyInfo.EgressPerS")?,
+        },
+        pledge: Pledge {
+            drain_grace: span(&text, "Contract.DrainGraceNs")?,
+            cold_from: number(&text, "Contract.ColdFrom")?,
+            cold_for: span(&text, "Contract.ColdNs")?,
+        },
+        reach: Reach {
+            throttle: match word(&text, "FamilyInfo.ThrottleBy")? {
+                "fraction" => Throttle::Fraction,
+                "per_second" => Throttle::PerSecond,
+                _ => Throttle::Off,
+            },
+            probes: flag(&text, "Permissions.Probes")?,
+            load_on_probe: word(&text, "Feedback.How")? == "on_probe",
+            first_wait: number(&text, "FamilyInfo.FirstWait")?,
+        },
+        slicing: Slicing {
+            slices: number(&text, "FamilyInfo.PartitionsN")? as usize,
+            exclusive: flag(&text, "FamilyInfo.Exclusive")?,
+            keeps_writing: span(&text, "FamilyInfo.KeepsWritingNs")?,
+            lingers: span(&text, "FamilyInfo.LingersNs")?,
+        },
+        zone_names,
+        route_names,
+    })
+}
--- /dev/null
+++ b/crates/benchlink/src/wire.rs
@@ -0,0 +1,402 @@
+//! The wire, line by line: batches of events in, one reply out. No decision is taken here.
+
+use crate::start;
+use pewtergap_planner::door::Door;
+use pewtergap_planner::{
+    Entry, Event, ListKind, Listed, Load, Moment, Order, Planner, ProbeEnd, Resend, Span,
+};
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write;
+use std::io::BufRead;
+
+/// What one instance needs besides its planner: its names, and how its classes and zones are called.
+struct Instance {
+    planner: Planner,
+    servers: Door<String>,
+    proxies: Door<u64>,
+    zones: Vec<String>,
+    routes: Vec<String>,
+    slices: bool,
+    inbox: Vec<Event>,
+}
+
+#[derive(Clone)]
+struct Row {
+    server: String,
+    zone: String,
+    cell: u64,
+    state: Listed,
+    weight: f64,
+    last_start: Option<Moment>,
+}
+
+#[derive(Default)]
+pub struct Link {
+    instances: BTreeMap<u64, Instance>,
+    banks: HashMap<u64, Vec<Row>>,
+}
+
+/// The fields of one line, read in order; each failure names its field.
+struct Fields<'a> {
+    parts: std::str::Split<'a, char>,
+}
+
+impl<'a> Fields<'a> {
+    fn text(&mut self, field: &str) -> Result<&'a str, String> {
+        self.parts.next().ok_or(format!("field {field} is missing"))
+    }
+
+    fn whole(&mut self, field: &str) -> Result<u64, String> {
+        let text = self.text(field)?;
+        text.parse().map_err(|_| format!("field {field}: '{text}' is not a whole number"))
+    }
+
+    fn whole_or(&mut self, field: &str, absent: u64) -> Result<u64, String> {
+        match self.text(field)? {
+            "-" => Ok(absent),
+            text => text.parse().map_err(|_| format!("field {field}: '{text}' is not a whole number")),
+        }
+    }
+
+    fn number_or(&mut self, field: &str, absent: f64) -> Result<f64, String> {
+        match self.text(field)? {
+            "-" => Ok(absent),
+            text => text
+                .parse::<f64>()
+                .ok()
+                .filter(|n| n.is_finite() && *n >= 0.0)
+                .ok_or(format!("field {field}: '{text}' is not a number of 0 or more")),
+        }
+    }
+
+    fn flag(&mut self, field: &str) -> Result<bool, String> {
+        match self.text(field)? {
+            "1" => Ok(true),
+            "0" | "-" => Ok(false),
+            text => Err(format!("field {field}: '{text}' is not 1 or 0")),
+        }
+    }
+
+    fn load(&mut self, field: &str) -> Result<Load, String> {
+        let mut load = Load::default();
+        let text = self.text(field)?;
+        for pair in text.split(',').filter(|pair| !pair.is_empty() && *pair != "-") {
+            let (name, value) =
+                pair.split_once(':').ok_or(format!("field {field}: '{pair}' has no value"))?;
+            if value == "-" {
+                continue;
+            }
+            let value = value.parse::<f64>().ok().filter(|n| n.is_finite());
+            let value = value.ok_or(format!("field {field}: '{pair}' is not a number"))?;
+            match name {
+                "cpu" => load.util = Some(value),
+                "active" => load.in_hand = Some(value),
+                _ => {}
+            }
+        }
+        Ok(load)
+    }
+
+    fn end(&mut self) -> Result<(), String> {
+        self.parts.next().map_or(Ok(()), |text| Err(format!("field after the last: '{text}'")))
+    }
+}
+
+fn place(names: &[String], name: &str, field: &str) -> Result<usize, String> {
+    names.iter().position(|known| known == name).ok_or(format!("field {field}: '{name}' is not known"))
+}
+
+fn row(line: &str) -> Result<Row, String> {
+    let mut fields = Fields { parts: line.split('\t') };
+    if fields.text("row")? != "row" {
+        return Err("field row: a list is shorter than its count".into());
+    }
+    let server = fields.text("Server")?.to_string();
+    let zone = fields.text("Zone")?.to_string();
+    fields.text("Sku")?;
+    let cell = fields.whole_or("Cluster", 0)?;
+    let state = match fields.text("State")? {
+        "Running" => Listed::Running,
+        "Stopping" => Listed::Stopping,
+        "Deleted" => Listed::Deleted,
+        other => return Err(format!("field State: '{other}' is not known")),
+    };
+    let weight = fields.number_or("Weight", 1.0)?;
+    let last_start = Some(fields.whole_or("LastStartNs", 0)?).filter(|at| *at > 0).map(Moment);
+    fields.end()?;
+    Ok(Row { server, zone, cell, state, weight, last_start })
+}
+
+impl Link {
+    /// Runs until the input ends; an error says which line of which batch is wrong.
+    pub fn run(&mut self, input: impl BufRead, mut output: impl std::io::Write) -> Result<(), String> {
+        let mut lines = input.lines();
+        while let Some(first) = lines.next() {
+            let first = first.map_err(|e| format!("input: {e}"))?;
+            if first.is_empty() {
+                continue;
+            }
+            let mut fields = Fields { parts: first.split('\t') };
+            let start = |e: String| format!("batch line 1: {e}");
+            if fields.text("sync").map_err(start)? != "sync" {
+                return Err(format!("batch line 1: message '{first}' where sync was due"));
+            }
+            let now = Moment(fields.whole("TimeNs").map_err(start)?);
+            let number = fields.whole("frame").map_err(start)?;
+            let at = format!("batch {number}");
+            let mut count = 1;
+            loop {
+                let mut next = || {
+                    count += 1;
+                    match lines.next() {
+                        Some(Ok(line)) => Ok((count, line)),
+                        Some(Err(e)) => Err(format!("{at} line {count}: input: {e}")),
+                        None => Err(format!("{at} line {count}: the input ends inside a batch")),
+                    }
+                };
+                let (line_no, line) = next()?;
+                if line == "go" {
+                    break;
+                }
+                if line.starts_with("ledger\t") || line == "ledger" {
+                    let mut fields = Fields { parts: line.split('\t') };
+                    fields.text("ledger")?;
+                    let wrong = |e: String| format!("{at} line {line_no}: ledger: {e}");
+                    let bank = fields.whole("Bank").map_err(wrong)?;
+                    let entries = fields.whole("MembersList").map_err(wrong)?;
+                    fields.end().map_err(wrong)?;
+                    let mut rows = Vec::new();
+                    for _ in 0..entries {
+                        let (row_no, text) = next()?;
+                        rows.push(row(&text).map_err(|e| format!("{at} line {row_no}: row: {e}"))?);
+                    }
+                    self.banks.insert(bank, rows);
+                } else {
+                    self.event(now, &line).map_err(|e| format!("{at} line {line_no}: {e}"))?;
+                }
+            }
+            // The whole reply is made before any of it is written, so it is never left half done.
+            let mut reply = String::new();
+            for (who, instance) in &mut self.instances {
+                if !instance.inbox.is_empty() {
+                    let inbox = std::mem::take(&mut instance.inbox);
+                    for order in instance.planner.turn(now, &inbox) {
+                        instance.write(*who, &order, &mut reply);
+                    }
+                }
+            }
+            let _ = writeln!(reply, "next\t{number}");
+            output
+                .write_all(reply.as_bytes())
+                .and_then(|()| output.flush())
+                .map_err(|e| format!("output: {e}"))?;
+        }
+        Ok(())
+    }
+
+    fn event(&mut self, now: Moment, line: &str) -> Result<(), String> {
+        let mut fields = Fields { parts: line.split('\t') };
+        let name = fields.text("message")?;
+        self.dispatch(now, name, &mut fields).map_err(|e| format!("{name}: {e}"))
+    }
+
+    fn dispatch(&mut self, now: Moment, name: &str, fields: &mut Fields) -> Result<(), String> {
+        const KNOWN: [&str; 14] = [
+            "provision",
+            "crash_now",
+            "members",
+            "reminder",
+            "echo",
+            "whisper",
+            "joined",
+            "disconnected",
+            "roundup",
+            "arrivals",
+            "hotness",
+            "mandate",
+            "standing_line",
+            "confirmed",
+        ];
+        if !KNOWN.contains(&name) {
+            return Err("the message is not known".into());
+        }
+        let who = fields.whole("Who")?;
+        if name == "provision" {
+            return self.provision(now, who, fields);
+        }
+        if name == "crash_now" {
+            self.instances.remove(&who).ok_or(format!("field Who: instance {who} is not known"))?;
+            return fields.end();
+        }
+        let banks = &self.banks;
+        let instance =
+            self.instances.get_mut(&who).ok_or(format!("field Who: instance {who} is not known"))?;
+        let event = instance.read(name, fields, banks)?;
+        fields.end()?;
+        instance.inbox.push(event);
+        Ok(())
+    }
+
+    fn provision(&mut self, now: Moment, who: u64, fields: &mut Fields) -> Result<(), String> {
+        let seed = fields.whole("RngSeed")?;
+        let mut text = fields.text("BootInfo")?.to_string();
+        for more in fields.parts.by_ref() {
+            text = text + "\t" + more;
+        }
+        let start = start::read(&text)?;
+        let slices = start.slicing.slices > 0;
+        let planner = Planner::new(
+            now,
+            seed,
+            start.fleet,
+            start.routes,
+            start.channel,
+            start.pledge,
+            start.reach,
+            start.slicing,
+        );
+        let instance = Instance {
+            planner,
+            servers: Door::default(),
+            proxies: Door::default(),
+            zones: start.zone_names,
+            routes: start.route_names,
+            slices,
+            inbox: vec![Event::Tick],
+        };
+        self.instances.insert(who, instance);
+        Ok(())
+    }
+}
+
+impl Instance {
+    fn read(
+        &mut self,
+        name: &str,
+        fields: &mut Fields,
+        banks: &HashMap<u64, Vec<Row>>,
+    ) -> Result<Event, String> {
+        Ok(match name {
+            "members" => {
+                let kind = match fields.text("How")? {
+                    "diff" => ListKind::Changes,
+                    "snapshot" => ListKind::Complete,
+                    "disk" => ListKind::Kept,
+                    "error" => ListKind::Failed,
+                    other => return Err(format!("field How: '{other}' is not known")),
+                };
+                fields.whole_or("Epoch", 0)?;
+                let bank = fields.whole_or("Bank", 0)?;
+                let rows: &[Row] = match kind {
+                    ListKind::Failed => &[],
+                    _ => banks.get(&bank).ok_or(format!("field Bank: list {bank} is not known"))?,
+                };
+                let mut entries = Vec::with_capacity(rows.len());
+                for row in rows {
+                    entries.push(Entry {
+                        server: self.servers.admit(&row.server),
+                        zone: place(&self.zones, &row.zone, "Zone")?,
+                        cell: row.cell,
+                        state: row.state,
+                        weight: row.weight,
+                        last_start: row.last_start,
+                    });
+                }
+                Event::List { kind, entries }
+            }
+            "reminder" => {
+                fields.whole("Label")?;
+                Event::Tick
+            }
+            "echo" => {
+                let server = self.servers.admit(&fields.text("Server")?.to_string());
+                let end = match fields.text("How")? {
+                    "ok" => ProbeEnd::Answered,
+                    "error" | "full" => ProbeEnd::Refused,
+                    "timeout" | "connect_failed" | "reset" | "cancelled" | "moot" => ProbeEnd::Dead,
+                    other => return Err(format!("field How: '{other}' is not known")),
+                };
+                fields.whole_or("CostTimeNs", 0)?;
+                Event::Probed { server, end, load: fields.load("Metrics")? }
+            }
+            "whisper" => {
+                fields.whole("Neighbour")?;
+                fields.text("Contents")?;
+                Event::Tick
+            }
+            "joined" => {
+                let proxy = self.proxies.admit(&fields.whole("Agent")?);
+                let zone = place(&self.zones, fields.text("Zone")?, "Zone")?;
+                let calls_per_s = fields.number_or("Weight", 0.0)?;
+                fields.flag("Active")?;
+                Event::Joined { proxy, zone, calls_per_s }
+            }
+            "disconnected" => Event::Left { proxy: self.proxies.admit(&fields.whole("Agent")?) },
+            "roundup" => {
+                let dropped = fields.whole_or("Lost", 0)? as f64;
+                let over = Span(fields.whole_or("WindowNs", 0)?);
+                let mean = Span(fields.whole_or("CostTimeNs", 0)?);
+                let zone = place(&self.zones, fields.text("Zone")?, "Zone")?;
+                let tries = fields.whole_or("Number", 0)? as f64;
+                let server = self.servers.admit(&fields.text("Server")?.to_string());
+                let load = fields.load("Metrics")?;
+                Event::Sums { server, zone, tries, dropped, mean, over, load }
+            }
+            "arrivals" => {
+                let proxy = self.proxies.admit(&fields.whole("Agent")?);
+                let route = place(&self.routes, fields.text("Service")?, "Service")?;
+                let calls = fields.whole_or("Number", 0)? as f64;
+                let dropped = fields.whole_or("Lost", 0)? as f64;
+                let over = Span(fields.whole_or("WindowNs", 0)?);
+                Event::Arrivals { proxy, route, calls, dropped, over }
+            }
+            "hotness" => {
+                fields.whole("RouteTable")?;
+                place(&self.routes, fields.text("Service")?, "Service")?;
+                fields.whole_or("Number", 0)?;
+                fields.whole_or("Lost", 0)?;
+                fields.whole_or("WindowNs", 0)?;
+                Event::Tick
+            }
+            "mandate" => {
+                let slice = fields.whole("RouteTable")? as usize;
+                Event::SliceGiven { slice, given: fields.flag("Active")? }
+            }
+            "standing_line" => {
+                let server = self.servers.admit(&fields.text("Server")?.to_string());
+                let slice = fields.whole("RouteTable")? as usize;
+                Event::SliceLine { slice, server, weight: fields.number_or("Weight", 1.0)? }
+            }
+            _ => {
+                let proxy = self.proxies.admit(&fields.whole("Agent")?);
+                let mark = fields.whole("Epoch")?;
+                fields.whole_or("CostTimeNs", 0)?;
+                Event::Applied { proxy, mark }
+            }
+        })
+    }
+
+    fn write(&self, who: u64, order: &Order, reply: &mut String) {
+        let _ = match order {
+            Order::Line { table, server, weight } => {
+                writeln!(reply, "put_line\t{who}\t{table}\t{}\t{weight}", self.servers.name(*server))
+            }
+            Order::Bind { proxy, table, routes } if !self.slices => {
+                writeln!(reply, "hand_table\t{who}\t{}\t{table}\t{routes}", self.proxies.name(*proxy))
+            }
+            Order::Bind { .. } => Ok(()),
+            Order::Gate { table, routes, level, resend } => {
+                let how = match resend {
+                    Resend::Never => 0,
+                    Resend::OnProof => 1,
+                    Resend::Once => 2,
+                };
+                writeln!(reply, "gate_class\t{who}\t{level}\t{routes}\t{how}\t{table}")
+            }
+            Order::Mark { mark } => writeln!(reply, "checkpoint\t{who}\t{mark}\t0"),
+            Order::Probe { server } => writeln!(reply, "probe\t{who}\t{}", self.servers.name(*server)),
+            Order::Wake { at } => writeln!(reply, "timer\t{who}\t{}\t0", at.0),
+            Order::Subscribe => writeln!(reply, "tail\t{who}\t1"),
+        };
+    }
+}
--- /dev/null
+++ b/crates/planner/src/decide.rs
@@ -0,0 +1,865 @@
+//! All decisions of the planner. Call `Planner::new` once per start, then `turn` with each batch of events and
+//! the batch's clock; carry out the orders it returns in their order. Events, orders and state are in `types.rs`.
+//!
+//! The ordinary path is Niagara's (docs/design.md): targets by listed weight, demand-weighted k-means into few
+//! shared tables, greedy trimming, rounding within the error, paced deltas. Health, ramp, return, levels and
+//! the guards of the five rules are ours.
+
+use crate::histogram::Histogram;
+use crate::time::{Moment, Span};
+use crate::types::*;
+
+const TICK: Span = Span::millis(500);
+const PERIOD: Span = Span::millis(5_000);
+const REVIEW: Span = Span::millis(2_500);
+const REBIND: Span = Span::millis(60_000);
+/// Ordinary messages keep this far apart; removals need not wait.
+const GAP: Span = Span::millis(900);
+/// Imbalance, as part of all demand, below which a grouping or a table is left as it is.
+const MARGIN: f64 = 0.02;
+/// Largest relative error of a rounded weight: three binary digits are kept.
+const DIGITS: f64 = 8.0;
+const ERROR: f64 = 1.0 / (2.0 * DIGITS);
+/// Lines under this part of the average share may be trimmed.
+const THIN: f64 = 0.1;
+/// What a cold server gets, by quarters of the longest warm-up: no more than it is sure to carry by then,
+/// but for the entry share, which the design sets at a quarter.
+const RAMP: [f64; 5] = [0.25, 0.4, 0.6, 0.8, 1.0];
+const UTIL_EDGES: &[f64] = &[0.2, 0.35, 0.5, 0.6, 0.7, 0.8, 0.9, 0.97];
+/// Coarse corrections to listed weights, for servers that stay far busier or idler than the rest.
+const CORRECTIONS: [f64; 7] = [0.3, 0.45, 0.6, 0.8, 1.0, 1.25, 1.5];
+const UNCORRECTED: usize = 4;
+/// Sums suggest trouble when at least so many tries, and such a part of them, were dropped.
+const BAD_TRIES: f64 = 3.0;
+const BAD_PART: f64 = 0.5;
+const GOOD_PART: f64 = 0.2;
+/// Dead probes in a row that confirm it.
+const CONFIRM: usize = 2;
+/// Servers are not shut out when less than this part of the listed weight would remain.
+const QUORUM: f64 = 0.25;
+/// Level of the least important route and of the others, by step; left again step by step.
+const LEVELS: [(f64, f64); 5] = [(1.0, 1.0), (0.75, 1.0), (0.55, 1.0), (0.4, 0.9), (0.25, 0.8)];
+const BUSY: f64 = 0.92;
+const AT_EASE: f64 = 0.8;
+
+/// What is learned of a server.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Sign {
+    Runs,
+    Restarted,
+    Stops,
+    Gone,
+    SumsBad,
+    SumsGood,
+    ProbeGood,
+    ProbeDead,
+    Confirmed,
+    Recovered,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Effect {
+    Nothing,
+    /// Let in by its listed start.
+    Enter,
+    /// Let in as if it had started now: what it went through is not known.
+    Return,
+    Remove,
+    /// Ask the server itself.
+    Ask,
+    Strike,
+    Pardon,
+}
+
+use Effect::*;
+use Sign::*;
+use Stand::{Draining, Open, Out, Suspect};
+
+/// A pair that is not listed changes nothing. A listed restart of a server that is shut out only tells when it
+/// started; probes bring it back, since a list knows only that a process runs.
+const STANDS: &[(Stand, Sign, Stand, Effect)] = &[
+    (Stand::Gone, Runs, Open, Enter),
+    (Stand::Gone, Restarted, Open, Enter),
+    (Draining, Runs, Open, Enter),
+    (Draining, Restarted, Open, Enter),
+    (Open, Restarted, Open, Enter),
+    (Suspect, Restarted, Open, Enter),
+    (Out, Restarted, Out, Ask),
+    (Open, Stops, Draining, Remove),
+    (Suspect, Stops, Draining, Remove),
+    (Out, Stops, Draining, Remove),
+    (Stand::Gone, Stops, Draining, Remove),
+    (Open, Sign::Gone, Stand::Gone, Remove),
+    (Suspect, Sign::Gone, Stand::Gone, Remove),
+    (Out, Sign::Gone, Stand::Gone, Remove),
+    (Draining, Sign::Gone, Stand::Gone, Remove),
+    (Open, SumsBad, Suspect, Ask),
+    (Suspect, SumsGood, Open, Pardon),
+    (Suspect, ProbeGood, Open, Pardon),
+    (Open, ProbeGood, Open, Pardon),
+    (Open, ProbeDead, Open, Strike),
+    (Suspect, ProbeDead, Suspect, Strike),
+    (Suspect, Confirmed, Out, Remove),
+    (Out, ProbeGood, Out, Strike),
+    (Out, ProbeDead, Out, Pardon),
+    (Out, Recovered, Open, Return),
+    (Out, Confirmed, Out, Nothing),
+];
+
+pub struct Planner {
+    rng: fastrand::Rng,
+    fleet: Fleet,
+    routes: Vec<Route>,
+    channel: Channel,
+    pledge: Pledge,
+    reach: Reach,
+    slicing: Slicing,
+    servers: Vec<Server>,
+    proxies: Vec<Proxy>,
+    tables: Vec<Table>,
+    /// What each table should hold; deltas lead there.
+    wanted: Vec<Vec<(ServerIx, f64)>>,
+    slices: Vec<Slice>,
+    /// Imbalance when the proxies were last grouped.
+    packed: f64,
+    step: usize,
+    mark: u64,
+    ask: Vec<ServerIx>,
+    stirred: bool,
+    planned: Moment,
+    reviewed: Moment,
+    woken: Moment,
+    asked_list: Option<Moment>,
+}
+
+impl Planner {
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        now: Moment,
+        seed: u64,
+        fleet: Fleet,
+        routes: Vec<Route>,
+        channel: Channel,
+        pledge: Pledge,
+        reach: Reach,
+        slicing: Slicing,
+    ) -> Planner {
+        Planner {
+            rng: fastrand::Rng::with_seed(seed),
+            fleet,
+            routes,
+            channel,
+            pledge,
+            reach,
+            slicing,
+            servers: Vec::new(),
+            proxies: Vec::new(),
+            tables: Vec::new(),
+            wanted: Vec::new(),
+            slices: Vec::new(),
+            packed: 0.0,
+            step: 0,
+            mark: 0,
+            ask: Vec::new(),
+            stirred: false,
+            planned: now,
+            reviewed: now,
+            woken: now,
+            asked_list: None,
+        }
+    }
+
+    /// Takes in a batch and answers with orders.
+    pub fn turn(&mut self, now: Moment, events: &[Event]) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for event in events {
+            self.hear(now, event);
+        }
+        if now >= self.woken {
+            self.upkeep(now);
+            // Planners that started together should not probe and push in step.
+            self.woken = now + TICK.times(0.9 + 0.2 * self.rng.f64());
+            orders.push(Order::Wake { at: self.woken });
+            if self.fleet.on_request
+                && self.asked_list.is_none_or(|at| now.since(at) > self.fleet.ask_within.times(0.4))
+            {
+                self.asked_list = Some(now);
+                orders.push(Order::Subscribe);
+            }
+        }
+        if self.slicing.slices > 0 {
+            self.mend_slices(now, &mut orders);
+        } else {
+            if self.stirred || now.since(self.planned) >= PERIOD {
+                self.stirred = false;
+                self.plan(now);
+            }
+            self.push(now, &mut orders);
+        }
+        if self.reach.probes {
+            for server in std::mem::take(&mut self.ask) {
+                self.servers[server].probed = Some(now);
+                orders.push(Order::Probe { server });
+            }
+        }
+        orders
+    }
+
+    fn server(&mut self, at: ServerIx) -> &mut Server {
+        while self.servers.len() <= at {
+            let util = Histogram::new(UTIL_EDGES);
+            self.servers.push(Server { util, step: UNCORRECTED, ..Server::default() });
+        }
+        &mut self.servers[at]
+    }
+
+    fn proxy(&mut self, at: ProxyIx) -> &mut Proxy {
+        if self.proxies.len() <= at {
+            self.proxies.resize(at + 1, Proxy::default());
+        }
+        &mut self.proxies[at]
+    }
+
+    fn hear(&mut self, now: Moment, event: &Event) {
+        match event {
+            Event::List { kind, entries } => self.hear_list(now, *kind, entries),
+            Event::Joined { proxy, zone, calls_per_s } => {
+                let (zone, first_guess) = (*zone, *calls_per_s);
+                let calls = vec![0.0; self.routes.len()];
+                *self.proxy(*proxy) = Proxy { joined: true, zone, first_guess, calls, ..Proxy::default() };
+                self.stirred = true;
+            }
+            Event::Left { proxy } => *self.proxy(*proxy) = Proxy::default(),
+            Event::Sums { server, tries, dropped, load, .. } => {
+                self.server(*server);
+                self.note_load(*server, *load, *tries);
+                let known = &mut self.servers[*server];
+                known.tries += tries;
+                known.dropped += dropped;
+                let (tries, dropped) = (known.tries, known.dropped);
+                if dropped >= BAD_TRIES && dropped >= BAD_PART * tries {
+                    self.sign(now, *server, SumsBad, None);
+                } else if tries >= BAD_TRIES && dropped < GOOD_PART * tries {
+                    self.sign(now, *server, SumsGood, None);
+                }
+            }
+            Event::Arrivals { proxy, route, calls, dropped, over } => {
+                let known = self.proxy(*proxy);
+                if known.joined && *route < known.calls.len() {
+                    known.calls[*route] += calls;
+                    known.dropped += dropped;
+                    // Every route tells of the same period; the first stands for all.
+                    known.over += if *route == 0 { over.seconds() } else { 0.0 };
+                }
+            }
+            Event::Probed { server, end, load } => {
+                self.server(*server);
+                self.note_load(*server, *load, 3.0);
+                self.sign(now, *server, if *end == ProbeEnd::Dead { ProbeDead } else { ProbeGood }, None);
+                if self.servers[*server].strikes >= CONFIRM {
+                    match self.servers[*server].stand {
+                        Suspect if self.may_shut_out(now, *server) => {
+                            self.sign(now, *server, Confirmed, None)
+                        }
+                        Out => self.sign(now, *server, Recovered, None),
+                        _ => {}
+                    }
+                }
+            }
+            Event::Applied { proxy, mark } => {
+                let mark = *mark;
+                self.proxy(*proxy).unapplied.retain(|(sent, _)| *sent > mark);
+            }
+            Event::SliceGiven { slice, given } => {
+                if self.slices.len() <= *slice {
+                    self.slices.resize(slice + 1, Slice::default());
+                }
+                self.slices[*slice] = Slice { given: *given, ..Slice::default() };
+            }
+            Event::SliceLine { slice, server, weight } => {
+                self.server(*server);
+                if let Some(slice) = self.slices.get_mut(*slice).filter(|slice| slice.given) {
+                    slice.lines.push((*server, *weight));
+                }
+            }
+            Event::Tick => {}
+        }
+    }
+
+    fn hear_list(&mut self, now: Moment, kind: ListKind, entries: &[Entry]) {
+        if kind == ListKind::Failed {
+            self.asked_list = None;
+            return;
+        }
+        let mut named = Vec::new();
+        for entry in entries {
+            let server = self.server(entry.server);
+            server.known = true;
+            server.zone = entry.zone;
+            server.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
+            let restarted = entry.last_start.is_some() && entry.last_start > server.started;
+            named.push(entry.server);
+            let sign = match entry.state {
+                Listed::Running if restarted => Restarted,
+                Listed::Running => Runs,
+                Listed::Stopping => Stops,
+                Listed::Deleted => Sign::Gone,
+            };
+            self.sign(now, entry.server, sign, entry.last_start);
+        }
+        if kind != ListKind::Changes {
+            for at in (0..self.servers.len()).filter(|at| !named.contains(at)).collect::<Vec<_>>() {
+                self.sign(now, at, Sign::Gone, None);
+            }
+        }
+    }
+
+    /// Reads the table of stands and carries the effect out.
+    fn sign(&mut self, now: Moment, at: ServerIx, sign: Sign, start: Option<Moment>) {
+        let stand = self.servers[at].stand;
+        let Some((_, _, next, effect)) = STANDS.iter().find(|rule| rule.0 == stand && rule.1 == sign) else {
+            return;
+        };
+        let server = &mut self.servers[at];
+        server.stand = *next;
+        match effect {
+            Nothing => {}
+            Enter | Return => {
+                server.started = if *effect == Return { Some(now) } else { start.or(server.started) };
+                server.strikes = 0;
+                server.tries = 0.0;
+                server.dropped = 0.0;
+                server.util.clear();
+                self.stirred = true;
+            }
+            Remove => {
+                server.strikes = 0;
+                self.stirred = true;
+            }
+            Ask => {
+                server.started = start.or(server.started);
+                self.ask.push(at);
+            }
+            Strike => server.strikes += 1,
+            Pardon => {
+                server.strikes = 0;
+                if stand == Suspect {
+                    server.tries = 0.0;
+                    server.dropped = 0.0;
+                }
+            }
+        }
+    }
+
+    fn note_load(&mut self, at: ServerIx, load: Load, times: f64) {
+        if let Some(util) = load.util {
+            self.servers[at].util.add(util, times);
+        }
+    }
+
+    /// A planner behind a cut sees all others dead; without this it would heap everything on what it still sees.
+    fn may_shut_out(&self, now: Moment, at: ServerIx) -> bool {
+        let weight = |server: &Server| if server.stand == Stand::Gone { 0.0 } else { server.weight };
+        let listed: f64 = self.servers.iter().map(weight).sum();
+        let left: f64 =
+            (0..self.servers.len()).filter(|other| *other != at).map(|s| self.carries(now, s)).sum();
+        left >= QUORUM * listed
+    }
+
+    fn warmth(&self, now: Moment, at: ServerIx) -> usize {
+        let Some(started) = self.servers[at].started else { return RAMP.len() - 1 };
+        let gone = now.since(started).seconds() / self.pledge.cold_for.seconds().max(1e-9);
+        ((gone * 4.0) as usize).min(RAMP.len() - 1)
+    }
+
+    /// The weight a server may be given now: listed, corrected, eased in; nothing if it is not usable.
+    fn carries(&self, now: Moment, at: ServerIx) -> f64 {
+        let server = &self.servers[at];
+        match server.stand {
+            Open | Suspect => server.weight * CORRECTIONS[server.step] * RAMP[self.warmth(now, at)],
+            _ => 0.0,
+        }
+    }
+
+    fn demand(&self, proxy: &Proxy) -> f64 {
+        let average = 1.0;
+        if proxy.over > 0.0 {
+            proxy.calls.iter().sum::<f64>() / proxy.over
+        } else if proxy.first_guess > 0.0 {
+            proxy.first_guess
+        } else {
+            average
+        }
+    }
+
+    fn upkeep(&mut self, now: Moment) {
+        let routine = self.reach.load_on_probe;
+        for at in 0..self.servers.len() {
+            let warmth = self.warmth(now, at);
+            let server = &self.servers[at];
+            if server.stand == Open && server.started.is_some() && warmth < RAMP.len() - 1 {
+                self.stirred |= self.warmth(now - TICK, at) != warmth;
+            }
+            let server = &self.servers[at];
+            let rest = match server.stand {
+                Suspect => Span::millis(400),
+                Out => Span::millis(900),
+                Open if routine => Span::millis(1_900),
+                _ => continue,
+            };
+            if server.probed.is_none_or(|last| now.since(last) >= rest) && !self.ask.contains(&at) {
+                self.ask.push(at);
+            }
+        }
+        if now.since(self.reviewed) >= REVIEW {
+            self.reviewed = now;
+            self.review(now);
+        }
+    }
+
+    /// Looks at lasting symptoms: servers far off the common load, a fleet with no room left.
+    fn review(&mut self, now: Moment) {
+        let warm: Vec<ServerIx> = (0..self.servers.len())
+            .filter(|at| self.servers[*at].stand == Open && self.warmth(now, *at) == RAMP.len() - 1)
+            .collect();
+        let util: Vec<Option<f64>> = warm.iter().map(|at| self.servers[*at].util.mean()).collect();
+        let weight: f64 =
+            warm.iter().zip(&util).map(|(at, u)| u.map_or(0.0, |_| self.carries(now, *at))).sum();
+        if weight > 0.0 {
+            let sum: f64 =
+                warm.iter().zip(&util).map(|(at, u)| u.unwrap_or(0.0) * self.carries(now, *at)).sum();
+            let common = sum / weight;
+            for (at, util) in warm.iter().zip(util) {
+                let Some(util) = util else { continue };
+                let server = &mut self.servers[*at];
+                let wanted = CORRECTIONS[server.step] * common / util.max(0.1);
+                let nearest = (0..CORRECTIONS.len())
+                    .min_by(|a, b| {
+                        (CORRECTIONS[*a] - wanted).abs().total_cmp(&(CORRECTIONS[*b] - wanted).abs())
+                    })
+                    .unwrap_or(UNCORRECTED);
+                let call = (nearest as i32 - server.step as i32).signum();
+                server.asked = if call == server.asked.signum() { server.asked + call } else { call };
+                if server.asked.abs() >= 2 {
+                    server.step = (server.step as i32 + call) as usize;
+                    server.asked = 0;
+                }
+            }
+            if self.reach.throttle == Throttle::Fraction {
+                self.step = match common {
+                    c if c > BUSY => (self.step + 1).min(LEVELS.len() - 1),
+                    c if c < AT_EASE => self.step.saturating_sub(1),
+                    _ => self.step,
+                };
+            }
+        }
+        for server in &mut self.servers {
+            server.util.halve();
+            server.tries /= 2.0;
+            server.dropped /= 2.0;
+        }
+        for proxy in &mut self.proxies {
+            proxy.calls.iter_mut().for_each(|calls| *calls /= 2.0);
+            proxy.over /= 2.0;
+            proxy.dropped /= 2.0;
+        }
+    }
+
+    /// Routes of a scope, as the wire's mask: 0 may go anywhere, 1 stays in the proxy's zone.
+    fn scope_mask(&self, scope: usize) -> u64 {
+        let bits = self.routes.iter().enumerate().filter(|(_, r)| r.zone_bound == (scope == 1));
+        bits.map(|(at, _)| 1 << at).sum()
+    }
+
+    /// The target of each zone's proxies: own zone first, what it cannot carry spread over room elsewhere.
+    fn targets(&self, now: Moment, scope: usize) -> Vec<Vec<f64>> {
+        let zones = self.fleet.zones.max(1);
+        let mut carries: Vec<f64> = (0..self.servers.len()).map(|at| self.carries(now, at)).collect();
+        if carries.iter().all(|c| *c <= 0.0) {
+            // Rule 1: believed dead but listed as running is better than no line at all.
+            for (at, server) in self.servers.iter().enumerate().filter(|(_, s)| s.stand == Out) {
+                carries[at] = server.weight * RAMP[self.warmth(now, at)];
+            }
+        }
+        let mut room = vec![0.0; zones];
+        for (at, server) in self.servers.iter().enumerate() {
+            room[server.zone] += carries[at];
+        }
+        let total: f64 = room.iter().sum();
+        let mut demand = vec![0.0; zones];
+        let mut joined = 0;
+        for proxy in self.proxies.iter().filter(|p| p.joined) {
+            demand[proxy.zone] += self.demand(proxy);
+            joined += 1;
+        }
+        let seen: f64 = demand.iter().sum();
+        if joined == 0 || total <= 0.0 || seen <= 0.0 {
+            return vec![carries; zones];
+        }
+        // Proxies of other planners count as average, where the seen ones leave servers idle.
+        let unseen = seen / joined as f64 * self.fleet.proxies.saturating_sub(joined) as f64;
+        let gaps: Vec<f64> =
+            (0..zones).map(|z| ((seen + unseen) * room[z] / total - demand[z]).max(0.0)).collect();
+        let gap: f64 = gaps.iter().sum();
+        let density = (seen + unseen) / total;
+        let mut load = demand.clone();
+        for zone in 0..zones {
+            load[zone] += if gap > 0.0 { unseen * gaps[zone] / gap } else { 0.0 };
+        }
+        let bearable = 1.0 + 3.0 * self.fleet.crossing_price;
+        let mut free: Vec<f64> =
+            (0..zones).map(|z| (bearable * density * room[z] - load[z]).max(0.0)).collect();
+        if free.iter().sum::<f64>() <= 0.0 {
+            free = room.clone();
+        }
+        (0..zones)
+            .map(|zone| {
+                let over = (load[zone] - bearable * density * room[zone]).max(0.0);
+                let away = match scope {
+                    1 => 0.0,
+                    _ if room[zone] <= 0.0 => 1.0,
+                    _ => over / load[zone].max(1e-9),
+                };
+                let others: f64 = (0..zones).filter(|z| *z != zone).map(|z| free[z]).sum();
+                let mass = |at: usize| match self.servers[at].zone {
+                    z if z == zone && others > 0.0 => (1.0 - away) / room[z].max(1e-9),
+                    z if z == zone => 1.0 / room[z].max(1e-9),
+                    z if others > 0.0 => away * free[z] / others / room[z].max(1e-9),
+                    _ => 0.0,
+                };
+                (0..carries.len()).map(|at| carries[at] * mass(at)).collect()
+            })
+            .collect()
+    }
+
+    fn plan(&mut self, now: Moment) {
+        self.planned = now;
+        for scope in 0..2 {
+            if self.scope_mask(scope) > 0 {
+                let targets = self.targets(now, scope);
+                self.pack(now, scope, &targets);
+            }
+        }
+    }
+
+    /// Groups the proxies and writes what each group's table should hold.
+    fn pack(&mut self, now: Moment, scope: usize, targets: &[Vec<f64>]) {
+        let members: Vec<(ProxyIx, f64, &Vec<f64>)> = self
+            .proxies
+            .iter()
+            .enumerate()
+            .filter(|(_, p)| p.joined)
+            .map(|(at, p)| (at, self.demand(p).max(1e-6), &targets[p.zone]))
+            .collect();
+        if members.is_empty() {
+            return;
+        }
+        let standing: Vec<Option<usize>> = members.iter().map(|m| self.proxies[m.0].tables[scope]).collect();
+        let bound: Vec<_> = members.iter().zip(&standing).filter(|(_, t)| t.is_some()).collect();
+        let strain =
+            imbalance(&bound.iter().map(|(m, t)| (m.1, m.2.as_slice(), t.unwrap_or(0))).collect::<Vec<_>>());
+        let groups = group(&members.iter().map(|m| (m.1, m.2.as_slice())).collect::<Vec<_>>());
+        let regroup = strain > self.packed + MARGIN;
+        if bound.len() < members.len() || regroup {
+            // A group takes the number of the table that most of its demand already uses.
+            let mut taken: Vec<TableNo> = Vec::new();
+            for kind in 0..=groups.iter().copied().max().unwrap_or(0) {
+                let inside: Vec<usize> = (0..members.len()).filter(|i| groups[*i] == kind).collect();
+                let mut votes = vec![0.0; self.tables.len()];
+                for i in &inside {
+                    if let Some(table) = standing[*i] {
+                        votes[table] += members[*i].1;
+                    }
+                }
+                let free = |t: &usize| !taken.contains(t) && self.tables[*t].scope == scope;
+                let best = (0..votes.len()).filter(|t| votes[*t] > 0.0 && free(t));
+                let empty = |t: &usize| free(t) && !self.proxies.iter().any(|p| p.tables[scope] == Some(*t));
+                let table = best
+                    .max_by(|a, b| votes[*a].total_cmp(&votes[*b]))
+                    .or_else(|| (0..self.tables.len()).find(empty))
+                    .unwrap_or(self.tables.len());
+                if table == self.tables.len() {
+                    self.tables.push(Table { scope, ..Table::default() });
+                    self.wanted.push(Vec::new());
+                }
+                taken.push(table);
+                for i in inside {
+                    let proxy = &mut self.proxies[members[i].0];
+                    let settled = proxy.bound.is_some_and(|at| now.since(at) < REBIND);
+                    if proxy.tables[scope] != Some(table)
+                        && (proxy.tables[scope].is_none() || (regroup && !settled))
+                    {
+                        proxy.tables[scope] = Some(table);
+                        proxy.bound = None;
+                    }
+                }
+            }
+        }
+        let placed: Vec<(f64, &[f64], usize)> = members
+            .iter()
+            .map(|m| (m.1, m.2.as_slice(), self.proxies[m.0].tables[scope].unwrap_or(0)))
+            .collect();
+        if bound.len() < members.len() || regroup {
+            self.packed = imbalance(&placed);
+        }
+        for table in (0..self.tables.len()).filter(|t| self.tables[*t].scope == scope) {
+            let inside: Vec<_> = placed.iter().filter(|p| p.2 == table).copied().collect();
+            if !inside.is_empty() {
+                let zone: Vec<ZoneIx> = self.servers.iter().map(|s| s.zone).collect();
+                self.wanted[table] = trim(&centre(&inside), &inside, &zone);
+            }
+        }
+    }
+
+    /// Sends what differs, urgent removals at once and the rest at its pace; then binds.
+    fn push(&mut self, now: Moment, orders: &mut Vec<Order>) {
+        let waiting: f64 = self.proxies.iter().flat_map(|p| p.unapplied.iter().map(|u| u.1)).sum();
+        let mut left = self.channel.most_waiting / 2.0 - waiting;
+        let mut spent = vec![0.0; self.proxies.len()];
+        for table in 0..self.tables.len() {
+            let scope = self.tables[table].scope;
+            let users: Vec<ProxyIx> = (0..self.proxies.len())
+                .filter(|p| self.proxies[*p].tables[scope] == Some(table) && self.proxies[*p].bound.is_some())
+                .collect();
+            let changes = deltas(&self.tables[table].lines, &self.wanted[table]);
+            let gates = self.tables[table].gates != Some(self.step);
+            if changes.is_empty() && !gates {
+                continue;
+            }
+            let urgent = changes.iter().any(|(server, weight)| {
+                let stand = self.servers[*server].stand;
+                *weight <= 0.0 && matches!(stand, Stand::Gone | Draining | Out)
+                    || *weight > 0.0 && self.warmth(now, *server) == 0
+            });
+            let cost = changes.len() as f64 + self.channel.head + 3.0;
+            let fits = users.is_empty()
+                || users.iter().all(|p| self.may_tell(now, *p, urgent))
+                    && (urgent || left >= cost * users.len() as f64);
+            if !fits {
+                continue;
+            }
+            let lines = &mut self.tables[table].lines;
+            for (server, weight) in changes {
+                orders.push(Order::Line { table, server, weight });
+                lines.retain(|line| line.0 != server);
+                if weight > 0.0 {
+                    lines.push((server, weight));
+                }
+            }
+            if gates {
+                self.gate(table, orders);
+            }
+            left -= cost * users.len() as f64;
+            users.iter().for_each(|p| spent[*p] += cost);
+        }
+        for (at, spent) in spent.iter_mut().enumerate() {
+            for scope in 0..2 {
+                let routes = self.scope_mask(scope);
+                let Some(table) = self.proxies[at].tables[scope] else { continue };
+                if self.proxies[at].bound.is_some() || self.tables[table].lines.is_empty() {
+                    continue;
+                }
+                let cost = self.tables[table].lines.len() as f64 + self.channel.head + 5.0;
+                if waiting + cost < self.channel.most_waiting * 0.9 {
+                    orders.push(Order::Bind { proxy: at, table, routes });
+                    *spent += cost;
+                }
+            }
+        }
+        if spent.iter().all(|cost| *cost <= 0.0) {
+            return;
+        }
+        self.mark = (self.mark + 1) % 65_536;
+        orders.push(Order::Mark { mark: self.mark });
+        for (at, cost) in spent.iter().enumerate().filter(|(_, cost)| **cost > 0.0) {
+            let proxy = &mut self.proxies[at];
+            proxy.bound = proxy.bound.or(Some(now));
+            proxy.unapplied.push((self.mark, *cost));
+            proxy.told.push(now);
+        }
+    }
+
+    /// Messages to one proxy: ordinary ones keep apart and leave half the limit to removals.
+    fn may_tell(&self, now: Moment, at: ProxyIx, urgent: bool) -> bool {
+        let proxy = &self.proxies[at];
+        let most = if self.channel.messages_most == 0 { usize::MAX } else { self.channel.messages_most };
+        let recent = proxy.told.iter().filter(|told| now.since(**told) <= self.channel.messages_over).count();
+        let since = proxy.told.last().map_or(Span(u64::MAX), |last| now.since(*last));
+        if urgent {
+            recent < most / 2 || recent + 1 < most && since >= self.pledge.drain_grace.times(0.3)
+        } else {
+            recent < most / 2 && since >= GAP
+        }
+    }
+
+    /// Sets how much of each route is let in and when proxies try again.
+    fn gate(&mut self, table: TableNo, orders: &mut Vec<Order>) {
+        let least = self.routes.iter().map(|r| r.importance).fold(f64::MAX, f64::min);
+        let most = self.routes.iter().map(|r| r.importance).fold(0.0, f64::max);
+        let mask = self.scope_mask(self.tables[table].scope);
+        for (at, route) in self.routes.iter().enumerate().filter(|(at, _)| mask >> at & 1 == 1) {
+            let level = match self.reach.throttle {
+                Throttle::PerSecond => 1e9,
+                _ if route.importance <= least && least < most => LEVELS[self.step].0,
+                _ => LEVELS[self.step].1,
+            };
+            // Only a repeatable call may follow a try that may have run.
+            let resend = if route.repeats == Repeats::Repeatable { Resend::Once } else { Resend::OnProof };
+            orders.push(Order::Gate { table, routes: 1 << at, level, resend });
+        }
+        self.tables[table].gates = Some(self.step);
+    }
+
+    /// Sites with slices: each keeps its line; one whose server drains or is gone gets another, an exclusive one
+    /// only after its writes have been held back until the former owner can have none.
+    fn mend_slices(&mut self, now: Moment, orders: &mut Vec<Order>) {
+        let usable: Vec<ServerIx> =
+            (0..self.servers.len()).filter(|at| self.carries(now, *at) > 0.0).collect();
+        for at in 0..self.slices.len() {
+            let lost = |line: &(ServerIx, f64)| !usable.contains(&line.0);
+            let slice = &self.slices[at];
+            if !slice.given || usable.is_empty() || !slice.lines.is_empty() && !slice.lines.iter().any(lost) {
+                continue;
+            }
+            let gate = |level| Order::Gate { table: at, routes: 0, level, resend: Resend::OnProof };
+            let open = if self.reach.throttle == Throttle::PerSecond { 1e9 } else { 1.0 };
+            if self.slicing.exclusive && !slice.lines.is_empty() {
+                let wait = self.slicing.keeps_writing + self.slicing.lingers;
+                match slice.held_until {
+                    None => {
+                        orders.push(gate(0.0));
+                        self.slices[at].held_until = Some(now + wait);
+                        continue;
+                    }
+                    Some(until) if now < until => continue,
+                    Some(_) => orders.push(gate(open)),
+                }
+            }
+            let server = usable[at % usable.len()];
+            let gone: Vec<ServerIx> = slice.lines.iter().filter(|l| lost(l)).map(|l| l.0).collect();
+            orders.push(Order::Line { table: at, server, weight: 1.0 });
+            if !self.slicing.exclusive {
+                orders.extend(gone.iter().map(|s| Order::Line { table: at, server: *s, weight: 0.0 }));
+            }
+            let slice = &mut self.slices[at];
+            slice
+                .lines
+                .retain(|line| usable.contains(&line.0) && line.0 != server && !self.slicing.exclusive);
+            slice.lines.push((server, 1.0));
+            slice.held_until = None;
+        }
+    }
+}
+
+/// What a table gives beyond a proxy's target, over all servers.
+fn excess(table: &[f64], target: &[f64]) -> f64 {
+    table.iter().zip(target).map(|(have, want)| (have - want).max(0.0)).sum()
+}
+
+/// The demand-weighted mean of the members' targets.
+fn centre(members: &[(f64, &[f64], usize)]) -> Vec<f64> {
+    let total: f64 = members.iter().map(|m| m.0).sum();
+    let width = members.iter().map(|m| m.1.len()).max().unwrap_or(0);
+    (0..width).map(|at| members.iter().map(|m| m.0 * m.1[at]).sum::<f64>() / total).collect()
+}
+
+/// The imbalance of a grouping, as part of all demand.
+fn imbalance(placed: &[(f64, &[f64], usize)]) -> f64 {
+    let total: f64 = placed.iter().map(|p| p.0).sum();
+    let mut sum = 0.0;
+    for kind in 0..=placed.iter().map(|p| p.2).max().unwrap_or(0) {
+        let inside: Vec<_> = placed.iter().filter(|p| p.2 == kind).copied().collect();
+        let middle = centre(&inside);
+        sum += inside.iter().map(|p| p.0 * excess(&middle, p.1)).sum::<f64>();
+    }
+    if total > 0.0 {
+        sum / total
+    } else {
+        0.0
+    }
+}
+
+/// Demand-weighted k-means, seeded by the heaviest proxies, with as few groups as the margin allows.
+fn group(members: &[(f64, &[f64])]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..members.len()).collect();
+    order.sort_by(|a, b| members[*b].0.total_cmp(&members[*a].0));
+    let mut seeds: Vec<usize> = Vec::new();
+    let mut groups = vec![0; members.len()];
+    for next in order {
+        // A seed whose target a group already serves would only split that group.
+        if seeds.iter().any(|seed| excess(members[*seed].1, members[next].1) < MARGIN) {
+            continue;
+        }
+        seeds.push(next);
+        let mut centres: Vec<Vec<f64>> = seeds.iter().map(|seed| members[*seed].1.to_vec()).collect();
+        for _ in 0..8 {
+            for (at, member) in members.iter().enumerate() {
+                let cost = |kind: &usize| excess(&centres[*kind], member.1);
+                groups[at] = (0..centres.len()).min_by(|a, b| cost(a).total_cmp(&cost(b))).unwrap_or(0);
+            }
+            for (kind, middle) in centres.iter_mut().enumerate() {
+                let inside: Vec<_> = members.iter().zip(&groups).filter(|(_, g)| **g == kind).collect();
+                if !inside.is_empty() {
+                    *middle = centre(&inside.iter().map(|(m, g)| (m.0, m.1, **g)).collect::<Vec<_>>());
+                }
+            }
+        }
+        let placed: Vec<_> = members.iter().zip(&groups).map(|(m, g)| (m.0, m.1, *g)).collect();
+        if imbalance(&placed) <= MARGIN {
+            break;
+        }
+    }
+    groups
+}
+
+/// Drops thin lines, those that add least imbalance first, never a zone's last; rescales and rounds.
+fn trim(middle: &[f64], members: &[(f64, &[f64], usize)], zone: &[ZoneIx]) -> Vec<(ServerIx, f64)> {
+    let mut lines: Vec<(ServerIx, f64)> =
+        middle.iter().enumerate().filter(|(_, w)| **w > 0.0).map(|(at, w)| (at, *w)).collect();
+    loop {
+        let thin = THIN / lines.len().max(1) as f64;
+        let alone = |at: ServerIx| !lines.iter().any(|l| l.0 != at && zone[l.0] == zone[at]);
+        let without = |dropped: ServerIx| {
+            let rest: f64 = lines.iter().filter(|l| l.0 != dropped).map(|l| l.1).sum();
+            let mut table = vec![0.0; middle.len()];
+            lines.iter().filter(|l| l.0 != dropped).for_each(|l| table[l.0] = l.1 / rest.max(1e-9));
+            members.iter().map(|m| m.0 * excess(&table, m.1)).sum::<f64>()
+        };
+        let victim = lines
+            .iter()
+            .filter(|l| l.1 < thin && !alone(l.0))
+            .min_by(|a, b| without(a.0).total_cmp(&without(b.0)))
+            .map(|l| l.0);
+        let Some(victim) = victim else { break };
+        lines.retain(|l| l.0 != victim);
+    }
+    let sum: f64 = lines.iter().map(|l| l.1).sum();
+    lines.iter().map(|l| (l.0, l.1 / sum.max(1e-9))).collect()
+}
+
+/// Keeps three binary digits, which stays within the error of the weight's own value.
+fn round(weight: f64) -> f64 {
+    let scale = 2f64.powi(weight.max(1e-9).log2().floor() as i32) / DIGITS;
+    (weight / scale).round() * scale
+}
+
+/// The lines to write, largest change first, additions ahead of removals. Only ratios count in a table, so the
+/// new weights are put to the scale of the standing ones: a removal then rewrites no other line.
+fn deltas(standing: &[(ServerIx, f64)], wanted: &[(ServerIx, f64)]) -> Vec<(ServerIx, f64)> {
+    if wanted.is_empty() {
+        return Vec::new();
+    }
+    let held = |at: ServerIx| standing.iter().find(|l| l.0 == at).map_or(0.0, |l| l.1);
+    let mut ratios: Vec<f64> = wanted.iter().map(|l| held(l.0) / l.1).filter(|ratio| *ratio > 0.0).collect();
+    ratios.sort_by(f64::total_cmp);
+    let scale = ratios.get(ratios.len() / 2).copied().unwrap_or(1.0);
+    let mut changes: Vec<(ServerIx, f64, f64)> = wanted
+        .iter()
+        .map(|(at, weight)| (*at, weight * scale, held(*at)))
+        .filter(|(_, weight, held)| (weight - held).abs() > 2.0 * ERROR * weight)
+        .map(|(at, weight, held)| (at, round(weight), (weight - held).abs()))
+        .collect();
+    changes.sort_by(|a, b| b.2.total_cmp(&a.2));
+    let gone = standing.iter().filter(|l| !wanted.iter().any(|w| w.0 == l.0)).map(|l| (l.0, 0.0));
+    changes.iter().map(|c| (c.0, c.1)).chain(gone).collect()
+}
--- /dev/null
+++ b/crates/planner/src/histogram.rs
@@ -0,0 +1,41 @@
+//! A histogram with a few coarse bins; whoever fills it names the edges and halves it.
+
+/// Counts per bin; bin `i` ends below `edges[i]`, the last one is open.
+#[derive(Clone, Debug, Default)]
+pub struct Histogram {
+    edges: &'static [f64],
+    counts: Vec<f64>,
+}
+
+impl Histogram {
+    pub fn new(edges: &'static [f64]) -> Histogram {
+        Histogram { edges, counts: vec![0.0; edges.len() + 1] }
+    }
+
+    pub fn add(&mut self, value: f64, times: f64) {
+        let bin = self.edges.iter().take_while(|edge| value >= **edge).count();
+        self.counts[bin] += times;
+    }
+
+    pub fn halve(&mut self) {
+        self.counts.iter_mut().for_each(|count| *count /= 2.0);
+    }
+
+    pub fn clear(&mut self) {
+        self.counts.iter_mut().for_each(|count| *count = 0.0);
+    }
+
+    pub fn total(&self) -> f64 {
+        self.counts.iter().sum()
+    }
+
+    /// The mean, each bin counted at its middle and the last one at its edge.
+    pub fn mean(&self) -> Option<f64> {
+        let middle = |bin: usize| {
+            let low = if bin == 0 { 0.0 } else { self.edges[bin - 1] };
+            (low + self.edges.get(bin).copied().unwrap_or(low)) / 2.0
+        };
+        let sum: f64 = self.counts.iter().enumerate().map(|(bin, count)| middle(bin) * count).sum();
+        (self.total() > 0.0).then(|| sum / self.total())
+    }
+}
--- /dev/null
+++ b/crates/planner/src/time.rs
@@ -0,0 +1,53 @@
+//! Moments and spans, kept apart so that a point in time is never added to another.
+
+use std::ops::{Add, Sub};
+
+/// A point on the planner's clock, in nanoseconds; it only ever advances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Moment(pub u64);
+
+/// A length of time, in nanoseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(pub u64);
+
+impl Moment {
+    /// The time gone by since an earlier moment; nothing if that one lies ahead.
+    pub fn since(self, earlier: Moment) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Span {
+    pub const fn millis(ms: u64) -> Span {
+        Span(ms * 1_000_000)
+    }
+
+    pub fn seconds(self) -> f64 {
+        self.0 as f64 / 1e9
+    }
+
+    pub fn times(self, factor: f64) -> Span {
+        Span((self.0 as f64 * factor) as u64)
+    }
+}
+
+impl Add<Span> for Moment {
+    type Output = Moment;
+    fn add(self, span: Span) -> Moment {
+        Moment(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Moment {
+    type Output = Moment;
+    fn sub(self, span: Span) -> Moment {
+        Moment(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
--- /dev/null
+++ b/crates/planner/src/types.rs
@@ -0,0 +1,230 @@
+//! What the planner is told, what it may order, and what it keeps; nothing here decides.
+
+use crate::histogram::Histogram;
+use crate::time::{Moment, Span};
+
+/// Indices handed out at the door, one space per instance.
+pub type ServerIx = usize;
+pub type ProxyIx = usize;
+pub type ZoneIx = usize;
+pub type TableNo = usize;
+
+/// Where a repeat of a keyed call is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyScope {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Repeatable,
+    Keyed { scope: KeyScope, window: Span },
+    Mutating,
+}
+
+#[derive(Clone, Debug)]
+pub struct Route {
+    pub importance: f64,
+    pub slo_time: Span,
+    pub time_limit: Span,
+    pub repeats: Repeats,
+    /// May only go to servers of the proxy's zone.
+    pub zone_bound: bool,
+    pub writes: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Throttle {
+    Fraction,
+    PerSecond,
+    Off,
+}
+
+/// The fleet as it is known at start.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    pub zones: usize,
+    pub proxies: usize,
+    pub planners: usize,
+    /// The list must be asked for.
+    pub on_request: bool,
+    pub ask_within: Span,
+    /// What a crossing call costs, in parts of a call's worth.
+    pub crossing_price: f64,
+}
+
+/// Slices, where keys fall into them.
+#[derive(Clone, Debug)]
+pub struct Slicing {
+    pub slices: usize,
+    pub exclusive: bool,
+    pub keeps_writing: Span,
+    pub lingers: Span,
+}
+
+/// What the channel to the proxies takes.
+#[derive(Clone, Debug)]
+pub struct Channel {
+    pub head: f64,
+    pub most_waiting: f64,
+    /// Messages to one proxy within `messages_over`; 0 is no limit.
+    pub messages_most: usize,
+    pub messages_over: Span,
+    pub lines_per_s: f64,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug)]
+pub struct Pledge {
+    pub drain_grace: Span,
+    pub cold_from: f64,
+    pub cold_for: Span,
+}
+
+/// What proxies and servers let the planner do and see.
+#[derive(Clone, Debug)]
+pub struct Reach {
+    pub throttle: Throttle,
+    pub probes: bool,
+    /// Load reports come with probes only.
+    pub load_on_probe: bool,
+    /// How many times the SLO time a try waits before another may follow.
+    pub first_wait: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    Running,
+    Stopping,
+    Deleted,
+}
+
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub server: ServerIx,
+    pub zone: ZoneIx,
+    pub cell: u64,
+    pub state: Listed,
+    pub weight: f64,
+    pub last_start: Option<Moment>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    Changes,
+    Complete,
+    /// The complete list as last held, possibly old.
+    Kept,
+    Failed,
+}
+
+/// A load report; what a site does not tell is absent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    pub util: Option<f64>,
+    pub in_hand: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeEnd {
+    Answered,
+    /// Turned away or answered with an error: alive, but not at ease.
+    Refused,
+    /// Silent, unreachable or cut off.
+    Dead,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    List { kind: ListKind, entries: Vec<Entry> },
+    Joined { proxy: ProxyIx, zone: ZoneIx, calls_per_s: f64 },
+    Left { proxy: ProxyIx },
+    Sums { server: ServerIx, zone: ZoneIx, tries: f64, dropped: f64, mean: Span, over: Span, load: Load },
+    Arrivals { proxy: ProxyIx, route: usize, calls: f64, dropped: f64, over: Span },
+    Probed { server: ServerIx, end: ProbeEnd, load: Load },
+    Applied { proxy: ProxyIx, mark: u64 },
+    SliceGiven { slice: TableNo, given: bool },
+    SliceLine { slice: TableNo, server: ServerIx, weight: f64 },
+    Tick,
+}
+
+/// When a proxy tries another server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resend {
+    Never,
+    OnProof,
+    Once,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Line { table: TableNo, server: ServerIx, weight: f64 },
+    Bind { proxy: ProxyIx, table: TableNo, routes: u64 },
+    Gate { table: TableNo, routes: u64, level: f64, resend: Resend },
+    Mark { mark: u64 },
+    Probe { server: ServerIx },
+    Wake { at: Moment },
+    Subscribe,
+}
+
+/// Where a server stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stand {
+    #[default]
+    Gone,
+    Open,
+    Suspect,
+    Out,
+    Draining,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Server {
+    pub known: bool,
+    pub stand: Stand,
+    pub zone: ZoneIx,
+    pub weight: f64,
+    /// Last start as listed or, after an outage, as seen by probes.
+    pub started: Option<Moment>,
+    pub strikes: usize,
+    pub probed: Option<Moment>,
+    pub util: Histogram,
+    pub tries: f64,
+    pub dropped: f64,
+    /// Step of the correction to the listed weight, and how often a review asked for another.
+    pub step: usize,
+    pub asked: i32,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Proxy {
+    pub joined: bool,
+    pub zone: ZoneIx,
+    pub first_guess: f64,
+    pub calls: Vec<f64>,
+    pub dropped: f64,
+    pub over: f64,
+    /// The table per scope of routes, and when it was last given.
+    pub tables: [Option<TableNo>; 2],
+    pub bound: Option<Moment>,
+    pub unapplied: Vec<(u64, f64)>,
+    pub told: Vec<Moment>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    pub scope: usize,
+    pub zone_wide: bool,
+    pub lines: Vec<(ServerIx, f64)>,
+    /// Level step and resends as last set.
+    pub gates: Option<usize>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Slice {
+    pub given: bool,
+    pub lines: Vec<(ServerIx, f64)>,
+    pub held_until: Option<Moment>,
+}
