Retry on proof only; second tries after a wait only wasted work

Cause: a try that may be followed waits a multiple of the SLO time, and its repeat loads a fleet that is already late.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -704,7 +704,7 @@
                 _ => LEVELS[self.step].1,
             };
             // Only a repeatable call may follow a try that may have run.
-            let resend = if route.repeats == Repeats::Repeatable { Resend::Once } else { Resend::OnProof };
+            let resend = Resend::OnProof;
             orders.push(Order::Gate { table, routes: 1 << at, level, resend });
         }
         self.tables[table].gates = Some(self.step);
