--- a/crates/benchlink/src/start.rs
+++ b/crates/benchlink/src/start.rs
@@ -131,6 +131,7 @@
             drain_grace: span(&text, "Contract.DrainGraceNs")?,
             cold_from: number(&text, "Contract.ColdFrom")?,
             cold_for: span(&text, "Contract.ColdNs")?,
+            overload_factor: number(&text, "Contract.OverloadFactor")?,
         },
         reach: Reach {
             throttle: match word(&text, "FamilyInfo.ThrottleBy")? {
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -313,7 +313,8 @@
                 let end = match fields.text("How")? {
                     "ok" => ProbeEnd::Answered,
                     "error" | "full" => ProbeEnd::Refused,
-                    "timeout" | "connect_failed" | "reset" | "cancelled" | "moot" => ProbeEnd::Dead,
+                    "timeout" | "cancelled" | "moot" => ProbeEnd::Silent,
+                    "connect_failed" | "reset" => ProbeEnd::Dead,
                     other => return Err(format!("field How: '{other}' is not known")),
                 };
                 fields.whole_or("CostTimeNs", 0)?;
@@ -396,6 +397,7 @@
             Order::Mark { mark } => writeln!(reply, "checkpoint\t{who}\t{mark}\t0"),
             Order::Probe { server } => writeln!(reply, "probe\t{who}\t{}", self.servers.name(*server)),
             Order::Wake { at } => writeln!(reply, "timer\t{who}\t{}\t0", at.0),
+            Order::Note { text } => writeln!(reply, "journal_line\t{who}\t{text}"),
             Order::Subscribe => writeln!(reply, "tail\t{who}\t1"),
         };
     }
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -5,7 +5,6 @@
 //! shared tables, greedy trimming, rounding within the error, paced deltas. Health, ramp, return, levels and
 //! the guards of the five rules are ours.
 
-use crate::histogram::Histogram;
 use crate::time::{Moment, Span};
 use crate::types::*;
 
@@ -25,13 +24,17 @@
 /// What a cold server gets, by quarters of the longest warm-up: no more than it is sure to carry by then,
 /// but for the entry share, which the design sets at a quarter.
 const RAMP: [f64; 5] = [0.25, 0.4, 0.6, 0.8, 1.0];
+/// Part of what would topple a cold server that it may be sent, at a load that could be twice the usual one.
+const SAFE: f64 = 0.35;
+/// Part of a zone's calls kept by its own servers as far as they can carry them; the rest goes everywhere.
+const HOME: [f64; 4] = [1.0, 0.7, 0.35, 0.0];
 const UTIL_EDGES: &[f64] = &[0.2, 0.35, 0.5, 0.6, 0.7, 0.8, 0.9, 0.97];
 /// Coarse corrections to listed weights, for servers that stay far busier or idler than the rest.
 const CORRECTIONS: [f64; 7] = [0.3, 0.45, 0.6, 0.8, 1.0, 1.25, 1.5];
 const UNCORRECTED: usize = 4;
 /// Sums suggest trouble when at least so many tries, and such a part of them, were dropped.
 const BAD_TRIES: f64 = 3.0;
-const BAD_PART: f64 = 0.5;
+const BAD_PART: f64 = 0.85;
 const GOOD_PART: f64 = 0.2;
 /// Dead probes in a row that confirm it.
 const CONFIRM: usize = 2;
@@ -52,6 +55,8 @@
     SumsBad,
     SumsGood,
     ProbeGood,
+    /// No answer in time: it may only be busy.
+    ProbeSilent,
     ProbeDead,
     Confirmed,
     Recovered,
@@ -68,6 +73,7 @@
     /// Ask the server itself.
     Ask,
     Strike,
+    Condemn,
     Pardon,
 }
 
@@ -97,10 +103,13 @@
     (Suspect, SumsGood, Open, Pardon),
     (Suspect, ProbeGood, Open, Pardon),
     (Open, ProbeGood, Open, Pardon),
-    (Open, ProbeDead, Open, Strike),
-    (Suspect, ProbeDead, Suspect, Strike),
+    (Open, ProbeSilent, Open, Strike),
+    (Open, ProbeDead, Open, Condemn),
+    (Suspect, ProbeSilent, Suspect, Strike),
+    (Suspect, ProbeDead, Suspect, Condemn),
     (Suspect, Confirmed, Out, Remove),
     (Out, ProbeGood, Out, Strike),
+    (Out, ProbeSilent, Out, Pardon),
     (Out, ProbeDead, Out, Pardon),
     (Out, Recovered, Open, Return),
     (Out, Confirmed, Out, Nothing),
@@ -114,22 +123,7 @@
     pledge: Pledge,
     reach: Reach,
     slicing: Slicing,
-    servers: Vec<Server>,
-    proxies: Vec<Proxy>,
-    tables: Vec<Table>,
-    /// What each table should hold; deltas lead there.
-    wanted: Vec<Vec<(ServerIx, f64)>>,
-    slices: Vec<Slice>,
-    /// Imbalance when the proxies were last grouped.
-    packed: f64,
-    step: usize,
-    mark: u64,
-    ask: Vec<ServerIx>,
-    stirred: bool,
-    planned: Moment,
-    reviewed: Moment,
-    woken: Moment,
-    asked_list: Option<Moment>,
+    state: State,
 }
 
 impl Planner {
@@ -152,20 +146,7 @@
             pledge,
             reach,
             slicing,
-            servers: Vec::new(),
-            proxies: Vec::new(),
-            tables: Vec::new(),
-            wanted: Vec::new(),
-            slices: Vec::new(),
-            packed: 0.0,
-            step: 0,
-            mark: 0,
-            ask: Vec::new(),
-            stirred: false,
-            planned: now,
-            reviewed: now,
-            woken: now,
-            asked_list: None,
+            state: State::new(UTIL_EDGES, UNCORRECTED, now),
         }
     }
 
@@ -175,65 +156,51 @@
         for event in events {
             self.hear(now, event);
         }
-        if now >= self.woken {
+        if now >= self.state.woken {
             self.upkeep(now);
             // Planners that started together should not probe and push in step.
-            self.woken = now + TICK.times(0.9 + 0.2 * self.rng.f64());
-            orders.push(Order::Wake { at: self.woken });
+            self.state.woken = now + TICK.times(0.9 + 0.2 * self.rng.f64());
+            orders.push(Order::Wake { at: self.state.woken });
             if self.fleet.on_request
-                && self.asked_list.is_none_or(|at| now.since(at) > self.fleet.ask_within.times(0.4))
+                && self.state.asked_list.is_none_or(|at| now.since(at) > self.fleet.ask_within.times(0.4))
             {
-                self.asked_list = Some(now);
+                self.state.asked_list = Some(now);
                 orders.push(Order::Subscribe);
             }
         }
         if self.slicing.slices > 0 {
             self.mend_slices(now, &mut orders);
         } else {
-            if self.stirred || now.since(self.planned) >= PERIOD {
-                self.stirred = false;
+            if self.state.stirred || now.since(self.state.planned) >= PERIOD {
+                self.state.stirred = false;
                 self.plan(now);
             }
             self.push(now, &mut orders);
         }
         if self.reach.probes {
-            for server in std::mem::take(&mut self.ask) {
-                self.servers[server].probed = Some(now);
+            for server in std::mem::take(&mut self.state.ask) {
+                self.state.servers[server].probed = Some(now);
                 orders.push(Order::Probe { server });
             }
         }
         orders
     }
 
-    fn server(&mut self, at: ServerIx) -> &mut Server {
-        while self.servers.len() <= at {
-            let util = Histogram::new(UTIL_EDGES);
-            self.servers.push(Server { util, step: UNCORRECTED, ..Server::default() });
-        }
-        &mut self.servers[at]
-    }
-
-    fn proxy(&mut self, at: ProxyIx) -> &mut Proxy {
-        if self.proxies.len() <= at {
-            self.proxies.resize(at + 1, Proxy::default());
-        }
-        &mut self.proxies[at]
-    }
-
     fn hear(&mut self, now: Moment, event: &Event) {
         match event {
             Event::List { kind, entries } => self.hear_list(now, *kind, entries),
             Event::Joined { proxy, zone, calls_per_s } => {
                 let (zone, first_guess) = (*zone, *calls_per_s);
                 let calls = vec![0.0; self.routes.len()];
-                *self.proxy(*proxy) = Proxy { joined: true, zone, first_guess, calls, ..Proxy::default() };
-                self.stirred = true;
+                *self.state.proxy(*proxy) =
+                    Proxy { joined: true, zone, first_guess, calls, ..Proxy::default() };
+                self.state.stirred = true;
             }
-            Event::Left { proxy } => *self.proxy(*proxy) = Proxy::default(),
+            Event::Left { proxy } => *self.state.proxy(*proxy) = Proxy::default(),
             Event::Sums { server, tries, dropped, load, .. } => {
-                self.server(*server);
+                self.state.server(*server);
                 self.note_load(*server, *load, *tries);
-                let known = &mut self.servers[*server];
+                let known = &mut self.state.servers[*server];
                 known.tries += tries;
                 known.dropped += dropped;
                 let (tries, dropped) = (known.tries, known.dropped);
@@ -244,7 +211,7 @@
                 }
             }
             Event::Arrivals { proxy, route, calls, dropped, over } => {
-                let known = self.proxy(*proxy);
+                let known = self.state.proxy(*proxy);
                 if known.joined && *route < known.calls.len() {
                     known.calls[*route] += calls;
                     known.dropped += dropped;
@@ -253,11 +220,16 @@
                 }
             }
             Event::Probed { server, end, load } => {
-                self.server(*server);
+                self.state.server(*server);
                 self.note_load(*server, *load, 3.0);
-                self.sign(now, *server, if *end == ProbeEnd::Dead { ProbeDead } else { ProbeGood }, None);
-                if self.servers[*server].strikes >= CONFIRM {
-                    match self.servers[*server].stand {
+                let sign = match end {
+                    ProbeEnd::Answered | ProbeEnd::Refused => ProbeGood,
+                    ProbeEnd::Silent => ProbeSilent,
+                    ProbeEnd::Dead => ProbeDead,
+                };
+                self.sign(now, *server, sign, None);
+                if self.state.servers[*server].strikes >= CONFIRM {
+                    match self.state.servers[*server].stand {
                         Suspect if self.may_shut_out(now, *server) => {
                             self.sign(now, *server, Confirmed, None)
                         }
@@ -268,17 +240,17 @@
             }
             Event::Applied { proxy, mark } => {
                 let mark = *mark;
-                self.proxy(*proxy).unapplied.retain(|(sent, _)| *sent > mark);
+                self.state.proxy(*proxy).unapplied.retain(|(sent, _)| *sent > mark);
             }
             Event::SliceGiven { slice, given } => {
-                if self.slices.len() <= *slice {
-                    self.slices.resize(slice + 1, Slice::default());
+                if self.state.slices.len() <= *slice {
+                    self.state.slices.resize(slice + 1, Slice::default());
                 }
-                self.slices[*slice] = Slice { given: *given, ..Slice::default() };
+                self.state.slices[*slice] = Slice { given: *given, ..Slice::default() };
             }
             Event::SliceLine { slice, server, weight } => {
-                self.server(*server);
-                if let Some(slice) = self.slices.get_mut(*slice).filter(|slice| slice.given) {
+                self.state.server(*server);
+                if let Some(slice) = self.state.slices.get_mut(*slice).filter(|slice| slice.given) {
                     slice.lines.push((*server, *weight));
                 }
             }
@@ -288,12 +260,12 @@
 
     fn hear_list(&mut self, now: Moment, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
-            self.asked_list = None;
+            self.state.asked_list = None;
             return;
         }
         let mut named = Vec::new();
         for entry in entries {
-            let server = self.server(entry.server);
+            let server = self.state.server(entry.server);
             server.known = true;
             server.zone = entry.zone;
             server.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
@@ -307,8 +279,10 @@
             };
             self.sign(now, entry.server, sign, entry.last_start);
         }
+        let weight = |server: &Server| if server.stand == Stand::Gone { 0.0 } else { server.weight };
+        self.state.full = self.state.full.max(self.state.servers.iter().map(weight).sum());
         if kind != ListKind::Changes {
-            for at in (0..self.servers.len()).filter(|at| !named.contains(at)).collect::<Vec<_>>() {
+            for at in (0..self.state.servers.len()).filter(|at| !named.contains(at)).collect::<Vec<_>>() {
                 self.sign(now, at, Sign::Gone, None);
             }
         }
@@ -316,11 +290,11 @@
 
     /// Reads the table of stands and carries the effect out.
     fn sign(&mut self, now: Moment, at: ServerIx, sign: Sign, start: Option<Moment>) {
-        let stand = self.servers[at].stand;
+        let stand = self.state.servers[at].stand;
         let Some((_, _, next, effect)) = STANDS.iter().find(|rule| rule.0 == stand && rule.1 == sign) else {
             return;
         };
-        let server = &mut self.servers[at];
+        let server = &mut self.state.servers[at];
         server.stand = *next;
         match effect {
             Nothing => {}
@@ -330,17 +304,18 @@
                 server.tries = 0.0;
                 server.dropped = 0.0;
                 server.util.clear();
-                self.stirred = true;
+                self.state.stirred = true;
             }
             Remove => {
                 server.strikes = 0;
-                self.stirred = true;
+                self.state.stirred = true;
             }
             Ask => {
                 server.started = start.or(server.started);
-                self.ask.push(at);
+                self.state.ask.push(at);
             }
             Strike => server.strikes += 1,
+            Condemn => server.strikes += CONFIRM,
             Pardon => {
                 server.strikes = 0;
                 if stand == Suspect {
@@ -353,28 +328,28 @@
 
     fn note_load(&mut self, at: ServerIx, load: Load, times: f64) {
         if let Some(util) = load.util {
-            self.servers[at].util.add(util, times);
+            self.state.servers[at].util.add(util, times);
         }
     }
 
     /// A planner behind a cut sees all others dead; without this it would heap everything on what it still sees.
     fn may_shut_out(&self, now: Moment, at: ServerIx) -> bool {
         let weight = |server: &Server| if server.stand == Stand::Gone { 0.0 } else { server.weight };
-        let listed: f64 = self.servers.iter().map(weight).sum();
+        let listed: f64 = self.state.servers.iter().map(weight).sum();
         let left: f64 =
-            (0..self.servers.len()).filter(|other| *other != at).map(|s| self.carries(now, s)).sum();
+            (0..self.state.servers.len()).filter(|other| *other != at).map(|s| self.carries(now, s)).sum();
         left >= QUORUM * listed
     }
 
     fn warmth(&self, now: Moment, at: ServerIx) -> usize {
-        let Some(started) = self.servers[at].started else { return RAMP.len() - 1 };
+        let Some(started) = self.state.servers[at].started else { return RAMP.len() - 1 };
         let gone = now.since(started).seconds() / self.pledge.cold_for.seconds().max(1e-9);
         ((gone * 4.0) as usize).min(RAMP.len() - 1)
     }
 
     /// The weight a server may be given now: listed, corrected, eased in; nothing if it is not usable.
     fn carries(&self, now: Moment, at: ServerIx) -> f64 {
-        let server = &self.servers[at];
+        let server = &self.state.servers[at];
         match server.stand {
             Open | Suspect => server.weight * CORRECTIONS[server.step] * RAMP[self.warmth(now, at)],
             _ => 0.0,
@@ -394,35 +369,35 @@
 
     fn upkeep(&mut self, now: Moment) {
         let routine = self.reach.load_on_probe;
-        for at in 0..self.servers.len() {
+        for at in 0..self.state.servers.len() {
             let warmth = self.warmth(now, at);
-            let server = &self.servers[at];
+            let server = &self.state.servers[at];
             if server.stand == Open && server.started.is_some() && warmth < RAMP.len() - 1 {
-                self.stirred |= self.warmth(now - TICK, at) != warmth;
+                self.state.stirred |= self.warmth(now - TICK, at) != warmth;
             }
-            let server = &self.servers[at];
+            let server = &self.state.servers[at];
             let rest = match server.stand {
                 Suspect => Span::millis(400),
                 Out => Span::millis(900),
                 Open if routine => Span::millis(1_900),
                 _ => continue,
             };
-            if server.probed.is_none_or(|last| now.since(last) >= rest) && !self.ask.contains(&at) {
-                self.ask.push(at);
+            if server.probed.is_none_or(|last| now.since(last) >= rest) && !self.state.ask.contains(&at) {
+                self.state.ask.push(at);
             }
         }
-        if now.since(self.reviewed) >= REVIEW {
-            self.reviewed = now;
+        if now.since(self.state.reviewed) >= REVIEW {
+            self.state.reviewed = now;
             self.review(now);
         }
     }
 
     /// Looks at lasting symptoms: servers far off the common load, a fleet with no room left.
     fn review(&mut self, now: Moment) {
-        let warm: Vec<ServerIx> = (0..self.servers.len())
-            .filter(|at| self.servers[*at].stand == Open && self.warmth(now, *at) == RAMP.len() - 1)
+        let warm: Vec<ServerIx> = (0..self.state.servers.len())
+            .filter(|at| self.state.servers[*at].stand == Open && self.warmth(now, *at) == RAMP.len() - 1)
             .collect();
-        let util: Vec<Option<f64>> = warm.iter().map(|at| self.servers[*at].util.mean()).collect();
+        let util: Vec<Option<f64>> = warm.iter().map(|at| self.state.servers[*at].util.mean()).collect();
         let weight: f64 =
             warm.iter().zip(&util).map(|(at, u)| u.map_or(0.0, |_| self.carries(now, *at))).sum();
         if weight > 0.0 {
@@ -431,7 +406,7 @@
             let common = sum / weight;
             for (at, util) in warm.iter().zip(util) {
                 let Some(util) = util else { continue };
-                let server = &mut self.servers[*at];
+                let server = &mut self.state.servers[*at];
                 let wanted = CORRECTIONS[server.step] * common / util.max(0.1);
                 let nearest = (0..CORRECTIONS.len())
                     .min_by(|a, b| {
@@ -445,20 +420,28 @@
                     server.asked = 0;
                 }
             }
+            let top = warm.iter().filter_map(|at| self.state.servers[*at].util.mean()).fold(0.0, f64::max);
+            self.state.home = match top {
+                top if top > 0.85 => (self.state.home + 1).min(HOME.len() - 1),
+                top if top < 0.65 => self.state.home.saturating_sub(1),
+                _ => self.state.home,
+            };
             if self.reach.throttle == Throttle::Fraction {
-                self.step = match common {
-                    c if c > BUSY => (self.step + 1).min(LEVELS.len() - 1),
-                    c if c < AT_EASE => self.step.saturating_sub(1),
-                    _ => self.step,
+                self.state.step = match common {
+                    c if c > BUSY => (self.state.step + 1).min(LEVELS.len() - 1),
+                    c if c < AT_EASE => self.state.step.saturating_sub(1),
+                    _ => self.state.step,
                 };
             }
         }
-        for server in &mut self.servers {
+        let weight = |server: &Server| if server.stand == Stand::Gone { 0.0 } else { server.weight };
+        self.state.full = (self.state.full * 0.99).max(self.state.servers.iter().map(weight).sum());
+        for server in &mut self.state.servers {
             server.util.halve();
             server.tries /= 2.0;
             server.dropped /= 2.0;
         }
-        for proxy in &mut self.proxies {
+        for proxy in &mut self.state.proxies {
             proxy.calls.iter_mut().for_each(|calls| *calls /= 2.0);
             proxy.over /= 2.0;
             proxy.dropped /= 2.0;
@@ -474,21 +457,21 @@
     /// The target of each zone's proxies: own zone first, what it cannot carry spread over room elsewhere.
     fn targets(&self, now: Moment, scope: usize) -> Vec<Vec<f64>> {
         let zones = self.fleet.zones.max(1);
-        let mut carries: Vec<f64> = (0..self.servers.len()).map(|at| self.carries(now, at)).collect();
+        let mut carries: Vec<f64> = (0..self.state.servers.len()).map(|at| self.carries(now, at)).collect();
         if carries.iter().all(|c| *c <= 0.0) {
             // Rule 1: believed dead but listed as running is better than no line at all.
-            for (at, server) in self.servers.iter().enumerate().filter(|(_, s)| s.stand == Out) {
+            for (at, server) in self.state.servers.iter().enumerate().filter(|(_, s)| s.stand == Out) {
                 carries[at] = server.weight * RAMP[self.warmth(now, at)];
             }
         }
         let mut room = vec![0.0; zones];
-        for (at, server) in self.servers.iter().enumerate() {
+        for (at, server) in self.state.servers.iter().enumerate() {
             room[server.zone] += carries[at];
         }
         let total: f64 = room.iter().sum();
         let mut demand = vec![0.0; zones];
         let mut joined = 0;
-        for proxy in self.proxies.iter().filter(|p| p.joined) {
+        for proxy in self.state.proxies.iter().filter(|p| p.joined) {
             demand[proxy.zone] += self.demand(proxy);
             joined += 1;
         }
@@ -512,28 +495,57 @@
         if free.iter().sum::<f64>() <= 0.0 {
             free = room.clone();
         }
-        (0..zones)
-            .map(|zone| {
-                let over = (load[zone] - bearable * density * room[zone]).max(0.0);
-                let away = match scope {
-                    1 => 0.0,
-                    _ if room[zone] <= 0.0 => 1.0,
-                    _ => over / load[zone].max(1e-9),
-                };
-                let others: f64 = (0..zones).filter(|z| *z != zone).map(|z| free[z]).sum();
-                let mass = |at: usize| match self.servers[at].zone {
-                    z if z == zone && others > 0.0 => (1.0 - away) / room[z].max(1e-9),
-                    z if z == zone => 1.0 / room[z].max(1e-9),
-                    z if others > 0.0 => away * free[z] / others / room[z].max(1e-9),
-                    _ => 0.0,
-                };
-                (0..carries.len()).map(|at| carries[at] * mass(at)).collect()
-            })
-            .collect()
+        let home = if scope == 1 { 1.0 } else { HOME[self.state.home] };
+        let mut targets: Vec<Vec<f64>> = Vec::new();
+        for zone in 0..zones {
+            let over = (load[zone] - bearable * density * room[zone]).max(0.0);
+            let others: f64 = (0..zones).filter(|z| *z != zone).map(|z| free[z]).sum();
+            let away = match scope {
+                0 if others <= 0.0 => 0.0,
+                0 if room[zone] <= 0.0 => 1.0,
+                0 => over / load[zone].max(1e-9),
+                _ => 0.0,
+            };
+            let mass = |z: ZoneIx| match z == zone {
+                true => home * (1.0 - away) / room[z].max(1e-9) + (1.0 - home) / total,
+                false => home * away * free[z] / others.max(1e-9) / room[z].max(1e-9) + (1.0 - home) / total,
+            };
+            targets
+                .push((0..carries.len()).map(|at| carries[at] * mass(self.state.servers[at].zone)).collect());
+        }
+        self.shield_cold(now, &load, &mut targets);
+        targets
+    }
+
+    /// Rule 4 by construction: whatever the zones' tables say, all proxies together bring a cold server no more
+    /// than a safe part of what it is sure to carry; the rest goes to warm servers. Harms when the load is low
+    /// and the warm servers are few: they then carry what the cold one could have.
+    fn shield_cold(&self, now: Moment, load: &[f64], targets: &mut [Vec<f64>]) {
+        let last = RAMP.len() - 1;
+        let all: f64 = load.iter().sum();
+        let cold = |at: usize| self.warmth(now, at) < last;
+        for at in (0..self.state.servers.len()).filter(|at| cold(*at)) {
+            let step = self.warmth(now, at);
+            let sure = self.pledge.cold_from + (1.0 - self.pledge.cold_from) * step as f64 / last as f64;
+            let part = RAMP[step].min(SAFE * self.pledge.overload_factor * sure);
+            let most = part * self.state.servers[at].weight / self.state.full.max(1e-9);
+            let sent: f64 = targets.iter().zip(load).map(|(t, l)| t[at] * l / all).sum();
+            if sent <= most {
+                continue;
+            }
+            for target in targets.iter_mut() {
+                let freed = target[at] * (1.0 - most / sent);
+                let warm: f64 = (0..target.len()).filter(|w| !cold(*w)).map(|w| target[w]).sum();
+                if warm > 0.0 {
+                    target[at] -= freed;
+                    (0..target.len()).filter(|w| !cold(*w)).for_each(|w| target[w] *= 1.0 + freed / warm);
+                }
+            }
+        }
     }
 
     fn plan(&mut self, now: Moment) {
-        self.planned = now;
+        self.state.planned = now;
         for scope in 0..2 {
             if self.scope_mask(scope) > 0 {
                 let targets = self.targets(now, scope);
@@ -545,6 +557,7 @@
     /// Groups the proxies and writes what each group's table should hold.
     fn pack(&mut self, now: Moment, scope: usize, targets: &[Vec<f64>]) {
         let members: Vec<(ProxyIx, f64, &Vec<f64>)> = self
+            .state
             .proxies
             .iter()
             .enumerate()
@@ -554,37 +567,39 @@
         if members.is_empty() {
             return;
         }
-        let standing: Vec<Option<usize>> = members.iter().map(|m| self.proxies[m.0].tables[scope]).collect();
+        let standing: Vec<Option<usize>> =
+            members.iter().map(|m| self.state.proxies[m.0].tables[scope]).collect();
         let bound: Vec<_> = members.iter().zip(&standing).filter(|(_, t)| t.is_some()).collect();
         let strain =
             imbalance(&bound.iter().map(|(m, t)| (m.1, m.2.as_slice(), t.unwrap_or(0))).collect::<Vec<_>>());
         let groups = group(&members.iter().map(|m| (m.1, m.2.as_slice())).collect::<Vec<_>>());
-        let regroup = strain > self.packed + MARGIN;
+        let regroup = strain > self.state.packed + MARGIN;
         if bound.len() < members.len() || regroup {
             // A group takes the number of the table that most of its demand already uses.
             let mut taken: Vec<TableNo> = Vec::new();
             for kind in 0..=groups.iter().copied().max().unwrap_or(0) {
                 let inside: Vec<usize> = (0..members.len()).filter(|i| groups[*i] == kind).collect();
-                let mut votes = vec![0.0; self.tables.len()];
+                let mut votes = vec![0.0; self.state.tables.len()];
                 for i in &inside {
                     if let Some(table) = standing[*i] {
                         votes[table] += members[*i].1;
                     }
                 }
-                let free = |t: &usize| !taken.contains(t) && self.tables[*t].scope == scope;
+                let free = |t: &usize| !taken.contains(t) && self.state.tables[*t].scope == scope;
                 let best = (0..votes.len()).filter(|t| votes[*t] > 0.0 && free(t));
-                let empty = |t: &usize| free(t) && !self.proxies.iter().any(|p| p.tables[scope] == Some(*t));
+                let empty =
+                    |t: &usize| free(t) && !self.state.proxies.iter().any(|p| p.tables[scope] == Some(*t));
                 let table = best
                     .max_by(|a, b| votes[*a].total_cmp(&votes[*b]))
-                    .or_else(|| (0..self.tables.len()).find(empty))
-                    .unwrap_or(self.tables.len());
-                if table == self.tables.len() {
-                    self.tables.push(Table { scope, ..Table::default() });
-                    self.wanted.push(Vec::new());
+                    .or_else(|| (0..self.state.tables.len()).find(empty))
+                    .unwrap_or(self.state.tables.len());
+                if table == self.state.tables.len() {
+                    self.state.tables.push(Table { scope, ..Table::default() });
+                    self.state.wanted.push(Vec::new());
                 }
                 taken.push(table);
                 for i in inside {
-                    let proxy = &mut self.proxies[members[i].0];
+                    let proxy = &mut self.state.proxies[members[i].0];
                     let settled = proxy.bound.is_some_and(|at| now.since(at) < REBIND);
                     if proxy.tables[scope] != Some(table)
                         && (proxy.tables[scope].is_none() || (regroup && !settled))
@@ -597,37 +612,40 @@
         }
         let placed: Vec<(f64, &[f64], usize)> = members
             .iter()
-            .map(|m| (m.1, m.2.as_slice(), self.proxies[m.0].tables[scope].unwrap_or(0)))
+            .map(|m| (m.1, m.2.as_slice(), self.state.proxies[m.0].tables[scope].unwrap_or(0)))
             .collect();
         if bound.len() < members.len() || regroup {
-            self.packed = imbalance(&placed);
+            self.state.packed = imbalance(&placed);
         }
-        for table in (0..self.tables.len()).filter(|t| self.tables[*t].scope == scope) {
+        for table in (0..self.state.tables.len()).filter(|t| self.state.tables[*t].scope == scope) {
             let inside: Vec<_> = placed.iter().filter(|p| p.2 == table).copied().collect();
             if !inside.is_empty() {
-                let zone: Vec<ZoneIx> = self.servers.iter().map(|s| s.zone).collect();
-                self.wanted[table] = trim(&centre(&inside), &inside, &zone);
+                let zone: Vec<ZoneIx> = self.state.servers.iter().map(|s| s.zone).collect();
+                self.state.wanted[table] = trim(&centre(&inside), &inside, &zone);
             }
         }
     }
 
     /// Sends what differs, urgent removals at once and the rest at its pace; then binds.
     fn push(&mut self, now: Moment, orders: &mut Vec<Order>) {
-        let waiting: f64 = self.proxies.iter().flat_map(|p| p.unapplied.iter().map(|u| u.1)).sum();
+        let waiting: f64 = self.state.proxies.iter().flat_map(|p| p.unapplied.iter().map(|u| u.1)).sum();
         let mut left = self.channel.most_waiting / 2.0 - waiting;
-        let mut spent = vec![0.0; self.proxies.len()];
-        for table in 0..self.tables.len() {
-            let scope = self.tables[table].scope;
-            let users: Vec<ProxyIx> = (0..self.proxies.len())
-                .filter(|p| self.proxies[*p].tables[scope] == Some(table) && self.proxies[*p].bound.is_some())
+        let mut spent = vec![0.0; self.state.proxies.len()];
+        for table in 0..self.state.tables.len() {
+            let scope = self.state.tables[table].scope;
+            let users: Vec<ProxyIx> = (0..self.state.proxies.len())
+                .filter(|p| {
+                    self.state.proxies[*p].tables[scope] == Some(table)
+                        && self.state.proxies[*p].bound.is_some()
+                })
                 .collect();
-            let changes = deltas(&self.tables[table].lines, &self.wanted[table]);
-            let gates = self.tables[table].gates != Some(self.step);
+            let changes = deltas(&self.state.tables[table].lines, &self.state.wanted[table]);
+            let gates = self.state.tables[table].gates != Some(self.state.step);
             if changes.is_empty() && !gates {
                 continue;
             }
             let urgent = changes.iter().any(|(server, weight)| {
-                let stand = self.servers[*server].stand;
+                let stand = self.state.servers[*server].stand;
                 *weight <= 0.0 && matches!(stand, Stand::Gone | Draining | Out)
                     || *weight > 0.0 && self.warmth(now, *server) == 0
             });
@@ -638,7 +656,7 @@
             if !fits {
                 continue;
             }
-            let lines = &mut self.tables[table].lines;
+            let lines = &mut self.state.tables[table].lines;
             for (server, weight) in changes {
                 orders.push(Order::Line { table, server, weight });
                 lines.retain(|line| line.0 != server);
@@ -655,11 +673,11 @@
         for (at, spent) in spent.iter_mut().enumerate() {
             for scope in 0..2 {
                 let routes = self.scope_mask(scope);
-                let Some(table) = self.proxies[at].tables[scope] else { continue };
-                if self.proxies[at].bound.is_some() || self.tables[table].lines.is_empty() {
+                let Some(table) = self.state.proxies[at].tables[scope] else { continue };
+                if self.state.proxies[at].bound.is_some() || self.state.tables[table].lines.is_empty() {
                     continue;
                 }
-                let cost = self.tables[table].lines.len() as f64 + self.channel.head + 5.0;
+                let cost = self.state.tables[table].lines.len() as f64 + self.channel.head + 5.0;
                 if waiting + cost < self.channel.most_waiting * 0.9 {
                     orders.push(Order::Bind { proxy: at, table, routes });
                     *spent += cost;
@@ -669,19 +687,19 @@
         if spent.iter().all(|cost| *cost <= 0.0) {
             return;
         }
-        self.mark = (self.mark + 1) % 65_536;
-        orders.push(Order::Mark { mark: self.mark });
+        self.state.mark = (self.state.mark + 1) % 65_536;
+        orders.push(Order::Mark { mark: self.state.mark });
         for (at, cost) in spent.iter().enumerate().filter(|(_, cost)| **cost > 0.0) {
-            let proxy = &mut self.proxies[at];
+            let proxy = &mut self.state.proxies[at];
             proxy.bound = proxy.bound.or(Some(now));
-            proxy.unapplied.push((self.mark, *cost));
+            proxy.unapplied.push((self.state.mark, *cost));
             proxy.told.push(now);
         }
     }
 
     /// Messages to one proxy: ordinary ones keep apart and leave half the limit to removals.
     fn may_tell(&self, now: Moment, at: ProxyIx, urgent: bool) -> bool {
-        let proxy = &self.proxies[at];
+        let proxy = &self.state.proxies[at];
         let most = if self.channel.messages_most == 0 { usize::MAX } else { self.channel.messages_most };
         let recent = proxy.told.iter().filter(|told| now.since(**told) <= self.channel.messages_over).count();
         let since = proxy.told.last().map_or(Span(u64::MAX), |last| now.since(*last));
@@ -696,28 +714,28 @@
     fn gate(&mut self, table: TableNo, orders: &mut Vec<Order>) {
         let least = self.routes.iter().map(|r| r.importance).fold(f64::MAX, f64::min);
         let most = self.routes.iter().map(|r| r.importance).fold(0.0, f64::max);
-        let mask = self.scope_mask(self.tables[table].scope);
+        let mask = self.scope_mask(self.state.tables[table].scope);
         for (at, route) in self.routes.iter().enumerate().filter(|(at, _)| mask >> at & 1 == 1) {
             let level = match self.reach.throttle {
                 Throttle::PerSecond => 1e9,
-                _ if route.importance <= least && least < most => LEVELS[self.step].0,
-                _ => LEVELS[self.step].1,
+                _ if route.importance <= least && least < most => LEVELS[self.state.step].0,
+                _ => LEVELS[self.state.step].1,
             };
             // Only a repeatable call may follow a try that may have run.
             let resend = Resend::OnProof;
             orders.push(Order::Gate { table, routes: 1 << at, level, resend });
         }
-        self.tables[table].gates = Some(self.step);
+        self.state.tables[table].gates = Some(self.state.step);
     }
 
     /// Sites with slices: each keeps its line; one whose server drains or is gone gets another, an exclusive one
     /// only after its writes have been held back until the former owner can have none.
     fn mend_slices(&mut self, now: Moment, orders: &mut Vec<Order>) {
         let usable: Vec<ServerIx> =
-            (0..self.servers.len()).filter(|at| self.carries(now, *at) > 0.0).collect();
-        for at in 0..self.slices.len() {
+            (0..self.state.servers.len()).filter(|at| self.carries(now, *at) > 0.0).collect();
+        for at in 0..self.state.slices.len() {
             let lost = |line: &(ServerIx, f64)| !usable.contains(&line.0);
-            let slice = &self.slices[at];
+            let slice = &self.state.slices[at];
             if !slice.given || usable.is_empty() || !slice.lines.is_empty() && !slice.lines.iter().any(lost) {
                 continue;
             }
@@ -728,7 +746,7 @@
                 match slice.held_until {
                     None => {
                         orders.push(gate(0.0));
-                        self.slices[at].held_until = Some(now + wait);
+                        self.state.slices[at].held_until = Some(now + wait);
                         continue;
                     }
                     Some(until) if now < until => continue,
@@ -741,7 +759,7 @@
             if !self.slicing.exclusive {
                 orders.extend(gone.iter().map(|s| Order::Line { table: at, server: *s, weight: 0.0 }));
             }
-            let slice = &mut self.slices[at];
+            let slice = &mut self.state.slices[at];
             slice
                 .lines
                 .retain(|line| usable.contains(&line.0) && line.0 != server && !self.slicing.exclusive);
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -81,6 +81,8 @@
     pub drain_grace: Span,
     pub cold_from: f64,
     pub cold_for: Span,
+    /// A cold server falls when sent this many times what it can do.
+    pub overload_factor: f64,
 }
 
 /// What proxies and servers let the planner do and see.
@@ -132,7 +134,9 @@
     Answered,
     /// Turned away or answered with an error: alive, but not at ease.
     Refused,
-    /// Silent, unreachable or cut off.
+    /// No answer in time: dead, cut off, or only busy.
+    Silent,
+    /// Nothing there to talk to.
     Dead,
 }
 
@@ -160,13 +164,36 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
-    Line { table: TableNo, server: ServerIx, weight: f64 },
-    Bind { proxy: ProxyIx, table: TableNo, routes: u64 },
-    Gate { table: TableNo, routes: u64, level: f64, resend: Resend },
-    Mark { mark: u64 },
-    Probe { server: ServerIx },
-    Wake { at: Moment },
+    Line {
+        table: TableNo,
+        server: ServerIx,
+        weight: f64,
+    },
+    Bind {
+        proxy: ProxyIx,
+        table: TableNo,
+        routes: u64,
+    },
+    Gate {
+        table: TableNo,
+        routes: u64,
+        level: f64,
+        resend: Resend,
+    },
+    Mark {
+        mark: u64,
+    },
+    Probe {
+        server: ServerIx,
+    },
+    Wake {
+        at: Moment,
+    },
     Subscribe,
+    /// For the people on call.
+    Note {
+        text: String,
+    },
 }
 
 /// Where a server stands.
@@ -216,7 +243,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     pub scope: usize,
-    pub zone_wide: bool,
     pub lines: Vec<(ServerIx, f64)>,
     /// Level step and resends as last set.
     pub gates: Option<usize>,
@@ -228,3 +254,55 @@
     pub lines: Vec<(ServerIx, f64)>,
     pub held_until: Option<Moment>,
 }
+
+/// All that an instance remembers.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    pub servers: Vec<Server>,
+    pub proxies: Vec<Proxy>,
+    pub tables: Vec<Table>,
+    /// What each table should hold; deltas lead there.
+    pub wanted: Vec<Vec<(ServerIx, f64)>>,
+    pub slices: Vec<Slice>,
+    /// Imbalance when the proxies were last grouped.
+    pub packed: f64,
+    /// Step of the levels, and of the share kept at home.
+    pub step: usize,
+    pub home: usize,
+    /// The most weight that was ever listed as running, slowly forgotten.
+    pub full: f64,
+    pub mark: u64,
+    /// Servers to probe in this turn.
+    pub ask: Vec<ServerIx>,
+    pub notes: Vec<String>,
+    pub stirred: bool,
+    pub planned: Moment,
+    pub reviewed: Moment,
+    pub woken: Moment,
+    pub asked_list: Option<Moment>,
+    edges: &'static [f64],
+    first_step: usize,
+}
+
+impl State {
+    pub fn new(edges: &'static [f64], first_step: usize, now: Moment) -> State {
+        State { edges, first_step, planned: now, reviewed: now, woken: now, ..State::default() }
+    }
+
+    /// A server's record, made at first sight.
+    pub fn server(&mut self, at: ServerIx) -> &mut Server {
+        while self.servers.len() <= at {
+            let util = Histogram::new(self.edges);
+            self.servers.push(Server { util, step: self.first_step, ..Server::default() });
+        }
+        &mut self.servers[at]
+    }
+
+    /// A proxy's record, made at first sight.
+    pub fn proxy(&mut self, at: ProxyIx) -> &mut Proxy {
+        if self.proxies.len() <= at {
+            self.proxies.resize(at + 1, Proxy::default());
+        }
+        &mut self.proxies[at]
+    }
+}
