--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -23,9 +23,9 @@
 const THIN: f64 = 0.1;
 /// What a cold server gets, by quarters of the longest warm-up: no more than it is sure to carry by then,
 /// but for the entry share, which the design sets at a quarter.
-const RAMP: [f64; 5] = [0.25, 0.4, 0.6, 0.8, 1.0];
+const RAMP: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
 /// Part of what would topple a cold server that it may be sent, at a load that could be twice the usual one.
-const SAFE: f64 = 0.35;
+const SAFE: f64 = 0.6;
 /// Part of a zone's calls kept by its own servers as far as they can carry them; the rest goes everywhere.
 const HOME: [f64; 4] = [1.0, 0.7, 0.35, 0.0];
 const UTIL_EDGES: &[f64] = &[0.2, 0.35, 0.5, 0.6, 0.7, 0.8, 0.9, 0.97];
@@ -279,8 +279,7 @@
             };
             self.sign(now, entry.server, sign, entry.last_start);
         }
-        let weight = |server: &Server| if server.stand == Stand::Gone { 0.0 } else { server.weight };
-        self.state.full = self.state.full.max(self.state.servers.iter().map(weight).sum());
+        self.state.full = self.state.full.max(self.listed());
         if kind != ListKind::Changes {
             for at in (0..self.state.servers.len()).filter(|at| !named.contains(at)).collect::<Vec<_>>() {
                 self.sign(now, at, Sign::Gone, None);
@@ -334,13 +333,18 @@
 
     /// A planner behind a cut sees all others dead; without this it would heap everything on what it still sees.
     fn may_shut_out(&self, now: Moment, at: ServerIx) -> bool {
-        let weight = |server: &Server| if server.stand == Stand::Gone { 0.0 } else { server.weight };
-        let listed: f64 = self.state.servers.iter().map(weight).sum();
+        let listed = self.listed();
         let left: f64 =
             (0..self.state.servers.len()).filter(|other| *other != at).map(|s| self.carries(now, s)).sum();
         left >= QUORUM * listed
     }
 
+    /// All weight that is listed to stay; what drains has its successor listed already.
+    fn listed(&self) -> f64 {
+        let stays = |s: &&Server| !matches!(s.stand, Stand::Gone | Draining);
+        self.state.servers.iter().filter(stays).map(|s| s.weight).sum()
+    }
+
     fn warmth(&self, now: Moment, at: ServerIx) -> usize {
         let Some(started) = self.state.servers[at].started else { return RAMP.len() - 1 };
         let gone = now.since(started).seconds() / self.pledge.cold_for.seconds().max(1e-9);
@@ -434,8 +438,7 @@
                 };
             }
         }
-        let weight = |server: &Server| if server.stand == Stand::Gone { 0.0 } else { server.weight };
-        self.state.full = (self.state.full * 0.99).max(self.state.servers.iter().map(weight).sum());
+        self.state.full = self.state.full.max(self.listed());
         for server in &mut self.state.servers {
             server.util.halve();
             server.tries /= 2.0;
