--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -27,7 +27,7 @@
 /// Part of what would topple a cold server that it may be sent, at a load that could be twice the usual one.
 const SAFE: f64 = 0.6;
 /// Part of a zone's calls kept by its own servers as far as they can carry them; the rest goes everywhere.
-const HOME: [f64; 4] = [1.0, 0.7, 0.35, 0.0];
+const HOME: [f64; 4] = [0.35, 0.35, 0.35, 0.35];
 const UTIL_EDGES: &[f64] = &[0.2, 0.35, 0.5, 0.6, 0.7, 0.8, 0.9, 0.97];
 /// Coarse corrections to listed weights, for servers that stay far busier or idler than the rest.
 const CORRECTIONS: [f64; 7] = [0.3, 0.45, 0.6, 0.8, 1.0, 1.25, 1.5];
@@ -279,7 +279,6 @@
             };
             self.sign(now, entry.server, sign, entry.last_start);
         }
-        self.state.full = self.state.full.max(self.listed());
         if kind != ListKind::Changes {
             for at in (0..self.state.servers.len()).filter(|at| !named.contains(at)).collect::<Vec<_>>() {
                 self.sign(now, at, Sign::Gone, None);
@@ -408,6 +407,7 @@
             let sum: f64 =
                 warm.iter().zip(&util).map(|(at, u)| u.unwrap_or(0.0) * self.carries(now, *at)).sum();
             let common = sum / weight;
+            self.state.common = common;
             for (at, util) in warm.iter().zip(util) {
                 let Some(util) = util else { continue };
                 let server = &mut self.state.servers[*at];
@@ -438,7 +438,6 @@
                 };
             }
         }
-        self.state.full = self.state.full.max(self.listed());
         for server in &mut self.state.servers {
             server.util.halve();
             server.tries /= 2.0;
@@ -516,22 +515,27 @@
             targets
                 .push((0..carries.len()).map(|at| carries[at] * mass(self.state.servers[at].zone)).collect());
         }
-        self.shield_cold(now, &load, &mut targets);
+        self.shield_cold(now, &load, &carries, &mut targets);
         targets
     }
 
     /// Rule 4 by construction: whatever the zones' tables say, all proxies together bring a cold server no more
     /// than a safe part of what it is sure to carry; the rest goes to warm servers. Harms when the load is low
     /// and the warm servers are few: they then carry what the cold one could have.
-    fn shield_cold(&self, now: Moment, load: &[f64], targets: &mut [Vec<f64>]) {
+    fn shield_cold(&self, now: Moment, load: &[f64], carries: &[f64], targets: &mut [Vec<f64>]) {
         let last = RAMP.len() - 1;
         let all: f64 = load.iter().sum();
         let cold = |at: usize| self.warmth(now, at) < last;
+        // All that is asked, as weight; a fleet that looks full may be asked for any multiple.
+        let offered = match self.state.common {
+            busy if busy > BUSY => 1.5,
+            busy => busy.max(0.5),
+        };
         for at in (0..self.state.servers.len()).filter(|at| cold(*at)) {
             let step = self.warmth(now, at);
             let sure = self.pledge.cold_from + (1.0 - self.pledge.cold_from) * step as f64 / last as f64;
-            let part = RAMP[step].min(SAFE * self.pledge.overload_factor * sure);
-            let most = part * self.state.servers[at].weight / self.state.full.max(1e-9);
+            let calls = offered * carries.iter().sum::<f64>();
+            let most = SAFE * self.pledge.overload_factor * sure * self.state.servers[at].weight / calls;
             let sent: f64 = targets.iter().zip(load).map(|(t, l)| t[at] * l / all).sum();
             if sent <= most {
                 continue;
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -269,8 +269,8 @@
     /// Step of the levels, and of the share kept at home.
     pub step: usize,
     pub home: usize,
-    /// The most weight that was ever listed as running, slowly forgotten.
-    pub full: f64,
+    /// How busy warm servers are on average.
+    pub common: f64,
     pub mark: u64,
     /// Servers to probe in this turn.
     pub ask: Vec<ServerIx>,
