--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -26,8 +26,9 @@
 const RAMP: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
 /// Part of what would topple a cold server that it may be sent, at a load that could be twice the usual one.
 const SAFE: f64 = 0.6;
-/// Part of a zone's calls kept by its own servers as far as they can carry them; the rest goes everywhere.
-const HOME: [f64; 4] = [0.35, 0.35, 0.35, 0.35];
+/// A crossing this dear is worth keeping all calls at home, as far as the planner hears all proxies and can tell
+/// what each zone is asked; what it does not keep goes everywhere by weight, where errors even out.
+const DEAR: f64 = 0.06;
 const UTIL_EDGES: &[f64] = &[0.2, 0.35, 0.5, 0.6, 0.7, 0.8, 0.9, 0.97];
 /// Coarse corrections to listed weights, for servers that stay far busier or idler than the rest.
 const CORRECTIONS: [f64; 7] = [0.3, 0.45, 0.6, 0.8, 1.0, 1.25, 1.5];
@@ -424,12 +425,6 @@
                     server.asked = 0;
                 }
             }
-            let top = warm.iter().filter_map(|at| self.state.servers[*at].util.mean()).fold(0.0, f64::max);
-            self.state.home = match top {
-                top if top > 0.85 => (self.state.home + 1).min(HOME.len() - 1),
-                top if top < 0.65 => self.state.home.saturating_sub(1),
-                _ => self.state.home,
-            };
             if self.reach.throttle == Throttle::Fraction {
                 self.state.step = match common {
                     c if c > BUSY => (self.state.step + 1).min(LEVELS.len() - 1),
@@ -497,7 +492,8 @@
         if free.iter().sum::<f64>() <= 0.0 {
             free = room.clone();
         }
-        let home = if scope == 1 { 1.0 } else { HOME[self.state.home] };
+        let heard = seen / (seen + unseen);
+        let home = if scope == 1 { 1.0 } else { (self.fleet.crossing_price / DEAR).min(1.0) * heard * heard };
         let mut targets: Vec<Vec<f64>> = Vec::new();
         for zone in 0..zones {
             let over = (load[zone] - bearable * density * room[zone]).max(0.0);
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -266,9 +266,8 @@
     pub slices: Vec<Slice>,
     /// Imbalance when the proxies were last grouped.
     pub packed: f64,
-    /// Step of the levels, and of the share kept at home.
+    /// Step of the levels.
     pub step: usize,
-    pub home: usize,
     /// How busy warm servers are on average.
     pub common: f64,
     pub mark: u64,
