--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -37,14 +37,15 @@
 const BAD_TRIES: f64 = 3.0;
 const BAD_PART: f64 = 0.85;
 const GOOD_PART: f64 = 0.2;
+const FINE: f64 = 0.3;
 /// Dead probes in a row that confirm it.
 const CONFIRM: usize = 2;
 /// Servers are not shut out when less than this part of the listed weight would remain.
 const QUORUM: f64 = 0.25;
 /// Level of the least important route and of the others, by step; left again step by step.
-const LEVELS: [(f64, f64); 5] = [(1.0, 1.0), (0.75, 1.0), (0.55, 1.0), (0.4, 0.9), (0.25, 0.8)];
-const BUSY: f64 = 0.92;
-const AT_EASE: f64 = 0.8;
+const LEVELS: [(f64, f64); 6] = [(1.0, 1.0), (0.6, 1.0), (0.35, 1.0), (0.2, 1.0), (0.1, 0.8), (0.05, 0.55)];
+const BUSY: f64 = 0.9;
+const AT_EASE: f64 = 0.75;
 
 /// What is learned of a server.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -225,6 +226,11 @@
                 self.note_load(*server, *load, 3.0);
                 let sign = match end {
                     ProbeEnd::Answered | ProbeEnd::Refused => ProbeGood,
+                    // Where all are late, one more late answer says nothing of this server.
+                    ProbeEnd::Silent if self.strained() => {
+                        self.note_load(*server, Load { util: Some(1.0), ..*load }, 3.0);
+                        return;
+                    }
                     ProbeEnd::Silent => ProbeSilent,
                     ProbeEnd::Dead => ProbeDead,
                 };
@@ -331,6 +337,15 @@
         }
     }
 
+    /// Hardly any server answers as it should: the fleet is overloaded or the planner is blind.
+    fn strained(&self) -> bool {
+        let tried =
+            self.state.servers.iter().filter(|s| matches!(s.stand, Open | Suspect) && s.tries >= BAD_TRIES);
+        let (fine, all) =
+            tried.fold((0, 0), |(f, n), s| (f + usize::from(s.dropped < FINE * s.tries), n + 1));
+        all > 1 && (fine as f64) < QUORUM * all as f64
+    }
+
     /// A planner behind a cut sees all others dead; without this it would heap everything on what it still sees.
     fn may_shut_out(&self, now: Moment, at: ServerIx) -> bool {
         let listed = self.listed();
@@ -420,13 +435,14 @@
                     .unwrap_or(UNCORRECTED);
                 let call = (nearest as i32 - server.step as i32).signum();
                 server.asked = if call == server.asked.signum() { server.asked + call } else { call };
-                if server.asked.abs() >= 2 {
+                if server.asked.abs() >= 2 && common < BUSY {
                     server.step = (server.step as i32 + call) as usize;
                     server.asked = 0;
                 }
             }
             if self.reach.throttle == Throttle::Fraction {
                 self.state.step = match common {
+                    _ if self.strained() => (self.state.step + 2).min(LEVELS.len() - 1),
                     c if c > BUSY => (self.state.step + 1).min(LEVELS.len() - 1),
                     c if c < AT_EASE => self.state.step.saturating_sub(1),
                     _ => self.state.step,
