--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -25,7 +25,7 @@
 /// but for the entry share, which the design sets at a quarter.
 const RAMP: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
 /// Part of what would topple a cold server that it may be sent, at a load that could be twice the usual one.
-const SAFE: f64 = 0.6;
+const SAFE: f64 = 0.4;
 /// A crossing this dear is worth keeping all calls at home, as far as the planner hears all proxies and can tell
 /// what each zone is asked; what it does not keep goes everywhere by weight, where errors even out.
 const DEAR: f64 = 0.06;
