--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -28,6 +28,8 @@
 const SAFE: f64 = 0.4;
 /// A crossing this dear is worth keeping all calls at home, as far as the planner hears all proxies and can tell
 /// what each zone is asked; what it does not keep goes everywhere by weight, where errors even out.
+/// How busy a zone may get before it sends calls away.
+const COMFORT: f64 = 0.6;
 const DEAR: f64 = 0.06;
 const UTIL_EDGES: &[f64] = &[0.2, 0.35, 0.5, 0.6, 0.7, 0.8, 0.9, 0.97];
 /// Coarse corrections to listed weights, for servers that stay far busier or idler than the rest.
@@ -224,13 +226,15 @@
             Event::Probed { server, end, load } => {
                 self.state.server(*server);
                 self.note_load(*server, *load, 3.0);
+                let silent = *end == ProbeEnd::Silent;
+                if silent && self.reach.load_on_probe {
+                    // Where a probe waits its turn, no answer in time is the only word of a full queue.
+                    self.note_load(*server, Load { util: Some(1.0), ..*load }, 3.0);
+                }
                 let sign = match end {
                     ProbeEnd::Answered | ProbeEnd::Refused => ProbeGood,
                     // Where all are late, one more late answer says nothing of this server.
-                    ProbeEnd::Silent if self.strained() => {
-                        self.note_load(*server, Load { util: Some(1.0), ..*load }, 3.0);
-                        return;
-                    }
+                    ProbeEnd::Silent if self.strained() => return,
                     ProbeEnd::Silent => ProbeSilent,
                     ProbeEnd::Dead => ProbeDead,
                 };
@@ -502,7 +506,7 @@
         for zone in 0..zones {
             load[zone] += if gap > 0.0 { unseen * gaps[zone] / gap } else { 0.0 };
         }
-        let bearable = 1.0 + 3.0 * self.fleet.crossing_price;
+        let bearable = (COMFORT / self.state.common.max(0.1)).clamp(1.0, 1.5);
         let mut free: Vec<f64> =
             (0..zones).map(|z| (bearable * density * room[z] - load[z]).max(0.0)).collect();
         if free.iter().sum::<f64>() <= 0.0 {
