--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -31,6 +31,7 @@
 /// How busy a zone may get before it sends calls away.
 const COMFORT: f64 = 0.6;
 const DEAR: f64 = 0.06;
+const CHEAP: f64 = 0.02;
 const UTIL_EDGES: &[f64] = &[0.2, 0.35, 0.5, 0.6, 0.7, 0.8, 0.9, 0.97];
 /// Coarse corrections to listed weights, for servers that stay far busier or idler than the rest.
 const CORRECTIONS: [f64; 7] = [0.3, 0.45, 0.6, 0.8, 1.0, 1.25, 1.5];
@@ -229,7 +230,7 @@
                 let silent = *end == ProbeEnd::Silent;
                 if silent && self.reach.load_on_probe {
                     // Where a probe waits its turn, no answer in time is the only word of a full queue.
-                    self.note_load(*server, Load { util: Some(1.0), ..*load }, 3.0);
+                    self.note_load(*server, Load { util: Some(1.0), ..*load }, 1.0);
                 }
                 let sign = match end {
                     ProbeEnd::Answered | ProbeEnd::Refused => ProbeGood,
@@ -432,14 +433,11 @@
                 let Some(util) = util else { continue };
                 let server = &mut self.state.servers[*at];
                 let wanted = CORRECTIONS[server.step] * common / util.max(0.1);
-                let nearest = (0..CORRECTIONS.len())
-                    .min_by(|a, b| {
-                        (CORRECTIONS[*a] - wanted).abs().total_cmp(&(CORRECTIONS[*b] - wanted).abs())
-                    })
-                    .unwrap_or(UNCORRECTED);
-                let call = (nearest as i32 - server.step as i32).signum();
+                let above = CORRECTIONS.get(server.step + 1).is_some_and(|next| wanted >= next * 0.95);
+                let below = server.step > 0 && wanted <= CORRECTIONS[server.step - 1] / 0.95;
+                let call = i32::from(above) - i32::from(below);
                 server.asked = if call == server.asked.signum() { server.asked + call } else { call };
-                if server.asked.abs() >= 2 && common < BUSY {
+                if server.asked.abs() >= if self.reach.load_on_probe { 3 } else { 2 } && common < BUSY {
                     server.step = (server.step as i32 + call) as usize;
                     server.asked = 0;
                 }
@@ -513,7 +511,11 @@
             free = room.clone();
         }
         let heard = seen / (seen + unseen);
-        let home = if scope == 1 { 1.0 } else { (self.fleet.crossing_price / DEAR).min(1.0) * heard * heard };
+        let home = if scope == 1 {
+            1.0
+        } else {
+            ((self.fleet.crossing_price - CHEAP) / (DEAR - CHEAP)).clamp(0.0, 1.0) * heard * heard
+        };
         let mut targets: Vec<Vec<f64>> = Vec::new();
         for zone in 0..zones {
             let over = (load[zone] - bearable * density * room[zone]).max(0.0);
