--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -16,6 +16,8 @@
 const GAP: Span = Span::millis(900);
 /// Imbalance, as part of all demand, below which a grouping or a table is left as it is.
 const MARGIN: f64 = 0.02;
+/// k-means settles in a few rounds for fleets of this kind.
+const ROUNDS: usize = 8;
 /// Largest relative error of a rounded weight: three binary digits are kept.
 const DIGITS: f64 = 8.0;
 const ERROR: f64 = 1.0 / (2.0 * DIGITS);
@@ -50,38 +52,6 @@
 const BUSY: f64 = 0.9;
 const AT_EASE: f64 = 0.75;
 
-/// What is learned of a server.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Sign {
-    Runs,
-    Restarted,
-    Stops,
-    Gone,
-    SumsBad,
-    SumsGood,
-    ProbeGood,
-    /// No answer in time: it may only be busy.
-    ProbeSilent,
-    ProbeDead,
-    Confirmed,
-    Recovered,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Effect {
-    Nothing,
-    /// Let in by its listed start.
-    Enter,
-    /// Let in as if it had started now: what it went through is not known.
-    Return,
-    Remove,
-    /// Ask the server itself.
-    Ask,
-    Strike,
-    Condemn,
-    Pardon,
-}
-
 use Effect::*;
 use Sign::*;
 use Stand::{Draining, Open, Out, Suspect};
@@ -252,7 +222,9 @@
             }
             Event::Applied { proxy, mark } => {
                 let mark = *mark;
-                self.state.proxy(*proxy).unapplied.retain(|(sent, _)| *sent > mark);
+                let unapplied = &mut self.state.proxy(*proxy).unapplied;
+                let done = unapplied.iter().position(|(sent, _)| *sent == mark).map_or(0, |at| at + 1);
+                unapplied.drain(..done);
             }
             Event::SliceGiven { slice, given } => {
                 if self.state.slices.len() <= *slice {
@@ -571,123 +543,100 @@
 
     fn plan(&mut self, now: Moment) {
         self.state.planned = now;
-        for scope in 0..2 {
-            if self.scope_mask(scope) > 0 {
-                let targets = self.targets(now, scope);
-                self.pack(now, scope, &targets);
+        for scope in (0..2).filter(|scope| self.scope_mask(*scope) > 0).collect::<Vec<_>>() {
+            let targets = self.targets(now, scope);
+            let joined = self.state.proxies.iter().enumerate().filter(|(_, p)| p.joined);
+            let members: Vec<Member> = joined
+                .map(|(proxy, p)| {
+                    let demand = self.demand(p).max(1e-6);
+                    Member { proxy, demand, target: &targets[p.zone], group: p.tables[scope] }
+                })
+                .collect();
+            if !members.is_empty() {
+                self.pack(now, scope, members);
             }
         }
     }
 
-    /// Groups the proxies and writes what each group's table should hold.
-    fn pack(&mut self, now: Moment, scope: usize, targets: &[Vec<f64>]) {
-        let members: Vec<(ProxyIx, f64, &Vec<f64>)> = self
-            .state
-            .proxies
-            .iter()
-            .enumerate()
-            .filter(|(_, p)| p.joined)
-            .map(|(at, p)| (at, self.demand(p).max(1e-6), &targets[p.zone]))
-            .collect();
-        if members.is_empty() {
-            return;
-        }
-        let standing: Vec<Option<usize>> =
-            members.iter().map(|m| self.state.proxies[m.0].tables[scope]).collect();
-        let bound: Vec<_> = members.iter().zip(&standing).filter(|(_, t)| t.is_some()).collect();
-        let strain =
-            imbalance(&bound.iter().map(|(m, t)| (m.1, m.2.as_slice(), t.unwrap_or(0))).collect::<Vec<_>>());
-        let groups = group(&members.iter().map(|m| (m.1, m.2.as_slice())).collect::<Vec<_>>());
-        let regroup = strain > self.state.packed + MARGIN;
-        if bound.len() < members.len() || regroup {
-            // A group takes the number of the table that most of its demand already uses.
+    /// Groups the proxies where some have no table or the imbalance rose, and writes what each table should hold.
+    fn pack(&mut self, now: Moment, scope: usize, mut members: Vec<Member>) {
+        let newcomers = members.iter().any(|m| m.group.is_none());
+        let regroup = imbalance(&members) > self.state.packed + MARGIN;
+        if newcomers || regroup {
+            let groups = group(&members);
             let mut taken: Vec<TableNo> = Vec::new();
             for kind in 0..=groups.iter().copied().max().unwrap_or(0) {
-                let inside: Vec<usize> = (0..members.len()).filter(|i| groups[*i] == kind).collect();
-                let mut votes = vec![0.0; self.state.tables.len()];
-                for i in &inside {
-                    if let Some(table) = standing[*i] {
-                        votes[table] += members[*i].1;
-                    }
-                }
-                let free = |t: &usize| !taken.contains(t) && self.state.tables[*t].scope == scope;
-                let best = (0..votes.len()).filter(|t| votes[*t] > 0.0 && free(t));
-                let empty =
-                    |t: &usize| free(t) && !self.state.proxies.iter().any(|p| p.tables[scope] == Some(*t));
-                let table = best
-                    .max_by(|a, b| votes[*a].total_cmp(&votes[*b]))
-                    .or_else(|| (0..self.state.tables.len()).find(empty))
-                    .unwrap_or(self.state.tables.len());
-                if table == self.state.tables.len() {
+                // A group takes the table that most of its demand already uses, else an idle one, else a new one.
+                let votes = |table: TableNo| -> f64 {
+                    let inside =
+                        members.iter().zip(&groups).filter(|(m, g)| **g == kind && m.group == Some(table));
+                    inside.map(|(m, _)| m.demand).sum()
+                };
+                let idle = |t: &TableNo| !members.iter().any(|m| m.group == Some(*t));
+                let known = self.state.tables.len();
+                let free = |t: &TableNo| !taken.contains(t) && self.state.tables[*t].scope == scope;
+                let table = (0..known)
+                    .filter(|t| free(t) && votes(*t) > 0.0)
+                    .max_by(|a, b| votes(*a).total_cmp(&votes(*b)))
+                    .or_else(|| (0..known).find(|t| free(t) && idle(t)))
+                    .unwrap_or(known);
+                if table == known {
                     self.state.tables.push(Table { scope, ..Table::default() });
                     self.state.wanted.push(Vec::new());
                 }
                 taken.push(table);
-                for i in inside {
-                    let proxy = &mut self.state.proxies[members[i].0];
-                    let settled = proxy.bound.is_some_and(|at| now.since(at) < REBIND);
-                    if proxy.tables[scope] != Some(table)
-                        && (proxy.tables[scope].is_none() || (regroup && !settled))
-                    {
-                        proxy.tables[scope] = Some(table);
-                        proxy.bound = None;
-                    }
+            }
+            for (member, kind) in members.iter_mut().zip(groups) {
+                let proxy = &mut self.state.proxies[member.proxy];
+                let settled = proxy.bound.is_some_and(|at| now.since(at) < REBIND);
+                if member.group != Some(taken[kind]) && (member.group.is_none() || regroup && !settled) {
+                    member.group = Some(taken[kind]);
+                    proxy.tables[scope] = member.group;
+                    proxy.bound = None;
                 }
             }
+            self.state.packed = imbalance(&members);
         }
-        let placed: Vec<(f64, &[f64], usize)> = members
-            .iter()
-            .map(|m| (m.1, m.2.as_slice(), self.state.proxies[m.0].tables[scope].unwrap_or(0)))
-            .collect();
-        if bound.len() < members.len() || regroup {
-            self.state.packed = imbalance(&placed);
-        }
-        for table in (0..self.state.tables.len()).filter(|t| self.state.tables[*t].scope == scope) {
-            let inside: Vec<_> = placed.iter().filter(|p| p.2 == table).copied().collect();
+        let zone: Vec<ZoneIx> = self.state.servers.iter().map(|s| s.zone).collect();
+        for table in 0..self.state.tables.len() {
+            let inside: Vec<&Member> = members.iter().filter(|m| m.group == Some(table)).collect();
             if !inside.is_empty() {
-                let zone: Vec<ZoneIx> = self.state.servers.iter().map(|s| s.zone).collect();
                 self.state.wanted[table] = trim(&centre(&inside), &inside, &zone);
             }
         }
     }
 
-    /// Sends what differs, urgent removals at once and the rest at its pace; then binds.
+    /// Sends what differs, urgent changes at once and the rest at its pace, largest first; then binds.
     fn push(&mut self, now: Moment, orders: &mut Vec<Order>) {
         let waiting: f64 = self.state.proxies.iter().flat_map(|p| p.unapplied.iter().map(|u| u.1)).sum();
+        // Marks tell what has arrived, so this holds however slow the channel has become.
         let mut left = self.channel.most_waiting / 2.0 - waiting;
         let mut spent = vec![0.0; self.state.proxies.len()];
         for table in 0..self.state.tables.len() {
             let scope = self.state.tables[table].scope;
-            let users: Vec<ProxyIx> = (0..self.state.proxies.len())
-                .filter(|p| {
-                    self.state.proxies[*p].tables[scope] == Some(table)
-                        && self.state.proxies[*p].bound.is_some()
-                })
-                .collect();
-            let changes = deltas(&self.state.tables[table].lines, &self.state.wanted[table]);
+            let uses = |p: &Proxy| p.tables[scope] == Some(table) && p.bound.is_some();
+            let users: Vec<ProxyIx> =
+                (0..self.state.proxies.len()).filter(|p| uses(&self.state.proxies[*p])).collect();
+            let mut changes = deltas(&self.state.tables[table].lines, &self.state.wanted[table]);
             let gates = self.state.tables[table].gates != Some(self.state.step);
-            if changes.is_empty() && !gates {
-                continue;
-            }
             let urgent = changes.iter().any(|(server, weight)| {
                 let stand = self.state.servers[*server].stand;
                 *weight <= 0.0 && matches!(stand, Stand::Gone | Draining | Out)
                     || *weight > 0.0 && self.warmth(now, *server) == 0
             });
-            let cost = changes.len() as f64 + self.channel.head + 3.0;
-            let fits = users.is_empty()
-                || users.iter().all(|p| self.may_tell(now, *p, urgent))
-                    && (urgent || left >= cost * users.len() as f64);
-            if !fits {
+            let head = self.channel.head + 1.0 + self.routes.len() as f64;
+            if !users.is_empty() && !urgent {
+                changes.truncate((left / users.len() as f64 - head).max(0.0) as usize);
+            }
+            if changes.is_empty() && !gates || !users.iter().all(|p| self.may_tell(now, *p, urgent)) {
                 continue;
             }
+            let cost = changes.len() as f64 + head;
             let lines = &mut self.state.tables[table].lines;
             for (server, weight) in changes {
                 orders.push(Order::Line { table, server, weight });
                 lines.retain(|line| line.0 != server);
-                if weight > 0.0 {
-                    lines.push((server, weight));
-                }
+                lines.extend((weight > 0.0).then_some((server, weight)));
             }
             if gates {
                 self.gate(table, orders);
@@ -695,16 +644,15 @@
             left -= cost * users.len() as f64;
             users.iter().for_each(|p| spent[*p] += cost);
         }
-        for (at, spent) in spent.iter_mut().enumerate() {
-            for scope in 0..2 {
-                let routes = self.scope_mask(scope);
-                let Some(table) = self.state.proxies[at].tables[scope] else { continue };
-                if self.state.proxies[at].bound.is_some() || self.state.tables[table].lines.is_empty() {
-                    continue;
-                }
+        for (proxy, spent) in spent.iter_mut().enumerate() {
+            let known = &self.state.proxies[proxy];
+            for (scope, table) in known.tables.iter().enumerate() {
+                let Some(table) = table.filter(|t| !self.state.tables[*t].lines.is_empty()) else { continue };
                 let cost = self.state.tables[table].lines.len() as f64 + self.channel.head + 5.0;
-                if waiting + cost < self.channel.most_waiting * 0.9 {
-                    orders.push(Order::Bind { proxy: at, table, routes });
+                let fits =
+                    waiting + cost < self.channel.most_waiting * 0.9 && self.may_tell(now, proxy, true);
+                if known.bound.is_none() && fits {
+                    orders.push(Order::Bind { proxy, table, routes: self.scope_mask(scope) });
                     *spent += cost;
                 }
             }
@@ -714,10 +662,11 @@
         }
         self.state.mark = (self.state.mark + 1) % 65_536;
         orders.push(Order::Mark { mark: self.state.mark });
-        for (at, cost) in spent.iter().enumerate().filter(|(_, cost)| **cost > 0.0) {
-            let proxy = &mut self.state.proxies[at];
+        for (proxy, cost) in spent.iter().enumerate().filter(|(_, cost)| **cost > 0.0) {
+            let proxy = &mut self.state.proxies[proxy];
             proxy.bound = proxy.bound.or(Some(now));
             proxy.unapplied.push((self.state.mark, *cost));
+            proxy.told.retain(|told| now.since(*told) <= self.channel.messages_over);
             proxy.told.push(now);
         }
     }
@@ -728,10 +677,9 @@
         let most = if self.channel.messages_most == 0 { usize::MAX } else { self.channel.messages_most };
         let recent = proxy.told.iter().filter(|told| now.since(**told) <= self.channel.messages_over).count();
         let since = proxy.told.last().map_or(Span(u64::MAX), |last| now.since(*last));
-        if urgent {
-            recent < most / 2 || recent + 1 < most && since >= self.pledge.drain_grace.times(0.3)
-        } else {
-            recent < most / 2 && since >= GAP
+        match urgent {
+            true => recent < most / 2 || recent + 1 < most && since >= self.pledge.drain_grace.times(0.3),
+            false => recent < most / 2 && since >= GAP,
         }
     }
 
@@ -746,9 +694,8 @@
                 _ if route.importance <= least && least < most => LEVELS[self.state.step].0,
                 _ => LEVELS[self.state.step].1,
             };
-            // Only a repeatable call may follow a try that may have run.
-            let resend = Resend::OnProof;
-            orders.push(Order::Gate { table, routes: 1 << at, level, resend });
+            // Rule 2 by construction. A second try after a wait was measured too: it only adds to the load.
+            orders.push(Order::Gate { table, routes: 1 << at, level, resend: Resend::OnProof });
         }
         self.state.tables[table].gates = Some(self.state.step);
     }
@@ -756,99 +703,98 @@
     /// Sites with slices: each keeps its line; one whose server drains or is gone gets another, an exclusive one
     /// only after its writes have been held back until the former owner can have none.
     fn mend_slices(&mut self, now: Moment, orders: &mut Vec<Order>) {
-        let usable: Vec<ServerIx> =
-            (0..self.state.servers.len()).filter(|at| self.carries(now, *at) > 0.0).collect();
-        for at in 0..self.state.slices.len() {
-            let lost = |line: &(ServerIx, f64)| !usable.contains(&line.0);
-            let slice = &self.state.slices[at];
-            if !slice.given || usable.is_empty() || !slice.lines.is_empty() && !slice.lines.iter().any(lost) {
+        let last = self.state.servers.len();
+        let usable: Vec<ServerIx> = (0..last).filter(|at| self.carries(now, *at) > 0.0).collect();
+        let open = if self.reach.throttle == Throttle::PerSecond { 1e9 } else { 1.0 };
+        for (table, slice) in self.state.slices.iter_mut().enumerate() {
+            let lost: Vec<ServerIx> =
+                slice.lines.iter().map(|l| l.0).filter(|s| !usable.contains(s)).collect();
+            if !slice.given || usable.is_empty() || !slice.lines.is_empty() && lost.is_empty() {
                 continue;
             }
-            let gate = |level| Order::Gate { table: at, routes: 0, level, resend: Resend::OnProof };
-            let open = if self.reach.throttle == Throttle::PerSecond { 1e9 } else { 1.0 };
+            let gate = |level| Order::Gate { table, routes: 0, level, resend: Resend::OnProof };
             if self.slicing.exclusive && !slice.lines.is_empty() {
+                if slice.held_until.is_none() {
+                    orders.push(gate(0.0));
+                }
                 let wait = self.slicing.keeps_writing + self.slicing.lingers;
-                match slice.held_until {
-                    None => {
-                        orders.push(gate(0.0));
-                        self.state.slices[at].held_until = Some(now + wait);
-                        continue;
-                    }
-                    Some(until) if now < until => continue,
-                    Some(_) => orders.push(gate(open)),
+                if now < *slice.held_until.get_or_insert(now + wait) {
+                    continue;
                 }
             }
-            let server = usable[at % usable.len()];
-            let gone: Vec<ServerIx> = slice.lines.iter().filter(|l| lost(l)).map(|l| l.0).collect();
-            orders.push(Order::Line { table: at, server, weight: 1.0 });
-            if !self.slicing.exclusive {
-                orders.extend(gone.iter().map(|s| Order::Line { table: at, server: *s, weight: 0.0 }));
+            let server = usable[table % usable.len()];
+            orders.push(Order::Line { table, server, weight: 1.0 });
+            if self.slicing.exclusive {
+                slice.lines.clear();
+                orders.extend(slice.held_until.take().map(|_| gate(open)));
             }
-            let slice = &mut self.state.slices[at];
-            slice
-                .lines
-                .retain(|line| usable.contains(&line.0) && line.0 != server && !self.slicing.exclusive);
+            let gone = lost.iter().filter(|_| !self.slicing.exclusive);
+            orders.extend(gone.map(|server| Order::Line { table, server: *server, weight: 0.0 }));
+            slice.lines.retain(|line| line.0 != server && !lost.contains(&line.0));
             slice.lines.push((server, 1.0));
-            slice.held_until = None;
         }
     }
 }
 
+/// A proxy as the grouping sees it.
+struct Member<'a> {
+    proxy: ProxyIx,
+    demand: f64,
+    target: &'a [f64],
+    group: Option<TableNo>,
+}
+
 /// What a table gives beyond a proxy's target, over all servers.
 fn excess(table: &[f64], target: &[f64]) -> f64 {
     table.iter().zip(target).map(|(have, want)| (have - want).max(0.0)).sum()
 }
 
 /// The demand-weighted mean of the members' targets.
-fn centre(members: &[(f64, &[f64], usize)]) -> Vec<f64> {
-    let total: f64 = members.iter().map(|m| m.0).sum();
-    let width = members.iter().map(|m| m.1.len()).max().unwrap_or(0);
-    (0..width).map(|at| members.iter().map(|m| m.0 * m.1[at]).sum::<f64>() / total).collect()
+fn centre(members: &[&Member]) -> Vec<f64> {
+    let total: f64 = members.iter().map(|m| m.demand).sum();
+    let width = members.iter().map(|m| m.target.len()).max().unwrap_or(0);
+    (0..width).map(|at| members.iter().map(|m| m.demand * m.target[at]).sum::<f64>() / total).collect()
 }
 
-/// The imbalance of a grouping, as part of all demand.
-fn imbalance(placed: &[(f64, &[f64], usize)]) -> f64 {
-    let total: f64 = placed.iter().map(|p| p.0).sum();
-    let mut sum = 0.0;
-    for kind in 0..=placed.iter().map(|p| p.2).max().unwrap_or(0) {
-        let inside: Vec<_> = placed.iter().filter(|p| p.2 == kind).copied().collect();
-        let middle = centre(&inside);
-        sum += inside.iter().map(|p| p.0 * excess(&middle, p.1)).sum::<f64>();
-    }
-    if total > 0.0 {
-        sum / total
-    } else {
-        0.0
-    }
+/// The imbalance of a grouping, as part of all its demand.
+fn imbalance(members: &[Member]) -> f64 {
+    let grouped: Vec<&Member> = members.iter().filter(|m| m.group.is_some()).collect();
+    let total: f64 = grouped.iter().map(|m| m.demand).sum();
+    let beyond = |m: &&Member| {
+        let peers: Vec<&Member> = grouped.iter().filter(|p| p.group == m.group).copied().collect();
+        m.demand * excess(&centre(&peers), m.target)
+    };
+    grouped.iter().map(beyond).sum::<f64>() / total.max(1e-9)
 }
 
 /// Demand-weighted k-means, seeded by the heaviest proxies, with as few groups as the margin allows.
-fn group(members: &[(f64, &[f64])]) -> Vec<usize> {
-    let mut order: Vec<usize> = (0..members.len()).collect();
-    order.sort_by(|a, b| members[*b].0.total_cmp(&members[*a].0));
-    let mut seeds: Vec<usize> = Vec::new();
+fn group(members: &[Member]) -> Vec<usize> {
+    let mut order: Vec<&Member> = members.iter().collect();
+    order.sort_by(|a, b| b.demand.total_cmp(&a.demand));
+    let mut seeds: Vec<&Member> = Vec::new();
     let mut groups = vec![0; members.len()];
     for next in order {
         // A seed whose target a group already serves would only split that group.
-        if seeds.iter().any(|seed| excess(members[*seed].1, members[next].1) < MARGIN) {
+        if seeds.iter().any(|seed| excess(seed.target, next.target) < MARGIN) {
             continue;
         }
         seeds.push(next);
-        let mut centres: Vec<Vec<f64>> = seeds.iter().map(|seed| members[*seed].1.to_vec()).collect();
-        for _ in 0..8 {
-            for (at, member) in members.iter().enumerate() {
-                let cost = |kind: &usize| excess(&centres[*kind], member.1);
-                groups[at] = (0..centres.len()).min_by(|a, b| cost(a).total_cmp(&cost(b))).unwrap_or(0);
+        let mut centres: Vec<Vec<f64>> = seeds.iter().map(|seed| seed.target.to_vec()).collect();
+        for _ in 0..ROUNDS {
+            for (member, kind) in members.iter().zip(&mut groups) {
+                let cost = |kind: &usize| excess(&centres[*kind], member.target);
+                *kind = (0..centres.len()).min_by(|a, b| cost(a).total_cmp(&cost(b))).unwrap_or(0);
             }
             for (kind, middle) in centres.iter_mut().enumerate() {
-                let inside: Vec<_> = members.iter().zip(&groups).filter(|(_, g)| **g == kind).collect();
+                let inside: Vec<_> =
+                    members.iter().zip(&groups).filter(|p| *p.1 == kind).map(|p| p.0).collect();
                 if !inside.is_empty() {
-                    *middle = centre(&inside.iter().map(|(m, g)| (m.0, m.1, **g)).collect::<Vec<_>>());
+                    *middle = centre(&inside);
                 }
             }
         }
-        let placed: Vec<_> = members.iter().zip(&groups).map(|(m, g)| (m.0, m.1, *g)).collect();
-        if imbalance(&placed) <= MARGIN {
+        let beyond = members.iter().zip(&groups).map(|(m, g)| m.demand * excess(&centres[*g], m.target));
+        if beyond.sum::<f64>() <= MARGIN * members.iter().map(|m| m.demand).sum::<f64>() {
             break;
         }
     }
@@ -856,28 +802,26 @@
 }
 
 /// Drops thin lines, those that add least imbalance first, never a zone's last; rescales and rounds.
-fn trim(middle: &[f64], members: &[(f64, &[f64], usize)], zone: &[ZoneIx]) -> Vec<(ServerIx, f64)> {
-    let mut lines: Vec<(ServerIx, f64)> =
-        middle.iter().enumerate().filter(|(_, w)| **w > 0.0).map(|(at, w)| (at, *w)).collect();
+fn trim(middle: &[f64], members: &[&Member], zone: &[ZoneIx]) -> Vec<(ServerIx, f64)> {
+    let mut table = middle.to_vec();
     loop {
+        let sum: f64 = table.iter().sum();
+        table.iter_mut().for_each(|weight| *weight /= sum.max(1e-9));
+        let lines: Vec<ServerIx> = (0..table.len()).filter(|at| table[*at] > 0.0).collect();
         let thin = THIN / lines.len().max(1) as f64;
-        let alone = |at: ServerIx| !lines.iter().any(|l| l.0 != at && zone[l.0] == zone[at]);
-        let without = |dropped: ServerIx| {
-            let rest: f64 = lines.iter().filter(|l| l.0 != dropped).map(|l| l.1).sum();
-            let mut table = vec![0.0; middle.len()];
-            lines.iter().filter(|l| l.0 != dropped).for_each(|l| table[l.0] = l.1 / rest.max(1e-9));
-            members.iter().map(|m| m.0 * excess(&table, m.1)).sum::<f64>()
+        let alone = |at: ServerIx| !lines.iter().any(|l| *l != at && zone[*l] == zone[at]);
+        let without = |at: ServerIx| {
+            let rest = 1.0 - table[at];
+            let left: Vec<f64> =
+                (0..table.len()).map(|l| if l == at { 0.0 } else { table[l] / rest }).collect();
+            members.iter().map(|m| m.demand * excess(&left, m.target)).sum::<f64>()
         };
-        let victim = lines
-            .iter()
-            .filter(|l| l.1 < thin && !alone(l.0))
-            .min_by(|a, b| without(a.0).total_cmp(&without(b.0)))
-            .map(|l| l.0);
-        let Some(victim) = victim else { break };
-        lines.retain(|l| l.0 != victim);
+        let droppable = lines.iter().filter(|at| table[**at] < thin && !alone(**at));
+        match droppable.min_by(|a, b| without(**a).total_cmp(&without(**b))) {
+            Some(at) => table[*at] = 0.0,
+            None => return lines.iter().map(|at| (*at, table[*at])).collect(),
+        }
     }
-    let sum: f64 = lines.iter().map(|l| l.1).sum();
-    lines.iter().map(|l| (l.0, l.1 / sum.max(1e-9))).collect()
 }
 
 /// Keeps three binary digits, which stays within the error of the weight's own value.
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -207,6 +207,42 @@
     Draining,
 }
 
+/// What is learned of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    Runs,
+    /// Listed with a later start than known.
+    Restarted,
+    Stops,
+    Gone,
+    SumsBad,
+    SumsGood,
+    ProbeGood,
+    /// No answer in time: it may only be busy.
+    ProbeSilent,
+    ProbeDead,
+    Confirmed,
+    Recovered,
+}
+
+/// What follows from a sign.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Nothing,
+    /// Let in by its listed start.
+    Enter,
+    /// Let in as if it had started now: what it went through is not known.
+    Return,
+    Remove,
+    /// Ask the server itself.
+    Ask,
+    /// One more probe in a row that points the same way.
+    Strike,
+    /// Enough strikes at once.
+    Condemn,
+    Pardon,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Server {
     pub known: bool,
