--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -23,17 +23,17 @@
 const ERROR: f64 = 1.0 / (2.0 * DIGITS);
 /// Lines under this part of the average share may be trimmed.
 const THIN: f64 = 0.1;
-/// What a cold server gets, by quarters of the longest warm-up: no more than it is sure to carry by then,
-/// but for the entry share, which the design sets at a quarter.
+/// What a cold server gets, by quarters of the longest warm-up; it enters at the design's quarter, and most are
+/// warm well before the longest time. What it is sure to carry is kept by `shield_cold`.
 const RAMP: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
-/// Part of what would topple a cold server that it may be sent, at a load that could be twice the usual one.
+/// Part of what would topple a cold server that it may be sent; 0.6 was pushed over on an overloaded deploy.
 const SAFE: f64 = 0.4;
-/// A crossing this dear is worth keeping all calls at home, as far as the planner hears all proxies and can tell
-/// what each zone is asked; what it does not keep goes everywhere by weight, where errors even out.
 /// How busy a zone may get before it sends calls away.
 const COMFORT: f64 = 0.6;
-const DEAR: f64 = 0.06;
+/// From the first price on calls are kept at home, at the second all of them, as far as the planner hears all
+/// proxies and can tell what each zone is asked; the rest goes everywhere by weight, where errors even out.
 const CHEAP: f64 = 0.02;
+const DEAR: f64 = 0.06;
 const UTIL_EDGES: &[f64] = &[0.2, 0.35, 0.5, 0.6, 0.7, 0.8, 0.9, 0.97];
 /// Coarse corrections to listed weights, for servers that stay far busier or idler than the rest.
 const CORRECTIONS: [f64; 7] = [0.3, 0.45, 0.6, 0.8, 1.0, 1.25, 1.5];
@@ -166,16 +166,13 @@
             Event::List { kind, entries } => self.hear_list(now, *kind, entries),
             Event::Joined { proxy, zone, calls_per_s } => {
                 let (zone, first_guess) = (*zone, *calls_per_s);
-                let calls = vec![0.0; self.routes.len()];
-                *self.state.proxy(*proxy) =
-                    Proxy { joined: true, zone, first_guess, calls, ..Proxy::default() };
+                *self.state.proxy(*proxy) = Proxy { joined: true, zone, first_guess, ..Proxy::default() };
                 self.state.stirred = true;
             }
             Event::Left { proxy } => *self.state.proxy(*proxy) = Proxy::default(),
             Event::Sums { server, tries, dropped, load, .. } => {
-                self.state.server(*server);
-                self.note_load(*server, *load, *tries);
-                let known = &mut self.state.servers[*server];
+                self.state.note_load(*server, load.util, *tries);
+                let known = self.state.server(*server);
                 known.tries += tries;
                 known.dropped += dropped;
                 let (tries, dropped) = (known.tries, known.dropped);
@@ -185,23 +182,17 @@
                     self.sign(now, *server, SumsGood, None);
                 }
             }
-            Event::Arrivals { proxy, route, calls, dropped, over } => {
+            Event::Arrivals { proxy, route, calls, over, .. } => {
                 let known = self.state.proxy(*proxy);
-                if known.joined && *route < known.calls.len() {
-                    known.calls[*route] += calls;
-                    known.dropped += dropped;
-                    // Every route tells of the same period; the first stands for all.
-                    known.over += if *route == 0 { over.seconds() } else { 0.0 };
-                }
+                known.calls += calls;
+                // Every route tells of the same period; the first stands for all.
+                known.over += if *route == 0 { over.seconds() } else { 0.0 };
             }
             Event::Probed { server, end, load } => {
                 self.state.server(*server);
-                self.note_load(*server, *load, 3.0);
-                let silent = *end == ProbeEnd::Silent;
-                if silent && self.reach.load_on_probe {
-                    // Where a probe waits its turn, no answer in time is the only word of a full queue.
-                    self.note_load(*server, Load { util: Some(1.0), ..*load }, 1.0);
-                }
+                // Where a probe waits its turn, no answer in time is the only word of a full queue.
+                let full = self.reach.load_on_probe && *end == ProbeEnd::Silent;
+                self.state.note_load(*server, if full { Some(1.0) } else { load.util }, 1.0);
                 let sign = match end {
                     ProbeEnd::Answered | ProbeEnd::Refused => ProbeGood,
                     // Where all are late, one more late answer says nothing of this server.
@@ -220,24 +211,9 @@
                     }
                 }
             }
-            Event::Applied { proxy, mark } => {
-                let mark = *mark;
-                let unapplied = &mut self.state.proxy(*proxy).unapplied;
-                let done = unapplied.iter().position(|(sent, _)| *sent == mark).map_or(0, |at| at + 1);
-                unapplied.drain(..done);
-            }
-            Event::SliceGiven { slice, given } => {
-                if self.state.slices.len() <= *slice {
-                    self.state.slices.resize(slice + 1, Slice::default());
-                }
-                self.state.slices[*slice] = Slice { given: *given, ..Slice::default() };
-            }
-            Event::SliceLine { slice, server, weight } => {
-                self.state.server(*server);
-                if let Some(slice) = self.state.slices.get_mut(*slice).filter(|slice| slice.given) {
-                    slice.lines.push((*server, *weight));
-                }
-            }
+            Event::Applied { proxy, mark } => self.state.proxy(*proxy).applied(*mark),
+            Event::SliceGiven { slice, given } => self.state.give_slice(*slice, *given),
+            Event::SliceLine { slice, server, weight } => self.state.slice_line(*slice, *server, *weight),
             Event::Tick => {}
         }
     }
@@ -282,14 +258,11 @@
             Nothing => {}
             Enter | Return => {
                 server.started = if *effect == Return { Some(now) } else { start.or(server.started) };
-                server.strikes = 0;
-                server.tries = 0.0;
-                server.dropped = 0.0;
-                server.util.clear();
+                server.forget();
                 self.state.stirred = true;
             }
             Remove => {
-                server.strikes = 0;
+                server.forget();
                 self.state.stirred = true;
             }
             Ask => {
@@ -298,19 +271,8 @@
             }
             Strike => server.strikes += 1,
             Condemn => server.strikes += CONFIRM,
-            Pardon => {
-                server.strikes = 0;
-                if stand == Suspect {
-                    server.tries = 0.0;
-                    server.dropped = 0.0;
-                }
-            }
-        }
-    }
-
-    fn note_load(&mut self, at: ServerIx, load: Load, times: f64) {
-        if let Some(util) = load.util {
-            self.state.servers[at].util.add(util, times);
+            Pardon if stand == Suspect => server.forget(),
+            Pardon => server.strikes = 0,
         }
     }
 
@@ -352,30 +314,22 @@
         }
     }
 
+    /// A proxy not heard from counts as the average of the others.
     fn demand(&self, proxy: &Proxy) -> f64 {
-        let average = 1.0;
-        if proxy.over > 0.0 {
-            proxy.calls.iter().sum::<f64>() / proxy.over
-        } else if proxy.first_guess > 0.0 {
-            proxy.first_guess
-        } else {
-            average
-        }
+        let rates: Vec<f64> = self.state.proxies.iter().filter_map(Proxy::rate).collect();
+        proxy.rate().unwrap_or(rates.iter().sum::<f64>() / rates.len().max(1) as f64).max(1e-6)
     }
 
     fn upkeep(&mut self, now: Moment) {
-        let routine = self.reach.load_on_probe;
+        let last = RAMP.len() - 1;
         for at in 0..self.state.servers.len() {
             let warmth = self.warmth(now, at);
-            let server = &self.state.servers[at];
-            if server.stand == Open && server.started.is_some() && warmth < RAMP.len() - 1 {
-                self.state.stirred |= self.warmth(now - TICK, at) != warmth;
-            }
+            self.state.stirred |= warmth > 0 && self.warmth(now - TICK.times(1.2), at) < warmth.min(last);
             let server = &self.state.servers[at];
             let rest = match server.stand {
                 Suspect => Span::millis(400),
                 Out => Span::millis(900),
-                Open if routine => Span::millis(1_900),
+                Open if self.reach.load_on_probe => Span::millis(1_900),
                 _ => continue,
             };
             if server.probed.is_none_or(|last| now.since(last) >= rest) && !self.state.ask.contains(&at) {
@@ -393,46 +347,34 @@
         let warm: Vec<ServerIx> = (0..self.state.servers.len())
             .filter(|at| self.state.servers[*at].stand == Open && self.warmth(now, *at) == RAMP.len() - 1)
             .collect();
-        let util: Vec<Option<f64>> = warm.iter().map(|at| self.state.servers[*at].util.mean()).collect();
-        let weight: f64 =
-            warm.iter().zip(&util).map(|(at, u)| u.map_or(0.0, |_| self.carries(now, *at))).sum();
+        let util =
+            |at: &ServerIx| self.state.servers[*at].util.mean().map(|u| (*at, u, self.carries(now, *at)));
+        let util: Vec<(ServerIx, f64, f64)> = warm.iter().filter_map(util).collect();
+        let weight: f64 = util.iter().map(|u| u.2).sum();
         if weight > 0.0 {
-            let sum: f64 =
-                warm.iter().zip(&util).map(|(at, u)| u.unwrap_or(0.0) * self.carries(now, *at)).sum();
-            let common = sum / weight;
+            let common = util.iter().map(|u| u.1 * u.2).sum::<f64>() / weight;
             self.state.common = common;
-            for (at, util) in warm.iter().zip(util) {
-                let Some(util) = util else { continue };
-                let server = &mut self.state.servers[*at];
+            let patience = if self.reach.load_on_probe { 3 } else { 2 };
+            for (at, util, _) in util {
+                let server = &mut self.state.servers[at];
                 let wanted = CORRECTIONS[server.step] * common / util.max(0.1);
                 let above = CORRECTIONS.get(server.step + 1).is_some_and(|next| wanted >= next * 0.95);
                 let below = server.step > 0 && wanted <= CORRECTIONS[server.step - 1] / 0.95;
                 let call = i32::from(above) - i32::from(below);
                 server.asked = if call == server.asked.signum() { server.asked + call } else { call };
-                if server.asked.abs() >= if self.reach.load_on_probe { 3 } else { 2 } && common < BUSY {
+                if server.asked.abs() >= patience && common < BUSY {
                     server.step = (server.step as i32 + call) as usize;
                     server.asked = 0;
                 }
             }
-            if self.reach.throttle == Throttle::Fraction {
-                self.state.step = match common {
-                    _ if self.strained() => (self.state.step + 2).min(LEVELS.len() - 1),
-                    c if c > BUSY => (self.state.step + 1).min(LEVELS.len() - 1),
-                    c if c < AT_EASE => self.state.step.saturating_sub(1),
-                    _ => self.state.step,
-                };
-            }
-        }
-        for server in &mut self.state.servers {
-            server.util.halve();
-            server.tries /= 2.0;
-            server.dropped /= 2.0;
-        }
-        for proxy in &mut self.state.proxies {
-            proxy.calls.iter_mut().for_each(|calls| *calls /= 2.0);
-            proxy.over /= 2.0;
-            proxy.dropped /= 2.0;
+            let up = if self.strained() { 2 } else { usize::from(common > BUSY) };
+            self.state.step = match self.reach.throttle {
+                Throttle::Fraction if up > 0 => (self.state.step + up).min(LEVELS.len() - 1),
+                Throttle::Fraction if common < AT_EASE => self.state.step.saturating_sub(1),
+                _ => self.state.step,
+            };
         }
+        self.state.halve();
     }
 
     /// Routes of a scope, as the wire's mask: 0 may go anywhere, 1 stays in the proxy's zone.
@@ -483,11 +425,8 @@
             free = room.clone();
         }
         let heard = seen / (seen + unseen);
-        let home = if scope == 1 {
-            1.0
-        } else {
-            ((self.fleet.crossing_price - CHEAP) / (DEAR - CHEAP)).clamp(0.0, 1.0) * heard * heard
-        };
+        let dear = ((self.fleet.crossing_price - CHEAP) / (DEAR - CHEAP)).clamp(0.0, 1.0);
+        let home = if scope == 1 { 1.0 } else { dear * heard * heard };
         let mut targets: Vec<Vec<f64>> = Vec::new();
         for zone in 0..zones {
             let over = (load[zone] - bearable * density * room[zone]).max(0.0);
@@ -521,10 +460,10 @@
             busy if busy > BUSY => 1.5,
             busy => busy.max(0.5),
         };
+        let calls = offered * carries.iter().sum::<f64>();
         for at in (0..self.state.servers.len()).filter(|at| cold(*at)) {
             let step = self.warmth(now, at);
             let sure = self.pledge.cold_from + (1.0 - self.pledge.cold_from) * step as f64 / last as f64;
-            let calls = offered * carries.iter().sum::<f64>();
             let most = SAFE * self.pledge.overload_factor * sure * self.state.servers[at].weight / calls;
             let sent: f64 = targets.iter().zip(load).map(|(t, l)| t[at] * l / all).sum();
             if sent <= most {
@@ -547,9 +486,11 @@
             let targets = self.targets(now, scope);
             let joined = self.state.proxies.iter().enumerate().filter(|(_, p)| p.joined);
             let members: Vec<Member> = joined
-                .map(|(proxy, p)| {
-                    let demand = self.demand(p).max(1e-6);
-                    Member { proxy, demand, target: &targets[p.zone], group: p.tables[scope] }
+                .map(|(proxy, p)| Member {
+                    proxy,
+                    demand: self.demand(p),
+                    target: &targets[p.zone],
+                    group: p.tables[scope],
                 })
                 .collect();
             if !members.is_empty() {
@@ -736,14 +677,6 @@
     }
 }
 
-/// A proxy as the grouping sees it.
-struct Member<'a> {
-    proxy: ProxyIx,
-    demand: f64,
-    target: &'a [f64],
-    group: Option<TableNo>,
-}
-
 /// What a table gives beyond a proxy's target, over all servers.
 fn excess(table: &[f64], target: &[f64]) -> f64 {
     table.iter().zip(target).map(|(have, want)| (have - want).max(0.0)).sum()
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -261,13 +261,22 @@
     pub asked: i32,
 }
 
+impl Server {
+    /// Nothing measured before counts any more.
+    pub fn forget(&mut self) {
+        self.strikes = 0;
+        self.tries = 0.0;
+        self.dropped = 0.0;
+        self.util.clear();
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Proxy {
     pub joined: bool,
     pub zone: ZoneIx,
     pub first_guess: f64,
-    pub calls: Vec<f64>,
-    pub dropped: f64,
+    pub calls: f64,
     pub over: f64,
     /// The table per scope of routes, and when it was last given.
     pub tables: [Option<TableNo>; 2],
@@ -276,6 +285,20 @@
     pub told: Vec<Moment>,
 }
 
+impl Proxy {
+    /// Calls per second: as heard, else as told when it joined; nothing if neither is known.
+    pub fn rate(&self) -> Option<f64> {
+        let heard = (self.over > 0.0).then(|| self.calls / self.over);
+        heard.or((self.first_guess > 0.0).then_some(self.first_guess))
+    }
+
+    /// The message with this mark and all before it have arrived.
+    pub fn applied(&mut self, mark: u64) {
+        let done = self.unapplied.iter().position(|sent| sent.0 == mark).map_or(0, |at| at + 1);
+        self.unapplied.drain(..done);
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     pub scope: usize,
@@ -333,6 +356,39 @@
         &mut self.servers[at]
     }
 
+    /// Halves what was measured, so that it fades.
+    pub fn halve(&mut self) {
+        for server in &mut self.servers {
+            server.util.halve();
+            server.tries /= 2.0;
+            server.dropped /= 2.0;
+        }
+        for proxy in &mut self.proxies {
+            proxy.calls /= 2.0;
+            proxy.over /= 2.0;
+        }
+    }
+
+    pub fn note_load(&mut self, at: ServerIx, util: Option<f64>, times: f64) {
+        if let Some(util) = util {
+            self.server(at).util.add(util, times);
+        }
+    }
+
+    pub fn give_slice(&mut self, slice: TableNo, given: bool) {
+        if self.slices.len() <= slice {
+            self.slices.resize(slice + 1, Slice::default());
+        }
+        self.slices[slice] = Slice { given, ..Slice::default() };
+    }
+
+    pub fn slice_line(&mut self, slice: TableNo, server: ServerIx, weight: f64) {
+        self.server(server);
+        if let Some(slice) = self.slices.get_mut(slice).filter(|slice| slice.given) {
+            slice.lines.push((server, weight));
+        }
+    }
+
     /// A proxy's record, made at first sight.
     pub fn proxy(&mut self, at: ProxyIx) -> &mut Proxy {
         if self.proxies.len() <= at {
@@ -341,3 +397,11 @@
         &mut self.proxies[at]
     }
 }
+
+/// A proxy as the grouping sees it.
+pub struct Member<'a> {
+    pub proxy: ProxyIx,
+    pub demand: f64,
+    pub target: &'a [f64],
+    pub group: Option<TableNo>,
+}
