--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -354,6 +354,15 @@
         if weight > 0.0 {
             let common = util.iter().map(|u| u.1 * u.2).sum::<f64>() / weight;
             self.state.common = common;
+            let calls: Vec<f64> =
+                self.state.proxies.iter().filter(|p| p.joined).map(|p| self.demand(p)).collect();
+            let calls = calls.iter().sum::<f64>() / calls.len().max(1) as f64
+                * self.fleet.proxies.max(calls.len()) as f64;
+            if common < BUSY && calls > 0.0 {
+                let held: f64 = (0..self.state.servers.len()).map(|at| self.carries(now, at)).sum();
+                let work = common * held / calls;
+                self.state.work = Some(self.state.work.map_or(work, |before| 0.7 * before + 0.3 * work));
+            }
             let patience = if self.reach.load_on_probe { 3 } else { 2 };
             for (at, util, _) in util {
                 let server = &mut self.state.servers[at];
@@ -455,12 +464,8 @@
         let last = RAMP.len() - 1;
         let all: f64 = load.iter().sum();
         let cold = |at: usize| self.warmth(now, at) < last;
-        // All that is asked, as weight; a fleet that looks full may be asked for any multiple.
-        let offered = match self.state.common {
-            busy if busy > BUSY => 1.5,
-            busy => busy.max(0.5),
-        };
-        let calls = offered * carries.iter().sum::<f64>();
+        // All that is asked, as weight: a full fleet's load tells nothing, what calls cost at ease does.
+        let calls = self.state.work.map_or(1.5 * carries.iter().sum::<f64>(), |work| 1.2 * work * all);
         for at in (0..self.state.servers.len()).filter(|at| cold(*at)) {
             let step = self.warmth(now, at);
             let sure = self.pledge.cold_from + (1.0 - self.pledge.cold_from) * step as f64 / last as f64;
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -329,6 +329,8 @@
     pub step: usize,
     /// How busy warm servers are on average.
     pub common: f64,
+    /// Weight that one call a second keeps busy, as seen while the fleet was at ease.
+    pub work: Option<f64>,
     pub mark: u64,
     /// Servers to probe in this turn.
     pub ask: Vec<ServerIx>,
