Cold servers withheld while shunning proxies drop a fifth; no resends under strain

Cause: on an overloaded deploy proxies shun the servers that fail them and heap their calls on the last ones that answer, the cold. Harms when a fifth is dropped for another reason: new servers then wait until they are warm. Only where proxies shun.

--- a/crates/benchlink/src/start.rs
+++ b/crates/benchlink/src/start.rs
@@ -141,6 +141,7 @@
             },
             probes: flag(&text, "Permissions.Probes")?,
             load_on_probe: word(&text, "Feedback.How")? == "on_probe",
+            shuns: number(&text, "FamilyInfo.FailsToEject")? > 0.0,
             first_wait: number(&text, "FamilyInfo.FirstWait")?,
         },
         slicing: Slicing {
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -28,6 +28,8 @@
 const RAMP: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
 /// Part of what would topple a cold server that it may be sent; 0.6 was pushed over on an overloaded deploy.
 const SAFE: f64 = 0.4;
+/// Part of all tries dropped from which proxies that shun servers would heap their calls on cold ones.
+const SHUNNED: f64 = 0.2;
 /// How busy a zone may get before it sends calls away.
 const COMFORT: f64 = 0.6;
 /// From the first price on calls are kept at home, at the second all of them, as far as the planner hears all
@@ -49,6 +51,10 @@
 const QUORUM: f64 = 0.25;
 /// Level of the least important route and of the others, by step; left again step by step.
 const LEVELS: [(f64, f64); 6] = [(1.0, 1.0), (0.6, 1.0), (0.35, 1.0), (0.2, 1.0), (0.1, 0.8), (0.05, 0.55)];
+/// A level by calls per second that lets all in.
+const UNLIMITED: f64 = 1e9;
+/// From this step on proxies do not try again: what a full server turned away fills the next one.
+const ONE_TRY: usize = 2;
 const BUSY: f64 = 0.9;
 const AT_EASE: f64 = 0.75;
 
@@ -377,11 +383,8 @@
                 }
             }
             let up = if self.strained() { 2 } else { usize::from(common > BUSY) };
-            self.state.step = match self.reach.throttle {
-                Throttle::Fraction if up > 0 => (self.state.step + up).min(LEVELS.len() - 1),
-                Throttle::Fraction if common < AT_EASE => self.state.step.saturating_sub(1),
-                _ => self.state.step,
-            };
+            let down = usize::from(up == 0 && common < AT_EASE);
+            self.state.step = (self.state.step + up).saturating_sub(down).min(LEVELS.len() - 1);
         }
         self.state.halve();
     }
@@ -466,10 +469,18 @@
         let cold = |at: usize| self.warmth(now, at) < last;
         // All that is asked, as weight: a full fleet's load tells nothing, what calls cost at ease does.
         let calls = self.state.work.map_or(1.5 * carries.iter().sum::<f64>(), |work| 1.2 * work * all);
+        // Proxies that shun servers which drop their tries heap all on the last ones that answer, the cold.
+        let (tries, dropped) =
+            self.state.servers.iter().fold((1.0, 0.0), |a, s| (a.0 + s.tries, a.1 + s.dropped));
+        let shunned = self.reach.shuns && dropped > SHUNNED * tries;
         for at in (0..self.state.servers.len()).filter(|at| cold(*at)) {
             let step = self.warmth(now, at);
             let sure = self.pledge.cold_from + (1.0 - self.pledge.cold_from) * step as f64 / last as f64;
-            let most = SAFE * self.pledge.overload_factor * sure * self.state.servers[at].weight / calls;
+            let most = if shunned { 0.0 } else { SAFE }
+                * self.pledge.overload_factor
+                * sure
+                * self.state.servers[at].weight
+                / calls;
             let sent: f64 = targets.iter().zip(load).map(|(t, l)| t[at] * l / all).sum();
             if sent <= most {
                 continue;
@@ -636,12 +647,13 @@
         let mask = self.scope_mask(self.state.tables[table].scope);
         for (at, route) in self.routes.iter().enumerate().filter(|(at, _)| mask >> at & 1 == 1) {
             let level = match self.reach.throttle {
-                Throttle::PerSecond => 1e9,
+                Throttle::PerSecond => UNLIMITED,
                 _ if route.importance <= least && least < most => LEVELS[self.state.step].0,
                 _ => LEVELS[self.state.step].1,
             };
             // Rule 2 by construction. A second try after a wait was measured too: it only adds to the load.
-            orders.push(Order::Gate { table, routes: 1 << at, level, resend: Resend::OnProof });
+            let resend = if self.state.step < ONE_TRY { Resend::OnProof } else { Resend::Never };
+            orders.push(Order::Gate { table, routes: 1 << at, level, resend });
         }
         self.state.tables[table].gates = Some(self.state.step);
     }
@@ -651,7 +663,7 @@
     fn mend_slices(&mut self, now: Moment, orders: &mut Vec<Order>) {
         let last = self.state.servers.len();
         let usable: Vec<ServerIx> = (0..last).filter(|at| self.carries(now, *at) > 0.0).collect();
-        let open = if self.reach.throttle == Throttle::PerSecond { 1e9 } else { 1.0 };
+        let open = if self.reach.throttle == Throttle::PerSecond { UNLIMITED } else { 1.0 };
         for (table, slice) in self.state.slices.iter_mut().enumerate() {
             let lost: Vec<ServerIx> =
                 slice.lines.iter().map(|l| l.0).filter(|s| !usable.contains(s)).collect();
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -92,6 +92,8 @@
     pub probes: bool,
     /// Load reports come with probes only.
     pub load_on_probe: bool,
+    /// Proxies keep away from servers that fail them several times in a row.
+    pub shuns: bool,
     /// How many times the SLO time a try waits before another may follow.
     pub first_wait: f64,
 }
