Cold servers wait only while they could not bear what is heaped on them

Cause: a fifth of the tries dropped made all new servers wait until warm, just when they were needed.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -30,6 +30,7 @@
 const SAFE: f64 = 0.4;
 /// Part of all tries dropped from which proxies that shun servers would heap their calls on cold ones.
 const SHUNNED: f64 = 0.2;
+const HEAPED: f64 = 2.0;
 /// How busy a zone may get before it sends calls away.
 const COMFORT: f64 = 0.6;
 /// From the first price on calls are kept at home, at the second all of them, as far as the planner hears all
@@ -469,18 +470,20 @@
         let cold = |at: usize| self.warmth(now, at) < last;
         // All that is asked, as weight: a full fleet's load tells nothing, what calls cost at ease does.
         let calls = self.state.work.map_or(1.5 * carries.iter().sum::<f64>(), |work| 1.2 * work * all);
-        // Proxies that shun servers which drop their tries heap all on the last ones that answer, the cold.
+        let sure = |at: usize| {
+            let grown = self.warmth(now, at) as f64 / last as f64;
+            let from = self.pledge.cold_from;
+            self.pledge.overload_factor * (from + (1.0 - from) * grown) * self.state.servers[at].weight
+        };
+        // Proxies that shun servers which drop their tries heap all on the last ones that answer, the cold: these
+        // wait until they could bear it together. Harms a fleet that drops calls for want of new servers.
+        let bears: f64 = (0..carries.len()).filter(|at| cold(*at) && carries[*at] > 0.0).map(sure).sum();
         let (tries, dropped) =
             self.state.servers.iter().fold((1.0, 0.0), |a, s| (a.0 + s.tries, a.1 + s.dropped));
-        let shunned = self.reach.shuns && dropped > SHUNNED * tries;
+        let heaped = if self.reach.shuns { (HEAPED * dropped / tries).min(1.0) * calls } else { 0.0 };
         for at in (0..self.state.servers.len()).filter(|at| cold(*at)) {
-            let step = self.warmth(now, at);
-            let sure = self.pledge.cold_from + (1.0 - self.pledge.cold_from) * step as f64 / last as f64;
-            let most = if shunned { 0.0 } else { SAFE }
-                * self.pledge.overload_factor
-                * sure
-                * self.state.servers[at].weight
-                / calls;
+            let most =
+                if dropped > SHUNNED * tries && bears < heaped { 0.0 } else { SAFE * sure(at) / calls };
             let sent: f64 = targets.iter().zip(load).map(|(t, l)| t[at] * l / all).sum();
             if sent <= most {
                 continue;
