Levels close on what live servers drop, also right after a fresh start

Cause: load reports come by probes, deep probes go unanswered when queues are full, so levels never closed; after the restart no server had a load figure at all. Told from dead servers by tries that were still partly answered everywhere.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -56,6 +56,9 @@
 const UNLIMITED: f64 = 1e9;
 /// From this step on proxies do not try again: what a full server turned away fills the next one.
 const ONE_TRY: usize = 2;
+/// Parts of the tries dropped by live servers that close the levels by one step and by two.
+const DROPS_SOME: f64 = 0.12;
+const DROPS_MANY: f64 = 0.3;
 const BUSY: f64 = 0.9;
 const AT_EASE: f64 = 0.75;
 
@@ -383,10 +386,17 @@
                     server.asked = 0;
                 }
             }
-            let up = if self.strained() { 2 } else { usize::from(common > BUSY) };
-            let down = usize::from(up == 0 && common < AT_EASE);
-            self.state.step = (self.state.step + up).saturating_sub(down).min(LEVELS.len() - 1);
         }
+        // Dead servers drop all their tries; what the others drop tells of overload, whatever its cause.
+        let alive = |s: &&Server| s.stand == Open && s.dropped < BAD_PART * s.tries;
+        let (tries, dropped) =
+            self.state.servers.iter().filter(alive).fold((1.0, 0.0), |a, s| (a.0 + s.tries, a.1 + s.dropped));
+        let up = match dropped / tries {
+            part if self.strained() || part > DROPS_MANY => 2,
+            part => usize::from(part > DROPS_SOME || self.state.common > BUSY),
+        };
+        let down = usize::from(up == 0 && self.state.common < AT_EASE);
+        self.state.step = (self.state.step + up).saturating_sub(down).min(LEVELS.len() - 1);
         self.state.halve();
     }
 
