--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -66,38 +66,26 @@
 use Sign::*;
 use Stand::{Draining, Open, Out, Suspect};
 
-/// A pair that is not listed changes nothing. A listed restart of a server that is shut out only tells when it
-/// started; probes bring it back, since a list knows only that a process runs.
-const STANDS: &[(Stand, Sign, Stand, Effect)] = &[
-    (Stand::Gone, Runs, Open, Enter),
-    (Stand::Gone, Restarted, Open, Enter),
-    (Draining, Runs, Open, Enter),
-    (Draining, Restarted, Open, Enter),
-    (Open, Restarted, Open, Enter),
-    (Suspect, Restarted, Open, Enter),
-    (Out, Restarted, Out, Ask),
-    (Open, Stops, Draining, Remove),
-    (Suspect, Stops, Draining, Remove),
-    (Out, Stops, Draining, Remove),
-    (Stand::Gone, Stops, Draining, Remove),
-    (Open, Sign::Gone, Stand::Gone, Remove),
-    (Suspect, Sign::Gone, Stand::Gone, Remove),
-    (Out, Sign::Gone, Stand::Gone, Remove),
-    (Draining, Sign::Gone, Stand::Gone, Remove),
-    (Open, SumsBad, Suspect, Ask),
-    (Suspect, SumsGood, Open, Pardon),
-    (Suspect, ProbeGood, Open, Pardon),
-    (Open, ProbeGood, Open, Pardon),
-    (Open, ProbeSilent, Open, Strike),
-    (Open, ProbeDead, Open, Condemn),
-    (Suspect, ProbeSilent, Suspect, Strike),
-    (Suspect, ProbeDead, Suspect, Condemn),
-    (Suspect, Confirmed, Out, Remove),
-    (Out, ProbeGood, Out, Strike),
-    (Out, ProbeSilent, Out, Pardon),
-    (Out, ProbeDead, Out, Pardon),
-    (Out, Recovered, Open, Return),
-    (Out, Confirmed, Out, Nothing),
+/// What a sign does to a server; a pair that is not listed changes nothing. A listed restart of a server that is
+/// shut out only tells when it started: a list knows that a process runs, probes bring the server back.
+const STANDS: &[(&[Stand], Sign, Stand, Effect)] = &[
+    (&[Stand::Gone, Draining], Runs, Open, Enter),
+    (&[Stand::Gone, Draining, Open, Suspect], Restarted, Open, Enter),
+    (&[Out], Restarted, Out, Ask),
+    (&[Stand::Gone, Open, Suspect, Out], Stops, Draining, Remove),
+    (&[Open, Suspect, Out, Draining], Sign::Gone, Stand::Gone, Remove),
+    (&[Open], SumsBad, Suspect, Ask),
+    (&[Suspect], SumsGood, Open, Pardon),
+    (&[Open, Suspect], ProbeGood, Open, Pardon),
+    (&[Open], ProbeSilent, Open, Strike),
+    (&[Open], ProbeDead, Open, Condemn),
+    (&[Suspect], ProbeSilent, Suspect, Strike),
+    (&[Suspect], ProbeDead, Suspect, Condemn),
+    (&[Suspect], Confirmed, Out, Remove),
+    (&[Out], ProbeGood, Out, Strike),
+    (&[Out], ProbeSilent, Out, Pardon),
+    (&[Out], ProbeDead, Out, Pardon),
+    (&[Out], Recovered, Open, Return),
 ];
 
 pub struct Planner {
@@ -259,13 +247,12 @@
     /// Reads the table of stands and carries the effect out.
     fn sign(&mut self, now: Moment, at: ServerIx, sign: Sign, start: Option<Moment>) {
         let stand = self.state.servers[at].stand;
-        let Some((_, _, next, effect)) = STANDS.iter().find(|rule| rule.0 == stand && rule.1 == sign) else {
+        let Some((_, _, next, effect)) = STANDS.iter().find(|r| r.0.contains(&stand) && r.1 == sign) else {
             return;
         };
         let server = &mut self.state.servers[at];
         server.stand = *next;
         match effect {
-            Nothing => {}
             Enter | Return => {
                 server.started = if *effect == Return { Some(now) } else { start.or(server.started) };
                 server.forget();
@@ -297,18 +284,14 @@
 
     /// A planner behind a cut sees all others dead; without this it would heap everything on what it still sees.
     fn may_shut_out(&self, now: Moment, at: ServerIx) -> bool {
-        let listed = self.listed();
+        // What drains has its successor listed already.
+        let stays = |s: &&Server| !matches!(s.stand, Stand::Gone | Draining);
+        let listed: f64 = self.state.servers.iter().filter(stays).map(|s| s.weight).sum();
         let left: f64 =
             (0..self.state.servers.len()).filter(|other| *other != at).map(|s| self.carries(now, s)).sum();
         left >= QUORUM * listed
     }
 
-    /// All weight that is listed to stay; what drains has its successor listed already.
-    fn listed(&self) -> f64 {
-        let stays = |s: &&Server| !matches!(s.stand, Stand::Gone | Draining);
-        self.state.servers.iter().filter(stays).map(|s| s.weight).sum()
-    }
-
     fn warmth(&self, now: Moment, at: ServerIx) -> usize {
         let Some(started) = self.state.servers[at].started else { return RAMP.len() - 1 };
         let gone = now.since(started).seconds() / self.pledge.cold_for.seconds().max(1e-9);
@@ -330,6 +313,13 @@
         proxy.rate().unwrap_or(rates.iter().sum::<f64>() / rates.len().max(1) as f64).max(1e-6)
     }
 
+    /// Calls per second at all proxies; those of other planners count as average.
+    fn calls(&self) -> f64 {
+        let joined = self.state.proxies.iter().filter(|p| p.joined);
+        let (seen, count) = joined.fold((0.0, 0), |a, p| (a.0 + self.demand(p), a.1 + 1));
+        seen / count.max(1) as f64 * self.fleet.proxies.max(count) as f64
+    }
+
     fn upkeep(&mut self, now: Moment) {
         let last = RAMP.len() - 1;
         for at in 0..self.state.servers.len() {
@@ -364,10 +354,7 @@
         if weight > 0.0 {
             let common = util.iter().map(|u| u.1 * u.2).sum::<f64>() / weight;
             self.state.common = common;
-            let calls: Vec<f64> =
-                self.state.proxies.iter().filter(|p| p.joined).map(|p| self.demand(p)).collect();
-            let calls = calls.iter().sum::<f64>() / calls.len().max(1) as f64
-                * self.fleet.proxies.max(calls.len()) as f64;
+            let calls = self.calls();
             if common < BUSY && calls > 0.0 {
                 let held: f64 = (0..self.state.servers.len()).map(|at| self.carries(now, at)).sum();
                 let work = common * held / calls;
@@ -421,33 +408,25 @@
             room[server.zone] += carries[at];
         }
         let total: f64 = room.iter().sum();
-        let mut demand = vec![0.0; zones];
-        let mut joined = 0;
-        for proxy in self.state.proxies.iter().filter(|p| p.joined) {
-            demand[proxy.zone] += self.demand(proxy);
-            joined += 1;
-        }
-        let seen: f64 = demand.iter().sum();
-        if joined == 0 || total <= 0.0 || seen <= 0.0 {
+        let mut load = vec![0.0; zones];
+        self.state.proxies.iter().filter(|p| p.joined).for_each(|p| load[p.zone] += self.demand(p));
+        let seen: f64 = load.iter().sum();
+        if total <= 0.0 || seen <= 0.0 {
             return vec![carries; zones];
         }
-        // Proxies of other planners count as average, where the seen ones leave servers idle.
-        let unseen = seen / joined as f64 * self.fleet.proxies.saturating_sub(joined) as f64;
-        let gaps: Vec<f64> =
-            (0..zones).map(|z| ((seen + unseen) * room[z] / total - demand[z]).max(0.0)).collect();
-        let gap: f64 = gaps.iter().sum();
-        let density = (seen + unseen) / total;
-        let mut load = demand.clone();
-        for zone in 0..zones {
-            load[zone] += if gap > 0.0 { unseen * gaps[zone] / gap } else { 0.0 };
-        }
+        // What other planners' proxies ask is laid where the seen ones leave servers idle.
+        let (all, unseen) = (self.calls(), self.calls() - seen);
+        let gaps: Vec<f64> = (0..zones).map(|z| (all * room[z] / total - load[z]).max(0.0)).collect();
+        let gap: f64 = gaps.iter().sum::<f64>().max(1e-9);
+        load.iter_mut().zip(&gaps).for_each(|(load, own)| *load += unseen * own / gap);
+        let density = all / total;
         let bearable = (COMFORT / self.state.common.max(0.1)).clamp(1.0, 1.5);
         let mut free: Vec<f64> =
             (0..zones).map(|z| (bearable * density * room[z] - load[z]).max(0.0)).collect();
         if free.iter().sum::<f64>() <= 0.0 {
             free = room.clone();
         }
-        let heard = seen / (seen + unseen);
+        let heard = seen / all;
         let dear = ((self.fleet.crossing_price - CHEAP) / (DEAR - CHEAP)).clamp(0.0, 1.0);
         let home = if scope == 1 { 1.0 } else { dear * heard * heard };
         let mut targets: Vec<Vec<f64>> = Vec::new();
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -230,7 +230,6 @@
 /// What follows from a sign.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
-    Nothing,
     /// Let in by its listed start.
     Enter,
     /// Let in as if it had started now: what it went through is not known.
