--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -394,7 +394,7 @@
     }
 
     /// The target of each zone's proxies: own zone first, what it cannot carry spread over room elsewhere.
-    fn targets(&self, now: Moment, scope: usize) -> Vec<Vec<f64>> {
+    fn targets(&mut self, now: Moment, scope: usize) -> Vec<Vec<f64>> {
         let zones = self.fleet.zones.max(1);
         let mut carries: Vec<f64> = (0..self.state.servers.len()).map(|at| self.carries(now, at)).collect();
         if carries.iter().all(|c| *c <= 0.0) {
@@ -446,19 +446,26 @@
             targets
                 .push((0..carries.len()).map(|at| carries[at] * mass(self.state.servers[at].zone)).collect());
         }
-        self.shield_cold(now, &load, &carries, &mut targets);
+        if self.shield_cold(now, &load, &carries, &mut targets) {
+            // No warm server is left to take the rest, as after the loss of all: only levels keep rule 4 now.
+            self.state.step = LEVELS.len() - 1;
+        }
         targets
     }
 
     /// Rule 4 by construction: whatever the zones' tables say, all proxies together bring a cold server no more
     /// than a safe part of what it is sure to carry; the rest goes to warm servers. Harms when the load is low
     /// and the warm servers are few: they then carry what the cold one could have.
-    fn shield_cold(&self, now: Moment, load: &[f64], carries: &[f64], targets: &mut [Vec<f64>]) {
+    fn shield_cold(&self, now: Moment, load: &[f64], carries: &[f64], targets: &mut [Vec<f64>]) -> bool {
+        let mut bare = false;
         let last = RAMP.len() - 1;
         let all: f64 = load.iter().sum();
         let cold = |at: usize| self.warmth(now, at) < last;
         // All that is asked, as weight: a full fleet's load tells nothing, what calls cost at ease does.
-        let calls = self.state.work.map_or(1.5 * carries.iter().sum::<f64>(), |work| 1.2 * work * all);
+        // A planner fresh from a crash has seen neither: it reckons with a fleet asked for twice what is listed.
+        let listed: f64 =
+            self.state.servers.iter().filter(|s| s.stand != Stand::Gone).map(|s| s.weight).sum();
+        let calls = self.state.work.map_or(2.0 * listed, |work| 1.2 * work * all);
         let sure = |at: usize| {
             let grown = self.warmth(now, at) as f64 / last as f64;
             let from = self.pledge.cold_from;
@@ -480,12 +487,14 @@
             for target in targets.iter_mut() {
                 let freed = target[at] * (1.0 - most / sent);
                 let warm: f64 = (0..target.len()).filter(|w| !cold(*w)).map(|w| target[w]).sum();
+                bare |= warm <= 0.0;
                 if warm > 0.0 {
                     target[at] -= freed;
                     (0..target.len()).filter(|w| !cold(*w)).for_each(|w| target[w] *= 1.0 + freed / warm);
                 }
             }
         }
+        bare
     }
 
     fn plan(&mut self, now: Moment) {
