A server whose probes go unanswered gets a quarter until sums speak

Guards against any silent or full server before the late sums tell; harms a healthy server whose probes are lost, for one probe more.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -266,10 +266,15 @@
                 server.started = start.or(server.started);
                 self.state.ask.push(at);
             }
-            Strike => server.strikes += 1,
-            Condemn => server.strikes += CONFIRM,
+            Strike | Condemn => {
+                server.strikes += if *effect == Condemn { CONFIRM } else { 1 };
+                self.state.stirred |= server.strikes >= CONFIRM;
+            }
             Pardon if stand == Suspect => server.forget(),
-            Pardon => server.strikes = 0,
+            Pardon => {
+                self.state.stirred |= server.strikes >= CONFIRM;
+                server.strikes = 0;
+            }
         }
     }
 
@@ -302,6 +307,8 @@
     fn carries(&self, now: Moment, at: ServerIx) -> f64 {
         let server = &self.state.servers[at];
         match server.stand {
+            // Probes alone don't shut out, but one that nobody answers is not sent its whole share meanwhile.
+            Open | Suspect if server.strikes >= CONFIRM => RAMP[0] * server.weight * CORRECTIONS[server.step],
             Open | Suspect => server.weight * CORRECTIONS[server.step] * RAMP[self.warmth(now, at)],
             _ => 0.0,
         }
