--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -336,7 +336,7 @@
             let rest = match server.stand {
                 Suspect => Span::millis(400),
                 Out => Span::millis(900),
-                Open if self.reach.load_on_probe => Span::millis(1_900),
+                Open => Span::millis(1_900),
                 _ => continue,
             };
             if server.probed.is_none_or(|last| now.since(last) >= rest) && !self.state.ask.contains(&at) {
@@ -583,7 +583,7 @@
             let users: Vec<ProxyIx> =
                 (0..self.state.proxies.len()).filter(|p| uses(&self.state.proxies[*p])).collect();
             let mut changes = deltas(&self.state.tables[table].lines, &self.state.wanted[table]);
-            let gates = self.state.tables[table].gates != Some(self.state.step);
+            let gates = self.state.tables[table].gates != Some((self.state.step, self.state.work.is_some()));
             let urgent = changes.iter().any(|(server, weight)| {
                 let stand = self.state.servers[*server].stand;
                 *weight <= 0.0 && matches!(stand, Stand::Gone | Draining | Out)
@@ -660,10 +660,14 @@
                 _ => LEVELS[self.state.step].1,
             };
             // Rule 2 by construction. A second try after a wait was measured too: it only adds to the load.
-            let resend = if self.state.step < ONE_TRY { Resend::OnProof } else { Resend::Never };
+            let resend = if self.state.step < ONE_TRY && self.state.work.is_some() {
+                Resend::OnProof
+            } else {
+                Resend::Never
+            };
             orders.push(Order::Gate { table, routes: 1 << at, level, resend });
         }
-        self.state.tables[table].gates = Some(self.state.step);
+        self.state.tables[table].gates = Some((self.state.step, self.state.work.is_some()));
     }
 
     /// Sites with slices: each keeps its line; one whose server drains or is gone gets another, an exclusive one
