--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -54,8 +54,6 @@
 const LEVELS: [(f64, f64); 6] = [(1.0, 1.0), (0.6, 1.0), (0.35, 1.0), (0.2, 1.0), (0.1, 0.8), (0.05, 0.55)];
 /// A level by calls per second that lets all in.
 const UNLIMITED: f64 = 1e9;
-/// From this step on proxies do not try again: what a full server turned away fills the next one.
-const ONE_TRY: usize = 2;
 /// Parts of the tries dropped by live servers that close the levels by one step and by two.
 const DROPS_SOME: f64 = 0.12;
 const DROPS_MANY: f64 = 0.3;
@@ -583,7 +581,7 @@
             let users: Vec<ProxyIx> =
                 (0..self.state.proxies.len()).filter(|p| uses(&self.state.proxies[*p])).collect();
             let mut changes = deltas(&self.state.tables[table].lines, &self.state.wanted[table]);
-            let gates = self.state.tables[table].gates != Some((self.state.step, self.state.work.is_some()));
+            let gates = self.state.tables[table].gates != Some(self.state.step);
             let urgent = changes.iter().any(|(server, weight)| {
                 let stand = self.state.servers[*server].stand;
                 *weight <= 0.0 && matches!(stand, Stand::Gone | Draining | Out)
@@ -659,15 +657,11 @@
                 _ if route.importance <= least && least < most => LEVELS[self.state.step].0,
                 _ => LEVELS[self.state.step].1,
             };
-            // Rule 2 by construction. A second try after a wait was measured too: it only adds to the load.
-            let resend = if self.state.step < ONE_TRY && self.state.work.is_some() {
-                Resend::OnProof
-            } else {
-                Resend::Never
-            };
-            orders.push(Order::Gate { table, routes: 1 << at, level, resend });
+            // Rule 2 by construction. Both ways of trying again were measured: what one full server turns away
+            // fills the next, so either only adds to the load, and most on cold servers.
+            orders.push(Order::Gate { table, routes: 1 << at, level, resend: Resend::Never });
         }
-        self.state.tables[table].gates = Some((self.state.step, self.state.work.is_some()));
+        self.state.tables[table].gates = Some(self.state.step);
     }
 
     /// Sites with slices: each keeps its line; one whose server drains or is gone gets another, an exclusive one
@@ -682,7 +676,7 @@
             if !slice.given || usable.is_empty() || !slice.lines.is_empty() && lost.is_empty() {
                 continue;
             }
-            let gate = |level| Order::Gate { table, routes: 0, level, resend: Resend::OnProof };
+            let gate = |level| Order::Gate { table, routes: 0, level, resend: Resend::Never };
             if self.slicing.exclusive && !slice.lines.is_empty() {
                 if slice.held_until.is_none() {
                     orders.push(gate(0.0));
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -305,7 +305,7 @@
     pub scope: usize,
     pub lines: Vec<(ServerIx, f64)>,
     /// Level step and resends as last set.
-    pub gates: Option<(usize, bool)>,
+    pub gates: Option<usize>,
 }
 
 #[derive(Clone, Debug, Default)]
