--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -251,15 +251,11 @@
         let server = &mut self.state.servers[at];
         server.stand = *next;
         match effect {
-            Enter | Return => {
+            Enter | Return | Remove => {
                 server.started = if *effect == Return { Some(now) } else { start.or(server.started) };
                 server.forget();
                 self.state.stirred = true;
             }
-            Remove => {
-                server.forget();
-                self.state.stirred = true;
-            }
             Ask => {
                 server.started = start.or(server.started);
                 self.state.ask.push(at);
@@ -278,11 +274,16 @@
 
     /// Hardly any server answers as it should: the fleet is overloaded or the planner is blind.
     fn strained(&self) -> bool {
-        let tried =
-            self.state.servers.iter().filter(|s| matches!(s.stand, Open | Suspect) && s.tries >= BAD_TRIES);
-        let (fine, all) =
-            tried.fold((0, 0), |(f, n), s| (f + usize::from(s.dropped < FINE * s.tries), n + 1));
-        all > 1 && (fine as f64) < QUORUM * all as f64
+        let servers = self.state.servers.iter().filter(|s| matches!(s.stand, Open | Suspect));
+        let tried: Vec<&Server> = servers.filter(|s| s.tries >= BAD_TRIES).collect();
+        let fine = tried.iter().filter(|s| s.dropped < FINE * s.tries).count();
+        tried.len() > 1 && (fine as f64) < QUORUM * tried.len() as f64
+    }
+
+    /// Tries and dropped ones, lately, at the servers that count.
+    fn tally(&self, counts: impl Fn(&Server) -> bool) -> (f64, f64) {
+        let servers = self.state.servers.iter().filter(|s| counts(s));
+        servers.fold((1.0, 0.0), |sum, s| (sum.0 + s.tries, sum.1 + s.dropped))
     }
 
     /// A planner behind a cut sees all others dead; without this it would heap everything on what it still sees.
@@ -290,8 +291,8 @@
         // What drains has its successor listed already.
         let stays = |s: &&Server| !matches!(s.stand, Stand::Gone | Draining);
         let listed: f64 = self.state.servers.iter().filter(stays).map(|s| s.weight).sum();
-        let left: f64 =
-            (0..self.state.servers.len()).filter(|other| *other != at).map(|s| self.carries(now, s)).sum();
+        let others = (0..self.state.servers.len()).filter(|other| *other != at);
+        let left: f64 = others.map(|other| self.carries(now, other)).sum();
         left >= QUORUM * listed
     }
 
@@ -349,12 +350,10 @@
 
     /// Looks at lasting symptoms: servers far off the common load, a fleet with no room left.
     fn review(&mut self, now: Moment) {
-        let warm: Vec<ServerIx> = (0..self.state.servers.len())
-            .filter(|at| self.state.servers[*at].stand == Open && self.warmth(now, *at) == RAMP.len() - 1)
-            .collect();
-        let util =
-            |at: &ServerIx| self.state.servers[*at].util.mean().map(|u| (*at, u, self.carries(now, *at)));
-        let util: Vec<(ServerIx, f64, f64)> = warm.iter().filter_map(util).collect();
+        let servers = self.state.servers.iter().enumerate().filter(|(_, s)| s.stand == Open);
+        let warm = servers.filter(|(at, _)| self.warmth(now, *at) == RAMP.len() - 1);
+        let util = warm.filter_map(|(at, s)| s.util.mean().map(|util| (at, util, self.carries(now, at))));
+        let util: Vec<(ServerIx, f64, f64)> = util.collect();
         let weight: f64 = util.iter().map(|u| u.2).sum();
         if weight > 0.0 {
             let common = util.iter().map(|u| u.1 * u.2).sum::<f64>() / weight;
@@ -380,9 +379,7 @@
             }
         }
         // Dead servers drop all their tries; what the others drop tells of overload, whatever its cause.
-        let alive = |s: &&Server| s.stand == Open && s.dropped < BAD_PART * s.tries;
-        let (tries, dropped) =
-            self.state.servers.iter().filter(alive).fold((1.0, 0.0), |a, s| (a.0 + s.tries, a.1 + s.dropped));
+        let (tries, dropped) = self.tally(|s| s.stand == Open && s.dropped < BAD_PART * s.tries);
         let up = match dropped / tries {
             part if self.strained() || part > DROPS_MANY => 2,
             part => usize::from(part > DROPS_SOME || self.state.common > BUSY),
@@ -426,8 +423,8 @@
         load.iter_mut().zip(&gaps).for_each(|(load, own)| *load += unseen * own / gap);
         let density = all / total;
         let bearable = (COMFORT / self.state.common.max(0.1)).clamp(1.0, 1.5);
-        let mut free: Vec<f64> =
-            (0..zones).map(|z| (bearable * density * room[z] - load[z]).max(0.0)).collect();
+        let left = |z: ZoneIx| (bearable * density * room[z] - load[z]).max(0.0);
+        let mut free: Vec<f64> = (0..zones).map(left).collect();
         if free.iter().sum::<f64>() <= 0.0 {
             free = room.clone();
         }
@@ -444,12 +441,11 @@
                 0 => over / load[zone].max(1e-9),
                 _ => 0.0,
             };
-            let mass = |z: ZoneIx| match z == zone {
-                true => home * (1.0 - away) / room[z].max(1e-9) + (1.0 - home) / total,
-                false => home * away * free[z] / others.max(1e-9) / room[z].max(1e-9) + (1.0 - home) / total,
-            };
-            targets
-                .push((0..carries.len()).map(|at| carries[at] * mass(self.state.servers[at].zone)).collect());
+            let own = home * (1.0 - away) / room[zone].max(1e-9);
+            let spilt = |z: ZoneIx| home * away * free[z] / others.max(1e-9) / room[z].max(1e-9);
+            let mass = |z: ZoneIx| (1.0 - home) / total + if z == zone { own } else { spilt(z) };
+            let share = |at: ServerIx| carries[at] * mass(self.state.servers[at].zone);
+            targets.push((0..carries.len()).map(share).collect());
         }
         if self.shield_cold(now, &load, &carries, &mut targets) {
             // No warm server is left to take the rest, as after the loss of all: only levels keep rule 4 now.
@@ -479,12 +475,11 @@
         // Proxies that shun servers which drop their tries heap all on the last ones that answer, the cold: these
         // wait until they could bear it together. Harms a fleet that drops calls for want of new servers.
         let bears: f64 = (0..carries.len()).filter(|at| cold(*at) && carries[*at] > 0.0).map(sure).sum();
-        let (tries, dropped) =
-            self.state.servers.iter().fold((1.0, 0.0), |a, s| (a.0 + s.tries, a.1 + s.dropped));
+        let (tries, dropped) = self.tally(|_| true);
         let heaped = if self.reach.shuns { (HEAPED * dropped / tries).min(1.0) * calls } else { 0.0 };
         for at in (0..self.state.servers.len()).filter(|at| cold(*at)) {
-            let most =
-                if dropped > SHUNNED * tries && bears < heaped { 0.0 } else { SAFE * sure(at) / calls };
+            let safe = if dropped > SHUNNED * tries && bears < heaped { 0.0 } else { SAFE };
+            let most = safe * sure(at) / calls;
             let sent: f64 = targets.iter().zip(load).map(|(t, l)| t[at] * l / all).sum();
             if sent <= most {
                 continue;
@@ -508,12 +503,7 @@
             let targets = self.targets(now, scope);
             let joined = self.state.proxies.iter().enumerate().filter(|(_, p)| p.joined);
             let members: Vec<Member> = joined
-                .map(|(proxy, p)| Member {
-                    proxy,
-                    demand: self.demand(p),
-                    target: &targets[p.zone],
-                    group: p.tables[scope],
-                })
+                .map(|(proxy, p)| Member::new(proxy, self.demand(p), &targets[p.zone], p.tables[scope]))
                 .collect();
             if !members.is_empty() {
                 self.pack(now, scope, members);
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -408,3 +408,9 @@
     pub target: &'a [f64],
     pub group: Option<TableNo>,
 }
+
+impl<'a> Member<'a> {
+    pub fn new(proxy: ProxyIx, demand: f64, target: &'a [f64], group: Option<TableNo>) -> Member<'a> {
+        Member { proxy, demand, target, group }
+    }
+}
