--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -9,7 +9,7 @@
 use crate::types::*;
 
 const TICK: Span = Span::millis(500);
-const PERIOD: Span = Span::millis(5_000);
+const PERIOD: Span = Span::millis(3_000);
 const REVIEW: Span = Span::millis(2_500);
 const REBIND: Span = Span::millis(60_000);
 /// Ordinary messages keep this far apart; removals need not wait.
@@ -375,6 +375,7 @@
                 if server.asked.abs() >= patience && common < BUSY {
                     server.step = (server.step as i32 + call) as usize;
                     server.asked = 0;
+                    self.state.stirred = true;
                 }
             }
         }
