Levels aim at what calls cost at ease

Now what calls cost while levels were open tells how far to close, a jam closes further since queues must drain, and levels open straight to the aim. Harms when calls grow costlier while levels are closed: the cost is then not learned anew.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -16,8 +16,6 @@
 const GAP: Span = Span::millis(900);
 /// Imbalance, as part of all demand, below which a grouping or a table is left as it is.
 const MARGIN: f64 = 0.02;
-/// k-means settles in a few rounds for fleets of this kind.
-const ROUNDS: usize = 8;
 /// Largest relative error of a rounded weight: three binary digits are kept.
 const DIGITS: f64 = 8.0;
 const ERROR: f64 = 1.0 / (2.0 * DIGITS);
@@ -57,6 +55,8 @@
 /// Parts of the tries dropped by live servers that close the levels by one step and by two.
 const DROPS_SOME: f64 = 0.12;
 const DROPS_MANY: f64 = 0.3;
+/// How full levels let the fleet become.
+const ROOM: f64 = 0.85;
 const BUSY: f64 = 0.9;
 const AT_EASE: f64 = 0.75;
 
@@ -160,18 +160,11 @@
     fn hear(&mut self, now: Moment, event: &Event) {
         match event {
             Event::List { kind, entries } => self.hear_list(now, *kind, entries),
-            Event::Joined { proxy, zone, calls_per_s } => {
-                let (zone, first_guess) = (*zone, *calls_per_s);
-                *self.state.proxy(*proxy) = Proxy { joined: true, zone, first_guess, ..Proxy::default() };
-                self.state.stirred = true;
-            }
+            Event::Joined { proxy, zone, calls_per_s } => self.state.join(*proxy, *zone, *calls_per_s),
             Event::Left { proxy } => *self.state.proxy(*proxy) = Proxy::default(),
             Event::Sums { server, tries, dropped, load, .. } => {
                 self.state.note_load(*server, load.util, *tries);
-                let known = self.state.server(*server);
-                known.tries += tries;
-                known.dropped += dropped;
-                let (tries, dropped) = (known.tries, known.dropped);
+                let (tries, dropped) = self.state.note_tries(*server, *tries, *dropped);
                 if dropped >= BAD_TRIES && dropped >= BAD_PART * tries {
                     self.sign(now, *server, SumsBad, None);
                 } else if tries >= BAD_TRIES && dropped < GOOD_PART * tries {
@@ -179,10 +172,7 @@
                 }
             }
             Event::Arrivals { proxy, route, calls, over, .. } => {
-                let known = self.state.proxy(*proxy);
-                known.calls += calls;
-                // Every route tells of the same period; the first stands for all.
-                known.over += if *route == 0 { over.seconds() } else { 0.0 };
+                self.state.note_calls(*proxy, *route, *calls, *over);
             }
             Event::Probed { server, end, load } => {
                 self.state.server(*server);
@@ -197,14 +187,11 @@
                     ProbeEnd::Dead => ProbeDead,
                 };
                 self.sign(now, *server, sign, None);
-                if self.state.servers[*server].strikes >= CONFIRM {
-                    match self.state.servers[*server].stand {
-                        Suspect if self.may_shut_out(now, *server) => {
-                            self.sign(now, *server, Confirmed, None)
-                        }
-                        Out => self.sign(now, *server, Recovered, None),
-                        _ => {}
-                    }
+                let server = *server;
+                let again = self.state.servers[server].stand == Out;
+                let confirmed = self.state.servers[server].strikes >= CONFIRM;
+                if confirmed && (again || self.may_shut_out(now, server)) {
+                    self.sign(now, server, if again { Recovered } else { Confirmed }, None);
                 }
             }
             Event::Applied { proxy, mark } => self.state.proxy(*proxy).applied(*mark),
@@ -222,7 +209,6 @@
         let mut named = Vec::new();
         for entry in entries {
             let server = self.state.server(entry.server);
-            server.known = true;
             server.zone = entry.zone;
             server.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
             let restarted = entry.last_start.is_some() && entry.last_start > server.started;
@@ -359,7 +345,7 @@
             let common = util.iter().map(|u| u.1 * u.2).sum::<f64>() / weight;
             self.state.common = common;
             let calls = self.calls();
-            if common < BUSY && calls > 0.0 {
+            if common < BUSY && calls > 0.0 && self.state.step == 0 {
                 let held: f64 = (0..self.state.servers.len()).map(|at| self.carries(now, at)).sum();
                 let work = common * held / calls;
                 self.state.work = Some(self.state.work.map_or(work, |before| 0.7 * before + 0.3 * work));
@@ -381,15 +367,40 @@
         }
         // Dead servers drop all their tries; what the others drop tells of overload, whatever its cause.
         let (tries, dropped) = self.tally(|s| s.stand == Open && s.dropped < BAD_PART * s.tries);
-        let up = match dropped / tries {
-            part if self.strained() || part > DROPS_MANY => 2,
-            part => usize::from(part > DROPS_SOME || self.state.common > BUSY),
+        let hot = dropped > DROPS_SOME * tries || self.state.common > BUSY || self.strained();
+        let held: f64 = (0..self.state.servers.len()).map(|at| self.carries(now, at)).sum();
+        let offered = self.state.work.unwrap_or(0.0) * self.calls();
+        let last = LEVELS.len() - 1;
+        let aim = (0..last).find(|step| self.admitted(*step) * offered <= ROOM * held).unwrap_or(last);
+        self.state.step = match self.state.step {
+            // A jam must drain before what is let in can be answered: close beyond what calls cost at ease.
+            step if self.strained() || dropped > DROPS_MANY * tries => aim.max(step + 2).min(last),
+            step if self.state.common < AT_EASE => aim.min(step.saturating_sub(1)),
+            step if hot => aim.max(step + 1).min(last),
+            step => step,
         };
-        let down = usize::from(up == 0 && self.state.common < AT_EASE);
-        self.state.step = (self.state.step + up).saturating_sub(down).min(LEVELS.len() - 1);
         self.state.halve();
     }
 
+    /// Part of a route's calls let in at a step: the least important routes give way first.
+    fn level(&self, route: usize, step: usize) -> f64 {
+        let least = self.routes.iter().map(|r| r.importance).fold(f64::MAX, f64::min);
+        let most = self.routes.iter().map(|r| r.importance).fold(0.0, f64::max);
+        let low = self.routes[route].importance <= least && least < most;
+        if low {
+            LEVELS[step].0
+        } else {
+            LEVELS[step].1
+        }
+    }
+
+    /// Part of all calls let in at a step.
+    fn admitted(&self, step: usize) -> f64 {
+        let calls = self.state.by_route.iter().take(self.routes.len()).enumerate();
+        let (sum, all) = calls.fold((1e-6, 1e-6), |a, (at, c)| (a.0 + c * self.level(at, step), a.1 + c));
+        sum / all
+    }
+
     /// Routes of a scope, as the wire's mask: 0 may go anywhere, 1 stays in the proxy's zone.
     fn scope_mask(&self, scope: usize) -> u64 {
         let bits = self.routes.iter().enumerate().filter(|(_, r)| r.zone_bound == (scope == 1));
@@ -397,7 +408,7 @@
     }
 
     /// The target of each zone's proxies: own zone first, what it cannot carry spread over room elsewhere.
-    fn targets(&mut self, now: Moment, scope: usize) -> Vec<Vec<f64>> {
+    fn targets(&self, now: Moment, scope: usize) -> Vec<Vec<f64>> {
         let zones = self.fleet.zones.max(1);
         let mut carries: Vec<f64> = (0..self.state.servers.len()).map(|at| self.carries(now, at)).collect();
         if carries.iter().all(|c| *c <= 0.0) {
@@ -436,11 +447,10 @@
         for zone in 0..zones {
             let over = (load[zone] - bearable * density * room[zone]).max(0.0);
             let others: f64 = (0..zones).filter(|z| *z != zone).map(|z| free[z]).sum();
-            let away = match scope {
-                0 if others <= 0.0 => 0.0,
-                0 if room[zone] <= 0.0 => 1.0,
-                0 => over / load[zone].max(1e-9),
-                _ => 0.0,
+            let away = match room[zone] {
+                _ if scope == 1 || others <= 0.0 => 0.0,
+                own if own <= 0.0 => 1.0,
+                _ => over / load[zone].max(1e-9),
             };
             let own = home * (1.0 - away) / room[zone].max(1e-9);
             let spilt = |z: ZoneIx| home * away * free[z] / others.max(1e-9) / room[z].max(1e-9);
@@ -448,23 +458,19 @@
             let share = |at: ServerIx| carries[at] * mass(self.state.servers[at].zone);
             targets.push((0..carries.len()).map(share).collect());
         }
-        if self.shield_cold(now, &load, &carries, &mut targets) {
-            // No warm server is left to take the rest, as after the loss of all: only levels keep rule 4 now.
-            self.state.step = LEVELS.len() - 1;
-        }
+        self.shield_cold(now, &load, &carries, &mut targets);
         targets
     }
 
     /// Rule 4 by construction: whatever the zones' tables say, all proxies together bring a cold server no more
     /// than a safe part of what it is sure to carry; the rest goes to warm servers. Harms when the load is low
     /// and the warm servers are few: they then carry what the cold one could have.
-    fn shield_cold(&self, now: Moment, load: &[f64], carries: &[f64], targets: &mut [Vec<f64>]) -> bool {
-        let mut bare = false;
+    fn shield_cold(&self, now: Moment, load: &[f64], carries: &[f64], targets: &mut [Vec<f64>]) {
         let last = RAMP.len() - 1;
         let all: f64 = load.iter().sum();
         let cold = |at: usize| self.warmth(now, at) < last;
-        // All that is asked, as weight: a full fleet's load tells nothing, what calls cost at ease does.
-        // A planner fresh from a crash has seen neither: it reckons with a fleet asked for twice what is listed.
+        // All that is asked, as weight: a full fleet's load tells nothing, what calls cost at ease does. A planner
+        // fresh from a crash knows neither and reckons with twice what is listed.
         let listed: f64 =
             self.state.servers.iter().filter(|s| s.stand != Stand::Gone).map(|s| s.weight).sum();
         let calls = self.state.work.map_or(2.0 * listed, |work| 1.2 * work * all);
@@ -488,14 +494,12 @@
             for target in targets.iter_mut() {
                 let freed = target[at] * (1.0 - most / sent);
                 let warm: f64 = (0..target.len()).filter(|w| !cold(*w)).map(|w| target[w]).sum();
-                bare |= warm <= 0.0;
                 if warm > 0.0 {
                     target[at] -= freed;
                     (0..target.len()).filter(|w| !cold(*w)).for_each(|w| target[w] *= 1.0 + freed / warm);
                 }
             }
         }
-        bare
     }
 
     fn plan(&mut self, now: Moment) {
@@ -639,17 +643,11 @@
 
     /// Sets how much of each route is let in and when proxies try again.
     fn gate(&mut self, table: TableNo, orders: &mut Vec<Order>) {
-        let least = self.routes.iter().map(|r| r.importance).fold(f64::MAX, f64::min);
-        let most = self.routes.iter().map(|r| r.importance).fold(0.0, f64::max);
         let mask = self.scope_mask(self.state.tables[table].scope);
-        for (at, route) in self.routes.iter().enumerate().filter(|(at, _)| mask >> at & 1 == 1) {
-            let level = match self.reach.throttle {
-                Throttle::PerSecond => UNLIMITED,
-                _ if route.importance <= least && least < most => LEVELS[self.state.step].0,
-                _ => LEVELS[self.state.step].1,
-            };
-            // Rule 2 by construction. Both ways of trying again were measured: what one full server turns away
-            // fills the next, so either only adds to the load, and most on cold servers.
+        for at in (0..self.routes.len()).filter(|at| mask >> at & 1 == 1) {
+            let rated = self.reach.throttle == Throttle::PerSecond;
+            let level = if rated { UNLIMITED } else { self.level(at, self.state.step) };
+            // Rule 2 by construction; and what one full server turns away only fills the next.
             orders.push(Order::Gate { table, routes: 1 << at, level, resend: Resend::Never });
         }
         self.state.tables[table].gates = Some(self.state.step);
@@ -727,7 +725,7 @@
         }
         seeds.push(next);
         let mut centres: Vec<Vec<f64>> = seeds.iter().map(|seed| seed.target.to_vec()).collect();
-        for _ in 0..ROUNDS {
+        for _ in 0..8 {
             for (member, kind) in members.iter().zip(&mut groups) {
                 let cost = |kind: &usize| excess(&centres[*kind], member.target);
                 *kind = (0..centres.len()).min_by(|a, b| cost(a).total_cmp(&cost(b))).unwrap_or(0);
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -246,7 +246,6 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Server {
-    pub known: bool,
     pub stand: Stand,
     pub zone: ZoneIx,
     pub weight: f64,
@@ -328,6 +327,8 @@
     pub packed: f64,
     /// Step of the levels.
     pub step: usize,
+    /// Calls by route, lately.
+    pub by_route: Vec<f64>,
     /// How busy warm servers are on average.
     pub common: f64,
     /// Weight that one call a second keeps busy, as seen while the fleet was at ease.
@@ -361,6 +362,7 @@
 
     /// Halves what was measured, so that it fades.
     pub fn halve(&mut self) {
+        self.by_route.iter_mut().for_each(|calls| *calls /= 2.0);
         for server in &mut self.servers {
             server.util.halve();
             server.tries /= 2.0;
@@ -378,6 +380,29 @@
         }
     }
 
+    /// A proxy joined: nothing known of it before counts.
+    pub fn join(&mut self, proxy: ProxyIx, zone: ZoneIx, first_guess: f64) {
+        *self.proxy(proxy) = Proxy { joined: true, zone, first_guess, ..Proxy::default() };
+        self.stirred = true;
+    }
+
+    /// Every route tells of the same period; the first stands for all.
+    pub fn note_calls(&mut self, proxy: ProxyIx, route: usize, calls: f64, over: Span) {
+        self.by_route.resize(self.by_route.len().max(route + 1), 0.0);
+        self.by_route[route] += calls;
+        let known = self.proxy(proxy);
+        known.calls += calls;
+        known.over += if route == 0 { over.seconds() } else { 0.0 };
+    }
+
+    /// Adds tries to a server's count and answers with its counts of late.
+    pub fn note_tries(&mut self, server: ServerIx, tries: f64, dropped: f64) -> (f64, f64) {
+        let known = self.server(server);
+        known.tries += tries;
+        known.dropped += dropped;
+        (known.tries, known.dropped)
+    }
+
     pub fn give_slice(&mut self, slice: TableNo, given: bool) {
         if self.slices.len() <= slice {
             self.slices.resize(slice + 1, Slice::default());
