--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -483,9 +483,11 @@
         // wait until they could bear it together. Harms a fleet that drops calls for want of new servers.
         let bears: f64 = (0..carries.len()).filter(|at| cold(*at) && carries[*at] > 0.0).map(sure).sum();
         let (tries, dropped) = self.tally(|_| true);
-        let heaped = if self.reach.shuns { (HEAPED * dropped / tries).min(1.0) * calls } else { 0.0 };
+        let struck = self.state.servers.iter().filter(|s| s.stand == Out || s.strikes >= CONFIRM);
+        let failing = (dropped / tries).max(struck.map(|s| s.weight).sum::<f64>() / listed.max(1e-9));
+        let heaped = if self.reach.shuns { (HEAPED * failing).min(1.0) * calls } else { 0.0 };
         for at in (0..self.state.servers.len()).filter(|at| cold(*at)) {
-            let safe = if dropped > SHUNNED * tries && bears < heaped { 0.0 } else { SAFE };
+            let safe = if failing > SHUNNED && bears < heaped { 0.0 } else { SAFE };
             let most = safe * sure(at) / calls;
             let sent: f64 = targets.iter().zip(load).map(|(t, l)| t[at] * l / all).sum();
             if sent <= most {
