--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -24,8 +24,10 @@
 /// What a cold server gets, by quarters of the longest warm-up; it enters at the design's quarter, and most are
 /// warm well before the longest time. What it is sure to carry is kept by `shield_cold`.
 const RAMP: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
+/// A cold server under this part of the common load gets its next step early.
+const AHEAD: f64 = 0.7;
 /// Part of what would topple a cold server that it may be sent; 0.6 was pushed over on an overloaded deploy.
-const SAFE: f64 = 0.4;
+const SAFE: f64 = 0.5;
 /// Part of all tries dropped from which proxies that shun servers would heap their calls on cold ones.
 const SHUNNED: f64 = 0.2;
 const HEAPED: f64 = 2.0;
@@ -294,7 +296,12 @@
         match server.stand {
             // Probes alone don't shut out, but one that nobody answers is not sent its whole share meanwhile.
             Open | Suspect if server.strikes >= CONFIRM => RAMP[0] * server.weight * CORRECTIONS[server.step],
-            Open | Suspect => server.weight * CORRECTIONS[server.step] * RAMP[self.warmth(now, at)],
+            Open | Suspect => {
+                // A cold server that is less busy than the warm ones has grown faster than the longest time says.
+                let ahead = server.util.mean().is_some_and(|util| util < AHEAD * self.state.common);
+                let step = self.warmth(now, at) + usize::from(ahead);
+                server.weight * CORRECTIONS[server.step] * RAMP[step.min(RAMP.len() - 1)]
+            }
             _ => 0.0,
         }
     }
