--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -16,7 +16,7 @@
 const GAP: Span = Span::millis(900);
 /// Imbalance, as part of all demand, below which a grouping or a table is left as it is.
 const MARGIN: f64 = 0.02;
-/// Largest relative error of a rounded weight: three binary digits are kept.
+/// Three binary digits are kept of a weight, so that it stays within the error of its own value.
 const DIGITS: f64 = 8.0;
 const ERROR: f64 = 1.0 / (2.0 * DIGITS);
 /// Lines under this part of the average share may be trimmed.
@@ -24,10 +24,9 @@
 /// What a cold server gets, by quarters of the longest warm-up; it enters at the design's quarter, and most are
 /// warm well before the longest time. What it is sure to carry is kept by `shield_cold`.
 const RAMP: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
-/// A cold server under this part of the common load gets its next step early.
-const AHEAD: f64 = 0.7;
-/// Part of what would topple a cold server that it may be sent; 0.6 was pushed over on an overloaded deploy.
-const SAFE: f64 = 0.5;
+/// Part of what would topple a cold server that it may be sent, at ease and in a full fleet, where what it is
+/// sent swings; 0.5 throughout was pushed over on overloaded deploys.
+const SAFE: (f64, f64) = (0.6, 0.33);
 /// Part of all tries dropped from which proxies that shun servers would heap their calls on cold ones.
 const SHUNNED: f64 = 0.2;
 const HEAPED: f64 = 2.0;
@@ -45,22 +44,20 @@
 const BAD_TRIES: f64 = 3.0;
 const BAD_PART: f64 = 0.85;
 const GOOD_PART: f64 = 0.2;
-const FINE: f64 = 0.3;
 /// Dead probes in a row that confirm it.
 const CONFIRM: usize = 2;
 /// Servers are not shut out when less than this part of the listed weight would remain.
 const QUORUM: f64 = 0.25;
-/// Level of the least important route and of the others, by step; left again step by step.
+/// Level of the least important route and of the others, by step.
 const LEVELS: [(f64, f64); 6] = [(1.0, 1.0), (0.6, 1.0), (0.35, 1.0), (0.2, 1.0), (0.1, 0.8), (0.05, 0.55)];
-/// A level by calls per second that lets all in.
 const UNLIMITED: f64 = 1e9;
 /// Parts of the tries dropped by live servers that close the levels by one step and by two.
 const DROPS_SOME: f64 = 0.12;
 const DROPS_MANY: f64 = 0.3;
-/// How full levels let the fleet become.
-const ROOM: f64 = 0.85;
+/// How busy a full fleet is, one that may open its levels, and how busy levels let it become.
 const BUSY: f64 = 0.9;
 const AT_EASE: f64 = 0.75;
+const ROOM: f64 = 0.85;
 
 use Effect::*;
 use Sign::*;
@@ -145,7 +142,6 @@
             self.mend_slices(now, &mut orders);
         } else {
             if self.state.stirred || now.since(self.state.planned) >= PERIOD {
-                self.state.stirred = false;
                 self.plan(now);
             }
             self.push(now, &mut orders);
@@ -174,7 +170,7 @@
                 }
             }
             Event::Arrivals { proxy, route, calls, over, .. } => {
-                self.state.note_calls(*proxy, *route, *calls, *over);
+                self.state.arrive(*proxy, *route, *calls, *over)
             }
             Event::Probed { server, end, load } => {
                 self.state.server(*server);
@@ -264,7 +260,7 @@
     fn strained(&self) -> bool {
         let servers = self.state.servers.iter().filter(|s| matches!(s.stand, Open | Suspect));
         let tried: Vec<&Server> = servers.filter(|s| s.tries >= BAD_TRIES).collect();
-        let fine = tried.iter().filter(|s| s.dropped < FINE * s.tries).count();
+        let fine = tried.iter().filter(|s| s.dropped < DROPS_MANY * s.tries).count();
         tried.len() > 1 && (fine as f64) < QUORUM * tried.len() as f64
     }
 
@@ -296,12 +292,7 @@
         match server.stand {
             // Probes alone don't shut out, but one that nobody answers is not sent its whole share meanwhile.
             Open | Suspect if server.strikes >= CONFIRM => RAMP[0] * server.weight * CORRECTIONS[server.step],
-            Open | Suspect => {
-                // A cold server that is less busy than the warm ones has grown faster than the longest time says.
-                let ahead = server.util.mean().is_some_and(|util| util < AHEAD * self.state.common);
-                let step = self.warmth(now, at) + usize::from(ahead);
-                server.weight * CORRECTIONS[server.step] * RAMP[step.min(RAMP.len() - 1)]
-            }
+            Open | Suspect => server.weight * CORRECTIONS[server.step] * RAMP[self.warmth(now, at)],
             _ => 0.0,
         }
     }
@@ -320,10 +311,8 @@
     }
 
     fn upkeep(&mut self, now: Moment) {
-        let last = RAMP.len() - 1;
         for at in 0..self.state.servers.len() {
-            let warmth = self.warmth(now, at);
-            self.state.stirred |= warmth > 0 && self.warmth(now - TICK.times(1.2), at) < warmth.min(last);
+            self.state.stirred |= self.warmth(now - TICK.times(1.2), at) != self.warmth(now, at);
             let server = &self.state.servers[at];
             let rest = match server.stand {
                 Suspect => Span::millis(400),
@@ -410,8 +399,7 @@
 
     /// Routes of a scope, as the wire's mask: 0 may go anywhere, 1 stays in the proxy's zone.
     fn scope_mask(&self, scope: usize) -> u64 {
-        let bits = self.routes.iter().enumerate().filter(|(_, r)| r.zone_bound == (scope == 1));
-        bits.map(|(at, _)| 1 << at).sum()
+        (0..self.routes.len()).map(|at| u64::from(self.routes[at].zone_bound == (scope == 1)) << at).sum()
     }
 
     /// The target of each zone's proxies: own zone first, what it cannot carry spread over room elsewhere.
@@ -481,6 +469,7 @@
         let listed: f64 =
             self.state.servers.iter().filter(|s| s.stand != Stand::Gone).map(|s| s.weight).sum();
         let calls = self.state.work.map_or(2.0 * listed, |work| 1.2 * work * all);
+        let full = self.state.step > 0 || self.state.common > BUSY || self.state.work.is_none();
         let sure = |at: usize| {
             let grown = self.warmth(now, at) as f64 / last as f64;
             let from = self.pledge.cold_from;
@@ -491,11 +480,13 @@
         let bears: f64 = (0..carries.len()).filter(|at| cold(*at) && carries[*at] > 0.0).map(sure).sum();
         let (tries, dropped) = self.tally(|_| true);
         let struck = self.state.servers.iter().filter(|s| s.stand == Out || s.strikes >= CONFIRM);
-        let failing = (dropped / tries).max(struck.map(|s| s.weight).sum::<f64>() / listed.max(1e-9));
+        let struck = struck.map(|s| s.weight).sum::<f64>() / listed.max(1e-9);
+        let failing = (dropped / tries).max(struck).max(1.0 - carries.iter().sum::<f64>() / calls);
         let heaped = if self.reach.shuns { (HEAPED * failing).min(1.0) * calls } else { 0.0 };
+        let shunned = failing > SHUNNED && bears < heaped;
+        let cap = if shunned { 0.0 } else { [SAFE.0, SAFE.1][usize::from(full)] };
         for at in (0..self.state.servers.len()).filter(|at| cold(*at)) {
-            let safe = if failing > SHUNNED && bears < heaped { 0.0 } else { SAFE };
-            let most = safe * sure(at) / calls;
+            let most = cap * sure(at) / calls;
             let sent: f64 = targets.iter().zip(load).map(|(t, l)| t[at] * l / all).sum();
             if sent <= most {
                 continue;
@@ -512,7 +503,7 @@
     }
 
     fn plan(&mut self, now: Moment) {
-        self.state.planned = now;
+        (self.state.planned, self.state.stirred) = (now, false);
         for scope in (0..2).filter(|scope| self.scope_mask(*scope) > 0).collect::<Vec<_>>() {
             let targets = self.targets(now, scope);
             let joined = self.state.proxies.iter().enumerate().filter(|(_, p)| p.joined);
@@ -665,8 +656,8 @@
     /// Sites with slices: each keeps its line; one whose server drains or is gone gets another, an exclusive one
     /// only after its writes have been held back until the former owner can have none.
     fn mend_slices(&mut self, now: Moment, orders: &mut Vec<Order>) {
-        let last = self.state.servers.len();
-        let usable: Vec<ServerIx> = (0..last).filter(|at| self.carries(now, *at) > 0.0).collect();
+        let usable = (0..self.state.servers.len()).filter(|at| self.carries(now, *at) > 0.0);
+        let usable: Vec<ServerIx> = usable.collect();
         let open = if self.reach.throttle == Throttle::PerSecond { UNLIMITED } else { 1.0 };
         for (table, slice) in self.state.slices.iter_mut().enumerate() {
             let lost: Vec<ServerIx> =
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -387,7 +387,7 @@
     }
 
     /// Every route tells of the same period; the first stands for all.
-    pub fn note_calls(&mut self, proxy: ProxyIx, route: usize, calls: f64, over: Span) {
+    pub fn arrive(&mut self, proxy: ProxyIx, route: usize, calls: f64, over: Span) {
         self.by_route.resize(self.by_route.len().max(route + 1), 0.0);
         self.by_route[route] += calls;
         let known = self.proxy(proxy);
