--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -1,6 +1,5 @@
 //! All decisions of the planner. Call `Planner::new` once per start, then `turn` with each batch of events and
 //! the batch's clock; carry out the orders it returns in their order. Events, orders and state are in `types.rs`.
-//!
 //! The ordinary path is Niagara's (docs/design.md): targets by listed weight, demand-weighted k-means into few
 //! shared tables, greedy trimming, rounding within the error, paced deltas. Health, ramp, return, levels and
 //! the guards of the five rules are ours.
@@ -51,7 +50,7 @@
 /// Level of the least important route and of the others, by step.
 const LEVELS: [(f64, f64); 6] = [(1.0, 1.0), (0.6, 1.0), (0.35, 1.0), (0.2, 1.0), (0.1, 0.8), (0.05, 0.55)];
 const UNLIMITED: f64 = 1e9;
-/// Parts of the tries dropped by live servers that close the levels by one step and by two.
+/// Dropped parts of the tries at live servers that close the levels by one step and by two.
 const DROPS_SOME: f64 = 0.12;
 const DROPS_MANY: f64 = 0.3;
 /// How busy a full fleet is, one that may open its levels, and how busy levels let it become.
@@ -123,17 +122,14 @@
     /// Takes in a batch and answers with orders.
     pub fn turn(&mut self, now: Moment, events: &[Event]) -> Vec<Order> {
         let mut orders = Vec::new();
-        for event in events {
-            self.hear(now, event);
-        }
+        events.iter().for_each(|event| self.hear(now, event));
         if now >= self.state.woken {
             self.upkeep(now);
             // Planners that started together should not probe and push in step.
             self.state.woken = now + TICK.times(0.9 + 0.2 * self.rng.f64());
             orders.push(Order::Wake { at: self.state.woken });
-            if self.fleet.on_request
-                && self.state.asked_list.is_none_or(|at| now.since(at) > self.fleet.ask_within.times(0.4))
-            {
+            let due = |at: Moment| now.since(at) > self.fleet.ask_within.times(0.4);
+            if self.fleet.on_request && self.state.asked_list.is_none_or(due) {
                 self.state.asked_list = Some(now);
                 orders.push(Order::Subscribe);
             }
@@ -204,13 +200,11 @@
             self.state.asked_list = None;
             return;
         }
-        let mut named = Vec::new();
         for entry in entries {
             let server = self.state.server(entry.server);
             server.zone = entry.zone;
             server.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
             let restarted = entry.last_start.is_some() && entry.last_start > server.started;
-            named.push(entry.server);
             let sign = match entry.state {
                 Listed::Running if restarted => Restarted,
                 Listed::Running => Runs,
@@ -220,7 +214,8 @@
             self.sign(now, entry.server, sign, entry.last_start);
         }
         if kind != ListKind::Changes {
-            for at in (0..self.state.servers.len()).filter(|at| !named.contains(at)).collect::<Vec<_>>() {
+            let absent = |at: &ServerIx| !entries.iter().any(|entry| entry.server == *at);
+            for at in (0..self.state.servers.len()).filter(absent) {
                 self.sign(now, at, Sign::Gone, None);
             }
         }
@@ -403,7 +398,7 @@
     }
 
     /// The target of each zone's proxies: own zone first, what it cannot carry spread over room elsewhere.
-    fn targets(&self, now: Moment, scope: usize) -> Vec<Vec<f64>> {
+    fn targets(&mut self, now: Moment, scope: usize) -> Vec<Vec<f64>> {
         let zones = self.fleet.zones.max(1);
         let mut carries: Vec<f64> = (0..self.state.servers.len()).map(|at| self.carries(now, at)).collect();
         if carries.iter().all(|c| *c <= 0.0) {
@@ -453,14 +448,18 @@
             let share = |at: ServerIx| carries[at] * mass(self.state.servers[at].zone);
             targets.push((0..carries.len()).map(share).collect());
         }
-        self.shield_cold(now, &load, &carries, &mut targets);
+        if self.shield_cold(now, &load, &carries, &mut targets) {
+            // No warm server is left to take the rest, as when the last ones drain: only levels keep rule 4 now.
+            self.state.step = LEVELS.len() - 1;
+        }
         targets
     }
 
     /// Rule 4 by construction: whatever the zones' tables say, all proxies together bring a cold server no more
     /// than a safe part of what it is sure to carry; the rest goes to warm servers. Harms when the load is low
     /// and the warm servers are few: they then carry what the cold one could have.
-    fn shield_cold(&self, now: Moment, load: &[f64], carries: &[f64], targets: &mut [Vec<f64>]) {
+    fn shield_cold(&self, now: Moment, load: &[f64], carries: &[f64], targets: &mut [Vec<f64>]) -> bool {
+        let mut bare = false;
         let last = RAMP.len() - 1;
         let all: f64 = load.iter().sum();
         let cold = |at: usize| self.warmth(now, at) < last;
@@ -469,12 +468,10 @@
         let listed: f64 =
             self.state.servers.iter().filter(|s| s.stand != Stand::Gone).map(|s| s.weight).sum();
         let calls = self.state.work.map_or(2.0 * listed, |work| 1.2 * work * all);
-        let full = self.state.step > 0 || self.state.common > BUSY || self.state.work.is_none();
-        let sure = |at: usize| {
-            let grown = self.warmth(now, at) as f64 / last as f64;
-            let from = self.pledge.cold_from;
-            self.pledge.overload_factor * (from + (1.0 - from) * grown) * self.state.servers[at].weight
-        };
+        let full = self.state.step > 0 || self.state.common > AT_EASE || self.state.work.is_none();
+        let from = self.pledge.cold_from;
+        let grown = |at: usize| from + (1.0 - from) * self.warmth(now, at) as f64 / last as f64;
+        let sure = |at: usize| self.pledge.overload_factor * grown(at) * self.state.servers[at].weight;
         // Proxies that shun servers which drop their tries heap all on the last ones that answer, the cold: these
         // wait until they could bear it together. Harms a fleet that drops calls for want of new servers.
         let bears: f64 = (0..carries.len()).filter(|at| cold(*at) && carries[*at] > 0.0).map(sure).sum();
@@ -494,12 +491,14 @@
             for target in targets.iter_mut() {
                 let freed = target[at] * (1.0 - most / sent);
                 let warm: f64 = (0..target.len()).filter(|w| !cold(*w)).map(|w| target[w]).sum();
+                bare |= warm <= 0.0;
                 if warm > 0.0 {
                     target[at] -= freed;
                     (0..target.len()).filter(|w| !cold(*w)).for_each(|w| target[w] *= 1.0 + freed / warm);
                 }
             }
         }
+        bare
     }
 
     fn plan(&mut self, now: Moment) {
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -196,3 +196,24 @@
     stage.pass(1000, 7000);
     insta::assert_snapshot!(stage.trace);
 }
+
+#[test]
+fn levels_close_when_the_last_warm_server_drains() {
+    // Found by a rule search: the last warm server drained and all calls fell on cold ones at once.
+    let mut stage = Stage::new(terms());
+    stage.at(0, &[kept(&[0]), joined(0, 0, 50.0)]);
+    stage.at(500, &[change(entry(1, 0, Listed::Running, 1.0, Some(400)))]);
+    stage.at(1000, &[change(entry(0, 0, Listed::Stopping, 1.0, None))]);
+    insta::assert_snapshot!(stage.trace);
+}
+
+#[test]
+fn unanswered_probes_hold_cold_servers_back_where_proxies_shun() {
+    // Found by a rule search: a zone cut in a rolling deploy; sums told of it seconds after proxies had shunned.
+    let mut stage = settled(Terms { shuns: true, ..terms() });
+    let cut = [probed(3, ProbeEnd::Dead), probed(4, ProbeEnd::Dead), probed(5, ProbeEnd::Dead)];
+    stage.at(1000, &cut);
+    stage.note("the zone behind the cut keeps a quarter each; the cold server of the other zone waits");
+    stage.at(1100, &[change(entry(6, 0, Listed::Running, 1.0, Some(1000)))]);
+    insta::assert_snapshot!(stage.trace);
+}
