--- a/crates/benchlink/src/start.rs
+++ b/crates/benchlink/src/start.rs
@@ -135,6 +135,7 @@
             drain_grace: span(&text, "Contract.DrainGraceNs")?,
             cold_from: number(&text, "Contract.ColdFrom")?,
             cold_for: span(&text, "Contract.ColdNs")?,
+            fall: span(&text, "Contract.FallNs")?,
             overload_factor: number(&text, "Contract.OverloadFactor")?,
         },
         reach: Reach {
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -26,6 +26,8 @@
 /// Part of what would topple a cold server that it may be sent, at ease and in a full fleet, where what it is
 /// sent swings; 0.5 throughout was pushed over on overloaded deploys.
 const SAFE: (f64, f64) = (0.6, 0.33);
+/// Seconds of a server's work in the budget of a fall from which chance evens out; a shorter one is used less.
+const EVEN: f64 = 8.0;
 /// Part of all tries dropped from which proxies that shun servers would heap their calls on cold ones.
 const SHUNNED: f64 = 0.2;
 const HEAPED: f64 = 2.0;
@@ -468,8 +470,9 @@
         let listed: f64 =
             self.state.servers.iter().filter(|s| s.stand != Stand::Gone).map(|s| s.weight).sum();
         let calls = self.state.work.map_or(2.0 * listed, |work| 1.2 * work * all);
-        let full = self.state.step > 0 || self.state.common > AT_EASE || self.state.work.is_none();
+        let full = self.state.step > 0 || self.state.common > BUSY || self.state.work.is_none();
         let from = self.pledge.cold_from;
+        let even = (self.pledge.overload_factor * self.pledge.fall.seconds() / EVEN).min(1.0);
         let grown = |at: usize| from + (1.0 - from) * self.warmth(now, at) as f64 / last as f64;
         let sure = |at: usize| self.pledge.overload_factor * grown(at) * self.state.servers[at].weight;
         // Proxies that shun servers which drop their tries heap all on the last ones that answer, the cold: these
@@ -483,12 +486,9 @@
         let shunned = failing > SHUNNED && bears < heaped;
         let cap = if shunned { 0.0 } else { [SAFE.0, SAFE.1][usize::from(full)] };
         for at in (0..self.state.servers.len()).filter(|at| cold(*at)) {
-            let most = cap * sure(at) / calls;
+            let most = cap * even * sure(at) / calls;
             let sent: f64 = targets.iter().zip(load).map(|(t, l)| t[at] * l / all).sum();
-            if sent <= most {
-                continue;
-            }
-            for target in targets.iter_mut() {
+            for target in targets.iter_mut().filter(|_| sent > most) {
                 let freed = target[at] * (1.0 - most / sent);
                 let warm: f64 = (0..target.len()).filter(|w| !cold(*w)).map(|w| target[w]).sum();
                 bare |= warm <= 0.0;
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -83,6 +83,8 @@
     pub cold_for: Span,
     /// A cold server falls when sent this many times what it can do.
     pub overload_factor: f64,
+    /// For so long, that is.
+    pub fall: Span,
 }
 
 /// What proxies and servers let the planner do and see.
--- a/crates/planner/tests/stage/mod.rs
+++ b/crates/planner/tests/stage/mod.rs
@@ -73,7 +73,13 @@
                 messages_over: ms(10_000),
                 lines_per_s: 2000.0,
             },
-            Pledge { drain_grace: ms(2000), cold_from: 0.2, cold_for: ms(16_000), overload_factor: 3.0 },
+            Pledge {
+                drain_grace: ms(2000),
+                cold_from: 0.2,
+                cold_for: ms(16_000),
+                overload_factor: 3.0,
+                fall: ms(3000),
+            },
             Reach {
                 throttle: t.throttle,
                 probes: true,
