--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -17,7 +17,6 @@
 const MARGIN: f64 = 0.02;
 /// Three binary digits are kept of a weight, so that it stays within the error of its own value.
 const DIGITS: f64 = 8.0;
-const ERROR: f64 = 1.0 / (2.0 * DIGITS);
 /// Lines under this part of the average share may be trimmed.
 const THIN: f64 = 0.1;
 /// What a cold server gets, by quarters of the longest warm-up; it enters at the design's quarter, and most are
@@ -330,7 +329,9 @@
     /// Looks at lasting symptoms: servers far off the common load, a fleet with no room left.
     fn review(&mut self, now: Moment) {
         let servers = self.state.servers.iter().enumerate().filter(|(_, s)| s.stand == Open);
-        let warm = servers.filter(|(at, _)| self.warmth(now, *at) == RAMP.len() - 1);
+        let warmest = servers.clone().map(|(at, _)| self.warmth(now, at)).max().unwrap_or(0);
+        // The warmest there are: where all are cold, a load that stood still would keep the levels closed.
+        let warm = servers.filter(|(at, _)| self.warmth(now, *at) == warmest);
         let util = warm.filter_map(|(at, s)| s.util.mean().map(|util| (at, util, self.carries(now, at))));
         let util: Vec<(ServerIx, f64, f64)> = util.collect();
         let weight: f64 = util.iter().map(|u| u.2).sum();
@@ -787,7 +788,7 @@
     let mut changes: Vec<(ServerIx, f64, f64)> = wanted
         .iter()
         .map(|(at, weight)| (*at, weight * scale, held(*at)))
-        .filter(|(_, weight, held)| (weight - held).abs() > 2.0 * ERROR * weight)
+        .filter(|(_, weight, held)| (weight - held).abs() > weight / DIGITS)
         .map(|(at, weight, held)| (at, round(weight), (weight - held).abs()))
         .collect();
     changes.sort_by(|a, b| b.2.total_cmp(&a.2));
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -217,3 +217,21 @@
     stage.at(1100, &[change(entry(6, 0, Listed::Running, 1.0, Some(1000)))]);
     insta::assert_snapshot!(stage.trace);
 }
+
+#[test]
+fn levels_open_again_though_all_servers_are_cold() {
+    // Found by a hunt (zone loss, santiago-pedidos): no warm server was left to tell that the fleet was idle.
+    let mut stage = settled(terms());
+    let jam: Vec<Event> = (0..6).map(|s| sums(s, 50.0, 30.0, Some(0.99))).collect();
+    stage.at(2600, &jam);
+    let entries = (0..6).map(|s| entry(s, s / 3, Listed::Running, 1.0, Some(2900))).collect();
+    stage.at(3000, &[Event::List { kind: ListKind::Changes, entries }]);
+    stage.note("all restarted, and idle from here on");
+    let idle: Vec<Event> = (0..6).map(|s| sums(s, 50.0, 0.0, Some(0.3))).collect();
+    for at in [5200, 7800, 10_400] {
+        stage.at(at, &idle);
+    }
+    stage.trace =
+        stage.trace.lines().filter(|l| l.contains("gate") || l.contains('#')).collect::<Vec<_>>().join("\n");
+    insta::assert_snapshot!(stage.trace);
+}
