--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -57,7 +57,7 @@
 /// How busy a full fleet is, one that may open its levels, and how busy levels let it become.
 const BUSY: f64 = 0.9;
 const AT_EASE: f64 = 0.75;
-const ROOM: f64 = 0.85;
+const ROOM: f64 = 0.7;
 
 use Effect::*;
 use Sign::*;
