--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -477,14 +477,14 @@
         let grown = |at: usize| from + (1.0 - from) * self.warmth(now, at) as f64 / last as f64;
         let sure = |at: usize| self.pledge.overload_factor * grown(at) * self.state.servers[at].weight;
         // Proxies that shun servers which drop their tries heap all on the last ones that answer, the cold: these
-        // wait until they could bear it together. Harms a fleet that drops calls for want of new servers.
+        // wait until they could bear it together, and under strain. Harms a fleet that drops for want of new servers.
         let bears: f64 = (0..carries.len()).filter(|at| cold(*at) && carries[*at] > 0.0).map(sure).sum();
         let (tries, dropped) = self.tally(|_| true);
         let struck = self.state.servers.iter().filter(|s| s.stand == Out || s.strikes >= CONFIRM);
         let struck = struck.map(|s| s.weight).sum::<f64>() / listed.max(1e-9);
         let failing = (dropped / tries).max(struck).max(1.0 - carries.iter().sum::<f64>() / calls);
         let heaped = if self.reach.shuns { (HEAPED * failing).min(1.0) * calls } else { 0.0 };
-        let shunned = failing > SHUNNED && bears < heaped;
+        let shunned = failing > SHUNNED && bears < heaped || self.strained();
         let cap = if shunned { 0.0 } else { [SAFE.0, SAFE.1][usize::from(full)] };
         for at in (0..self.state.servers.len()).filter(|at| cold(*at)) {
             let most = cap * even * sure(at) / calls;
