--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -1,8 +1,8 @@
-//! All decisions of the planner. Call `Planner::new` once per start, then `turn` with each batch of events and
-//! the batch's clock; carry out the orders it returns in their order. Events, orders and state are in `types.rs`.
-//! The ordinary path is Niagara's (docs/design.md): targets by listed weight, demand-weighted k-means into few
-//! shared tables, greedy trimming, rounding within the error, paced deltas. Health, ramp, return, levels and
-//! the guards of the five rules are ours.
+//! All decisions of the planner. Call `Planner::new` once per start, then `turn` with each batch of events
+//! and its clock; carry out the orders in their order. Events, orders and state are in `types.rs`.
+//! The ordinary path is Niagara's (docs/design.md): targets by listed weight, demand-weighted k-means into
+//! few shared tables, greedy trimming, rounding within the error, paced deltas. Health, ramp, return,
+//! levels and the guards of the five rules are ours.
 
 use crate::time::{Moment, Span};
 use crate::types::*;
@@ -19,13 +19,13 @@
 const DIGITS: f64 = 8.0;
 /// Lines under this part of the average share may be trimmed.
 const THIN: f64 = 0.1;
-/// What a cold server gets, by quarters of the longest warm-up; it enters at the design's quarter, and most are
+/// What a cold server gets, by quarters of the longest warm-up; it enters at the design's quarter; most are
 /// warm well before the longest time. What it is sure to carry is kept by `shield_cold`.
 const RAMP: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
 /// Part of what would topple a cold server that it may be sent, at ease and in a full fleet, where what it is
 /// sent swings; 0.5 throughout was pushed over on overloaded deploys.
 const SAFE: (f64, f64) = (0.6, 0.33);
-/// Seconds of a server's work in the budget of a fall from which chance evens out; a shorter one is used less.
+/// Seconds of a server's work in a fall's budget from which chance evens out; a shorter one is used less.
 const EVEN: f64 = 8.0;
 /// Part of all tries dropped from which proxies that shun servers would heap their calls on cold ones.
 const SHUNNED: f64 = 0.2;
@@ -63,7 +63,7 @@
 use Sign::*;
 use Stand::{Draining, Open, Out, Suspect};
 
-/// What a sign does to a server; a pair that is not listed changes nothing. A listed restart of a server that is
+/// What a sign does to a server; a pair that is not listed changes nothing. A listed restart of one that is
 /// shut out only tells when it started: a list knows that a process runs, probes bring the server back.
 const STANDS: &[(&[Stand], Sign, Stand, Effect)] = &[
     (&[Stand::Gone, Draining], Runs, Open, Enter),
@@ -266,7 +266,7 @@
         servers.fold((1.0, 0.0), |sum, s| (sum.0 + s.tries, sum.1 + s.dropped))
     }
 
-    /// A planner behind a cut sees all others dead; without this it would heap everything on what it still sees.
+    /// A planner behind a cut sees all others dead; without this it would heap all on what it still sees.
     fn may_shut_out(&self, now: Moment, at: ServerIx) -> bool {
         // What drains has its successor listed already.
         let stays = |s: &&Server| !matches!(s.stand, Stand::Gone | Draining);
@@ -452,22 +452,22 @@
             targets.push((0..carries.len()).map(share).collect());
         }
         if self.shield_cold(now, &load, &carries, &mut targets) {
-            // No warm server is left to take the rest, as when the last ones drain: only levels keep rule 4 now.
+            // No warm server is left to take the rest, as when the last ones drain: levels keep rule 4 now.
             self.state.step = LEVELS.len() - 1;
         }
         targets
     }
 
-    /// Rule 4 by construction: whatever the zones' tables say, all proxies together bring a cold server no more
-    /// than a safe part of what it is sure to carry; the rest goes to warm servers. Harms when the load is low
-    /// and the warm servers are few: they then carry what the cold one could have.
+    /// Rule 4 by construction: whatever the zones' tables say, all proxies together bring a cold server no
+    /// more than a safe part of what it is sure to carry; the rest goes to warm ones. Harms when the load is
+    /// low and the warm servers are few: they then carry what the cold one could have.
     fn shield_cold(&self, now: Moment, load: &[f64], carries: &[f64], targets: &mut [Vec<f64>]) -> bool {
         let mut bare = false;
         let last = RAMP.len() - 1;
         let all: f64 = load.iter().sum();
         let cold = |at: usize| self.warmth(now, at) < last;
-        // All that is asked, as weight: a full fleet's load tells nothing, what calls cost at ease does. A planner
-        // fresh from a crash knows neither and reckons with twice what is listed.
+        // All that is asked, as weight: a full fleet's load tells nothing, what calls cost at ease does. A
+        // planner fresh from a crash knows neither and reckons with twice what is listed.
         let listed: f64 =
             self.state.servers.iter().filter(|s| s.stand != Stand::Gone).map(|s| s.weight).sum();
         let calls = self.state.work.map_or(2.0 * listed, |work| 1.2 * work * all);
@@ -476,8 +476,8 @@
         let even = (self.pledge.overload_factor * self.pledge.fall.seconds() / EVEN).min(1.0);
         let grown = |at: usize| from + (1.0 - from) * self.warmth(now, at) as f64 / last as f64;
         let sure = |at: usize| self.pledge.overload_factor * grown(at) * self.state.servers[at].weight;
-        // Proxies that shun servers which drop their tries heap all on the last ones that answer, the cold: these
-        // wait until they could bear it together, and under strain. Harms a fleet that drops for want of new servers.
+        // Proxies that shun servers which fail them heap all on the last that answer, the cold: these wait
+        // until they could bear it, and under strain. Harms a fleet that drops for want of new servers.
         let bears: f64 = (0..carries.len()).filter(|at| cold(*at) && carries[*at] > 0.0).map(sure).sum();
         let (tries, dropped) = self.tally(|_| true);
         let struck = self.state.servers.iter().filter(|s| s.stand == Out || s.strikes >= CONFIRM);
@@ -516,7 +516,7 @@
         }
     }
 
-    /// Groups the proxies where some have no table or the imbalance rose, and writes what each table should hold.
+    /// Groups the proxies where some have no table or the imbalance rose, and writes what tables should hold.
     fn pack(&mut self, now: Moment, scope: usize, mut members: Vec<Member>) {
         let newcomers = members.iter().any(|m| m.group.is_none());
         let regroup = imbalance(&members) > self.state.packed + MARGIN;
@@ -524,7 +524,7 @@
             let groups = group(&members);
             let mut taken: Vec<TableNo> = Vec::new();
             for kind in 0..=groups.iter().copied().max().unwrap_or(0) {
-                // A group takes the table that most of its demand already uses, else an idle one, else a new one.
+                // A group takes the table most of its demand already uses, else an idle one, else a new one.
                 let votes = |table: TableNo| -> f64 {
                     let inside =
                         members.iter().zip(&groups).filter(|(m, g)| **g == kind && m.group == Some(table));
@@ -653,8 +653,8 @@
         self.state.tables[table].gates = Some(self.state.step);
     }
 
-    /// Sites with slices: each keeps its line; one whose server drains or is gone gets another, an exclusive one
-    /// only after its writes have been held back until the former owner can have none.
+    /// Sites with slices: each keeps its line; one whose server drains or is gone gets another, an exclusive
+    /// one only after its writes have been held back until the former owner can have none.
     fn mend_slices(&mut self, now: Moment, orders: &mut Vec<Order>) {
         let usable = (0..self.state.servers.len()).filter(|at| self.carries(now, *at) > 0.0);
         let usable: Vec<ServerIx> = usable.collect();
@@ -775,7 +775,7 @@
     (weight / scale).round() * scale
 }
 
-/// The lines to write, largest change first, additions ahead of removals. Only ratios count in a table, so the
+/// The lines to write, largest change first, additions ahead of removals. Only ratios count in a table: the
 /// new weights are put to the scale of the standing ones: a removal then rewrites no other line.
 fn deltas(standing: &[(ServerIx, f64)], wanted: &[(ServerIx, f64)]) -> Vec<(ServerIx, f64)> {
     if wanted.is_empty() {
