--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -473,7 +473,7 @@
         let calls = self.state.work.map_or(2.0 * listed, |work| 1.2 * work * all);
         let full = self.state.step > 0 || self.state.common > BUSY || self.state.work.is_none();
         let from = self.pledge.cold_from;
-        let even = (self.pledge.overload_factor * self.pledge.fall.seconds() / EVEN).min(1.0);
+        let even = (self.pledge.overload_factor * self.pledge.fall.seconds() / EVEN).min(1.0).powi(2);
         let grown = |at: usize| from + (1.0 - from) * self.warmth(now, at) as f64 / last as f64;
         let sure = |at: usize| self.pledge.overload_factor * grown(at) * self.state.servers[at].weight;
         // Proxies that shun servers which fail them heap all on the last that answer, the cold: these wait
