Light proxies of a grown fleet share parts of the servers; grouping by part; paced binds

Cause: at full size every proxy got a table of all servers. Change: where channel, connections or the proxies' demand leave no room for all lines, the proxies of a class share overlapping parts of its servers, with weights that keep each server's expected demand to its listed weight. Proxies with one target are one point of the grouping; plans keep apart by the size of the fleet; binds, ordinary lines and removals have their own part of the limit. Where leaving the list does not bind, probes confirm both departures and newcomers.

--- a/crates/benchlink/src/start.rs
+++ b/crates/benchlink/src/start.rs
@@ -29,6 +29,11 @@
     }
 }
 
+/// Where no limit is told there is none.
+fn limit(text: &Value, path: &str) -> Result<f64, String> {
+    Ok(Some(number(text, path)?).filter(|limit| *limit > 0.0).unwrap_or(f64::INFINITY))
+}
+
 fn span(text: &Value, path: &str) -> Result<Span, String> {
     Ok(Span(number(text, path)? as u64))
 }
@@ -118,21 +123,20 @@
             on_request: word(&text, "Discovery")? == "on_request",
             ask_within: span(&text, "Contract.AskWithinNs")?,
             crossing_price: number(&text, "Deductions.CrossZone")?,
+            conns_least: limit(&text, "FamilyInfo.SmallestConnTable")?,
+            keep_alive: Span(limit(&text, "Permissions.KeepaliveNs")? as u64),
         },
         routes,
         channel: Channel {
             head: number(&text, "FamilyInfo.Head")?,
-            // Where no limit is told there is none.
-            most_waiting: match number(&text, "FamilyInfo.PendingMax")? {
-                none if none <= 0.0 => f64::INFINITY,
-                lines => lines,
-            },
-            messages_most: number(&text, "FamilyInfo.ReloadsMax")? as usize,
+            most_waiting: limit(&text, "FamilyInfo.PendingMax")?,
+            messages_most: limit(&text, "FamilyInfo.ReloadsMax")? as usize,
             messages_over: span(&text, "FamilyInfo.ReloadSpanNs")?,
-            lines_per_s: number(&text, "FamilyInfo.EgressPerS")?,
+            lines_per_s: limit(&text, "FamilyInfo.EgressPerS")?,
         },
         pledge: Pledge {
             drain_grace: span(&text, "Contract.DrainGraceNs")?,
+            removal_binds: !flag(&text, "Contract.RemovalNotBinding")?,
             cold_from: number(&text, "Contract.ColdFrom")?,
             cold_for: span(&text, "Contract.ColdNs")?,
             fall: span(&text, "Contract.FallNs")?,
--- a/crates/planner/src/histogram.rs
+++ b/crates/planner/src/histogram.rs
@@ -8,12 +8,10 @@
 }
 
 impl Histogram {
-    pub fn new(edges: &'static [f64]) -> Histogram {
-        Histogram { edges, counts: vec![0.0; edges.len() + 1] }
-    }
-
-    pub fn add(&mut self, value: f64, times: f64) {
-        let bin = self.edges.iter().take_while(|edge| value >= **edge).count();
+    pub fn add(&mut self, edges: &'static [f64], value: f64, times: f64) {
+        self.edges = edges;
+        self.counts.resize(edges.len() + 1, 0.0);
+        let bin = edges.iter().take_while(|edge| value >= **edge).count();
         self.counts[bin] += times;
     }
 
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -7,10 +7,10 @@
 mod decide;
 pub mod door;
 mod histogram;
+mod shares;
 pub mod time;
 mod types;
 
-pub use decide::Planner;
 pub use histogram::Histogram;
 pub use time::{Moment, Span};
 pub use types::*;
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -2,6 +2,7 @@
 
 use crate::histogram::Histogram;
 use crate::time::{Moment, Span};
+use std::collections::BTreeSet;
 
 /// Indices handed out at the door, one space per instance.
 pub type ServerIx = usize;
@@ -9,6 +10,9 @@
 pub type ZoneIx = usize;
 pub type TableNo = usize;
 
+/// A server and its weight.
+pub type Share = (ServerIx, f64);
+
 /// Where a repeat of a keyed call is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeyScope {
@@ -35,6 +39,12 @@
     pub writes: bool,
 }
 
+/// Whether a route is among the least important ones, where importance differs.
+pub fn gives_way(routes: &[Route], at: usize) -> bool {
+    let own = routes[at].importance;
+    routes.iter().all(|r| r.importance >= own) && routes.iter().any(|r| r.importance > own)
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Throttle {
     Fraction,
@@ -53,6 +63,9 @@
     pub ask_within: Span,
     /// What a crossing call costs, in parts of a call's worth.
     pub crossing_price: f64,
+    /// Connections that the smallest servers accept, and how long an idle one is kept; 0 where not told.
+    pub conns_least: f64,
+    pub keep_alive: Span,
 }
 
 /// Slices, where keys fall into them.
@@ -69,7 +82,7 @@
 pub struct Channel {
     pub head: f64,
     pub most_waiting: f64,
-    /// Messages to one proxy within `messages_over`; 0 is no limit.
+    /// Messages to one proxy within `messages_over`.
     pub messages_most: usize,
     pub messages_over: Span,
     pub lines_per_s: f64,
@@ -79,6 +92,8 @@
 #[derive(Clone, Debug)]
 pub struct Pledge {
     pub drain_grace: Span,
+    /// Leaving the list binds as draining does.
+    pub removal_binds: bool,
     pub cold_from: f64,
     pub cold_for: Span,
     /// A cold server falls when sent this many times what it can do.
@@ -209,16 +224,22 @@
     Suspect,
     Out,
     Draining,
+    /// Newly listed, and not yet seen to answer.
+    Fresh,
 }
 
 /// What is learned of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sign {
     Runs,
+    /// Listed as running by a later list, unknown or gone before.
+    Appears,
     /// Listed with a later start than known.
     Restarted,
     Stops,
     Gone,
+    /// No longer listed, where that does not bind.
+    Unlisted,
     SumsBad,
     SumsGood,
     ProbeGood,
@@ -259,7 +280,7 @@
     pub tries: f64,
     pub dropped: f64,
     /// Step of the correction to the listed weight, and how often a review asked for another.
-    pub step: usize,
+    pub step: i32,
     pub asked: i32,
 }
 
@@ -280,18 +301,21 @@
     pub first_guess: f64,
     pub calls: f64,
     pub over: f64,
-    /// The table per scope of routes, and when it was last given.
-    pub tables: [Option<TableNo>; 2],
+    /// The part of the servers it goes to, and when it was given that one's table.
+    pub part: Option<usize>,
     pub bound: Option<Moment>,
     pub unapplied: Vec<(u64, f64)>,
     pub told: Vec<Moment>,
 }
 
 impl Proxy {
-    /// Calls per second: as heard, else as told when it joined; nothing if neither is known.
-    pub fn rate(&self) -> Option<f64> {
-        let heard = (self.over > 0.0).then(|| self.calls / self.over);
-        heard.or((self.first_guess > 0.0).then_some(self.first_guess))
+    /// Calls per second: as heard, the figure told when it joined counting for so many calls; nothing if
+    /// neither is known.
+    pub fn rate(&self, guess_calls: f64) -> Option<f64> {
+        match self.first_guess {
+            guess if guess > 0.0 => Some((self.calls + guess_calls) / (self.over + guess_calls / guess)),
+            _ => (self.over > 0.0).then(|| self.calls / self.over),
+        }
     }
 
     /// The message with this mark and all before it have arrived.
@@ -303,16 +327,36 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Table {
-    pub scope: usize,
-    pub lines: Vec<(ServerIx, f64)>,
+    pub lines: Vec<Share>,
     /// Level step and resends as last set.
     pub gates: Option<usize>,
 }
 
+/// Servers that a group of proxies of a class goes to; the whole of them or some.
+#[derive(Clone, Debug, Default)]
+pub struct Part {
+    pub class: usize,
+    pub whole: bool,
+    pub table: Option<TableNo>,
+    pub servers: BTreeSet<ServerIx>,
+}
+
+impl Table {
+    pub fn weight(&self, at: ServerIx) -> f64 {
+        self.lines.iter().find(|line| line.0 == at).map_or(0.0, |line| line.1)
+    }
+
+    /// Sets a line; a weight of 0 removes it.
+    pub fn set(&mut self, (server, weight): Share) {
+        self.lines.retain(|line| line.0 != server);
+        self.lines.extend((weight > 0.0).then_some((server, weight)));
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Slice {
     pub given: bool,
-    pub lines: Vec<(ServerIx, f64)>,
+    pub lines: Vec<Share>,
     pub held_until: Option<Moment>,
 }
 
@@ -323,7 +367,12 @@
     pub proxies: Vec<Proxy>,
     pub tables: Vec<Table>,
     /// What each table should hold; deltas lead there.
-    pub wanted: Vec<Vec<(ServerIx, f64)>>,
+    pub wanted: Vec<Vec<Share>>,
+    pub parts: Vec<Part>,
+    /// Lines of a table that goes to a part of the servers.
+    pub width: Option<usize>,
+    /// Mean demand of a proxy.
+    pub average: f64,
     pub slices: Vec<Slice>,
     /// Imbalance when the proxies were last grouped.
     pub packed: f64,
@@ -339,25 +388,21 @@
     /// Servers to probe in this turn.
     pub ask: Vec<ServerIx>,
     pub notes: Vec<String>,
+    /// Something changed; and it cannot wait.
     pub stirred: bool,
+    pub pressed: bool,
+    pub pushed: Moment,
     pub planned: Moment,
     pub reviewed: Moment,
     pub woken: Moment,
     pub asked_list: Option<Moment>,
-    edges: &'static [f64],
-    first_step: usize,
 }
 
 impl State {
-    pub fn new(edges: &'static [f64], first_step: usize, now: Moment) -> State {
-        State { edges, first_step, planned: now, reviewed: now, woken: now, ..State::default() }
-    }
-
     /// A server's record, made at first sight.
     pub fn server(&mut self, at: ServerIx) -> &mut Server {
-        while self.servers.len() <= at {
-            let util = Histogram::new(self.edges);
-            self.servers.push(Server { util, step: self.first_step, ..Server::default() });
+        if self.servers.len() <= at {
+            self.servers.resize(at + 1, Server::default());
         }
         &mut self.servers[at]
     }
@@ -376,9 +421,86 @@
         }
     }
 
-    pub fn note_load(&mut self, at: ServerIx, util: Option<f64>, times: f64) {
+    /// Tries and dropped ones, lately, at the servers that count; at least one try.
+    pub fn tally(&self, counts: impl Fn(&Server) -> bool) -> (f64, f64) {
+        let servers = self.servers.iter().filter(|s| counts(s));
+        servers.fold((1.0, 0.0), |sum, s| (sum.0 + s.tries, sum.1 + s.dropped))
+    }
+
+    /// Mean demand of the proxies of which something is known.
+    pub fn mean_rate(&self, guess_calls: f64) -> f64 {
+        let rates = self.proxies.iter().filter_map(|p| p.rate(guess_calls));
+        let (sum, count) = rates.fold((0.0, 0), |a, rate| (a.0 + rate, a.1 + 1));
+        sum / f64::from(count.max(1))
+    }
+
+    /// Marks the messages of a turn, by what each proxy's costs, so that their arrival will be told.
+    pub fn mark_messages(&mut self, now: Moment, costs: &[f64], kept: Span) -> Option<Order> {
+        let mark = (self.mark + 1) % 65_536;
+        for (proxy, cost) in self.proxies.iter_mut().zip(costs).filter(|(_, cost)| **cost > 0.0) {
+            self.mark = mark;
+            proxy.bound = proxy.bound.or(Some(now));
+            proxy.unapplied.push((mark, *cost));
+            proxy.told.retain(|told| now.since(*told) <= kept);
+            proxy.told.push(now);
+        }
+        (self.mark == mark).then_some(Order::Mark { mark })
+    }
+
+    /// Lines on their way to proxies, as far as is known.
+    pub fn queued(&self) -> f64 {
+        self.proxies.iter().flat_map(|p| p.unapplied.iter().map(|sent| sent.1)).sum()
+    }
+
+    /// The proxies that were given each table.
+    pub fn users(&self) -> Vec<Vec<ProxyIx>> {
+        let mut users: Vec<Vec<ProxyIx>> = vec![Vec::new(); self.tables.len()];
+        for (at, proxy) in self.proxies.iter().enumerate().filter(|(_, p)| p.bound.is_some()) {
+            self.table(proxy).iter().for_each(|table| users[*table].push(at));
+        }
+        users
+    }
+
+    /// The table a proxy should have.
+    pub fn table(&self, proxy: &Proxy) -> Option<TableNo> {
+        proxy.part.and_then(|part| self.parts[part].table)
+    }
+
+    /// Puts a part on a table; its proxies wait to be given it.
+    pub fn move_part(&mut self, part: usize, table: Option<TableNo>) {
+        if self.parts[part].table != table {
+            self.parts[part].table = table;
+            self.proxies.iter_mut().filter(|p| p.part == Some(part)).for_each(|p| p.bound = None);
+        }
+    }
+
+    /// Proxies in each part, and what they ask.
+    pub fn held(&self, demand: impl Fn(&Proxy) -> f64) -> Vec<(usize, f64)> {
+        let mut held: Vec<(usize, f64)> = vec![(0, 0.0); self.parts.len()];
+        for proxy in self.proxies.iter().filter(|p| p.joined) {
+            if let Some(part) = proxy.part {
+                held[part] = (held[part].0 + 1, held[part].1 + demand(proxy));
+            }
+        }
+        held
+    }
+
+    pub fn note_load(&mut self, at: ServerIx, edges: &'static [f64], util: Option<f64>, times: f64) {
         if let Some(util) = util {
-            self.server(at).util.add(util, times);
+            self.server(at).util.add(edges, util, times);
+        }
+    }
+
+    /// What needs no more than to be kept.
+    pub fn note(&mut self, event: &Event) {
+        match event {
+            Event::Joined { proxy, zone, calls_per_s } => self.join(*proxy, *zone, *calls_per_s),
+            Event::Left { proxy } => *self.proxy(*proxy) = Proxy::default(),
+            Event::Arrivals { proxy, route, calls, over, .. } => self.arrive(*proxy, *route, *calls, *over),
+            Event::Applied { proxy, mark } => self.proxy(*proxy).applied(*mark),
+            Event::SliceGiven { slice, given } => self.give_slice(*slice, *given),
+            Event::SliceLine { slice, server, weight } => self.slice_line(*slice, *server, *weight),
+            _ => {}
         }
     }
 
@@ -428,16 +550,42 @@
     }
 }
 
-/// A proxy as the grouping sees it.
+/// Proxies of one target and table, as the grouping sees them.
 pub struct Member<'a> {
-    pub proxy: ProxyIx,
+    pub part: usize,
     pub demand: f64,
-    pub target: &'a [f64],
+    pub target: &'a [Share],
     pub group: Option<TableNo>,
+    /// Some of them were given the table lately.
+    pub settled: bool,
+}
+
+/// One instance: what it read at start, its chance and its state. `decide.rs` has what it does.
+pub struct Planner {
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) fleet: Fleet,
+    pub(crate) routes: Vec<Route>,
+    pub(crate) channel: Channel,
+    pub(crate) pledge: Pledge,
+    pub(crate) reach: Reach,
+    pub(crate) slicing: Slicing,
+    pub(crate) state: State,
 }
 
-impl<'a> Member<'a> {
-    pub fn new(proxy: ProxyIx, demand: f64, target: &'a [f64], group: Option<TableNo>) -> Member<'a> {
-        Member { proxy, demand, target, group }
+impl Planner {
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        now: Moment,
+        seed: u64,
+        fleet: Fleet,
+        routes: Vec<Route>,
+        channel: Channel,
+        pledge: Pledge,
+        reach: Reach,
+        slicing: Slicing,
+    ) -> Planner {
+        let state = State { planned: now, reviewed: now, woken: now, ..State::default() };
+        let rng = fastrand::Rng::with_seed(seed);
+        Planner { rng, fleet, routes, channel, pledge, reach, slicing, state }
     }
 }
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -235,3 +235,64 @@
         stage.trace.lines().filter(|l| l.contains("gate") || l.contains('#')).collect::<Vec<_>>().join("\n");
     insta::assert_snapshot!(stage.trace);
 }
+
+/// One zone of 40 servers and 80 proxies, whose start settings leave room for narrow tables only.
+fn grown() -> Stage {
+    let mut stage =
+        Stage::new(Terms { zones: 1, proxies: 80, conns_least: 100.0, most_waiting: 4000.0, ..terms() });
+    let joins: Vec<Event> =
+        (0..80).map(|proxy| joined(proxy, 0, if proxy == 7 { 90.0 } else { 3.0 })).collect();
+    stage.at(0, &[&[kept(&[0; 40])], joins.as_slice()].concat());
+    stage
+}
+
+/// Lines a table, and tables a server is in, as (fewest, most).
+fn shape(trace: &str) -> String {
+    let mut tables = std::collections::BTreeMap::<&str, Vec<&str>>::new();
+    for line in trace.lines().filter(|line| line.contains(" line ") && !line.ends_with("0.000")) {
+        let mut words = line.split_whitespace().skip(2);
+        tables.entry(words.next().unwrap()).or_default().push(words.next().unwrap());
+    }
+    let lines: Vec<usize> = tables.values().map(Vec::len).collect();
+    let inside = |s: usize| tables.values().filter(|lines| lines.contains(&format!("s{s}").as_str())).count();
+    let inside: Vec<usize> = (0..40).map(inside).collect();
+    format!("lines {lines:?}, tables a server {:?} to {:?}", inside.iter().min(), inside.iter().max())
+}
+
+#[test]
+fn light_proxies_of_a_grown_fleet_share_parts_of_the_servers() {
+    // Seen on every full-size day: tables of all servers for all proxies ran past the channel's limit.
+    let mut stage = grown();
+    let binds = stage.trace.matches("bind").count();
+    stage.trace = shape(&stage.trace);
+    stage.note(&format!("{binds} of 80 proxies bound at once; the heavy one goes to all servers"));
+    insta::assert_snapshot!(stage.trace);
+}
+
+#[test]
+fn a_drain_reaches_every_part_that_has_the_server() {
+    // Seen at full size: proxies on a table that the grouping had left kept a draining server past the grace.
+    let mut stage = grown();
+    stage.trace.clear();
+    stage.at(500, &[change(entry(3, 0, Listed::Stopping, 1.0, None))]);
+    stage.trace = stage.trace.lines().filter(|l| l.contains("s3 ")).collect::<Vec<_>>().join("\n");
+    insta::assert_snapshot!(stage.trace);
+}
+
+#[test]
+fn lists_that_do_not_bind_are_checked_by_probes() {
+    // Seen on days with a wrong list: live servers listed as gone, and others listed that never were.
+    let mut stage = settled(Terms { removal_binds: false, ..terms() });
+    stage.at(1000, &[change(entry(0, 0, Listed::Deleted, 1.0, None))]);
+    stage.at(1050, &[probed(0, ProbeEnd::Answered)]);
+    stage.note("a new one gets lines once it has answered");
+    stage.at(1100, &[change(entry(6, 0, Listed::Running, 1.0, Some(900)))]);
+    stage.at(1200, &[probed(6, ProbeEnd::Dead)]);
+    stage.at(2000, &[probed(6, ProbeEnd::Answered)]);
+    stage.note("one that is told to drain goes at once, and one that is gone and dead when probes say so");
+    stage.at(3000, &[change(entry(1, 0, Listed::Stopping, 1.0, None))]);
+    stage.at(3100, &[change(entry(2, 0, Listed::Deleted, 1.0, None))]);
+    stage.at(3200, &[probed(2, ProbeEnd::Dead)]);
+    stage.trace = stage.trace.lines().filter(|l| !l.contains("Probe")).collect::<Vec<_>>().join("\n");
+    insta::assert_snapshot!(stage.trace);
+}
