A part left without usable servers goes to all of its class; drains are never held back

Proxies sent to draining servers past the grace. Change: such a part is given its class's whole target; removals go alone only where they leave a line. Test: a part whose servers all drain.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -104,7 +104,6 @@
 ];
 
 impl Planner {
-    /// Takes in a batch and answers with orders.
     pub fn turn(&mut self, now: Moment, events: &[Event]) -> Vec<Order> {
         let mut orders = Vec::new();
         events.iter().for_each(|event| self.hear(now, event));
@@ -545,7 +544,10 @@
             let parts: Vec<(&Part, f64)> =
                 mine.clone().map(|at| (&self.state.parts[*at], held[*at].1)).collect();
             let heard: f64 = parts.iter().map(|part| part.1).sum();
-            mine.zip(spread(target, &parts, SWEEPS.0, SWEEPS.1)).for_each(|(at, row)| rows[*at].0 = row);
+            for (at, row) in mine.zip(spread(target, &parts, SWEEPS.0, SWEEPS.1)) {
+                // All of a part's servers may be cold ones that wait: its table would keep what drains.
+                rows[*at].0 = if row.is_empty() { target.clone() } else { row };
+            }
             rows.push((target.clone(), (all - heard).max(0.0)));
         }
         self.shield_cold(now, &mut rows);
@@ -569,7 +571,6 @@
             let groups = group(&members);
             let mut taken: Vec<TableNo> = Vec::new();
             for kind in 0..=groups.iter().copied().max().unwrap_or(0) {
-                // A group takes the table that its heaviest member uses, else an idle one, else a new one.
                 let mine = members.iter().zip(&groups).filter(|(_, group)| **group == kind).map(|m| m.0);
                 let free = mine.filter(|m| m.group.is_some_and(|table| !taken.contains(&table)));
                 let used = free.max_by(|a, b| a.demand.total_cmp(&b.demand)).and_then(|m| m.group);
@@ -599,7 +600,6 @@
         }
     }
 
-    /// Sends what differs, urgent changes at once and the rest at its pace, largest first; then binds.
     fn push(&mut self, now: Moment, orders: &mut Vec<Order>) {
         self.state.pushed = now;
         let most = self.channel.most_waiting;
@@ -627,14 +627,13 @@
             let head = self.channel.head + 1.0 + if gates { self.routes.len() as f64 } else { 0.0 };
             let room = most * FILLED[haste] - queued;
             let fits = (room / users.len().max(1) as f64 - head).max(0.0) as usize;
-            if haste == 2 && (fits < changes.len() || queued > most * FILLED[0]) {
-                // Removals alone while others wait: a drain was kept back for seconds behind cold servers.
+            let removals = changes.iter().filter(|change| change.1 <= 0.0).count();
+            let crowded = fits < changes.len() || queued > most * FILLED[0];
+            if haste == 2 && crowded && removals < self.state.tables[table].lines.len() {
+                // Drains go alone: they were seen to wait for seconds behind the lines of cold servers.
                 changes.retain(|change| change.1 <= 0.0);
-                if changes.len() > fits || changes.len() >= self.state.tables[table].lines.len() {
-                    continue;
-                }
             }
-            changes.truncate(fits);
+            changes.truncate(if haste == 2 { usize::MAX } else { fits });
             let cost = changes.len() as f64 + head;
             let full = queued + cost * users.len() as f64 > most * FILLED[2];
             let idle = changes.is_empty() && !gates;
@@ -682,9 +681,10 @@
         // Rule 2 by construction; and what one full server turns away only fills the next.
         let set = |routes, level| Order::Gate { table, routes, level, resend: Resend::Never };
         match (self.reach.throttle, step) {
-            (Throttle::PerSecond, _) => orders.push(set(0, UNLIMITED)),
-            (_, 0) => orders.push(set(0, 1.0)),
-            _ => orders.extend((0..self.routes.len()).map(|at| set(1 << at, self.level(at, step)))),
+            (Throttle::Fraction, 1..) => {
+                orders.extend((0..self.routes.len()).map(|at| set(1 << at, self.level(at, step))))
+            }
+            _ => orders.push(set(0, UNLIMITED)),
         }
         self.state.tables[table].gates = Some(step);
     }
@@ -693,8 +693,6 @@
     fn mend_slices(&mut self, now: Moment, orders: &mut Vec<Order>) {
         let carried = self.carried(now);
         let usable: Vec<ServerIx> = (0..carried.len()).filter(|at| carried[*at] > 0.0).collect();
-        let open = if self.reach.throttle == Throttle::PerSecond { UNLIMITED } else { 1.0 };
-        let wait = self.slicing.keeps_writing + self.slicing.lingers;
         for (table, slice) in self.state.slices.iter_mut().enumerate().filter(|(_, slice)| slice.given) {
             let (kept, lost): (Vec<Share>, _) = slice.lines.iter().partition(|l| carried[l.0] > 0.0);
             if usable.is_empty() || lost.is_empty() && !kept.is_empty() {
@@ -703,13 +701,15 @@
             let gate = |level| Order::Gate { table, routes: 0, level, resend: Resend::Never };
             if self.slicing.exclusive && !lost.is_empty() {
                 orders.extend(slice.held_until.is_none().then(|| gate(0.0)));
-                if now < *slice.held_until.get_or_insert(now + wait) {
+                if now
+                    < *slice.held_until.get_or_insert(now + self.slicing.keeps_writing + self.slicing.lingers)
+                {
                     continue;
                 }
             }
             let server = usable[table % usable.len()];
             orders.push(Order::Line { table, server, weight: 1.0 });
-            orders.extend(slice.held_until.take().map(|_| gate(open)));
+            orders.extend(slice.held_until.take().map(|_| gate(UNLIMITED)));
             let gone = lost.iter().filter(|_| !self.slicing.exclusive);
             orders.extend(gone.map(|(server, _)| Order::Line { table, server: *server, weight: 0.0 }));
             slice.lines = kept.into_iter().filter(|line| line.0 != server).chain([(server, 1.0)]).collect();
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -39,7 +39,7 @@
     pub writes: bool,
 }
 
-/// A rate that lets everything in.
+/// A level that lets everything in, as a share and as a rate.
 pub const UNLIMITED: f64 = 1e9;
 
 /// Whether a route is among the least important ones, where importance differs.
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -324,3 +324,17 @@
     stage.trace = format!("{removals} removals among {lines} lines sent with the drains");
     insta::assert_snapshot!(stage.trace);
 }
+
+#[test]
+fn a_part_whose_servers_all_drain_is_sent_to_the_others_in_the_same_turn() {
+    // Seen on a deploy with cold servers waiting: a part's servers had all gone, and its table kept them.
+    let mut stage = grown();
+    let mine: Vec<usize> = (0..40).filter(|s| stage.trace.contains(&format!("line t1 s{s} "))).collect();
+    stage.trace.clear();
+    let drains = mine.iter().map(|s| entry(*s, 0, Listed::Stopping, 1.0, None)).collect();
+    stage.at(500, &[Event::List { kind: ListKind::Changes, entries: drains }]);
+    let told: Vec<&str> = stage.trace.lines().filter(|l| l.contains("line t1 ")).collect();
+    let removals = told.iter().filter(|line| line.ends_with(" 0.000")).count();
+    stage.trace = format!("{} drain, {removals} removed, {} new", mine.len(), told.len() - removals);
+    insta::assert_snapshot!(stage.trace);
+}
