--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -637,7 +637,7 @@
             let cost = changes.len() as f64 + head;
             let full = queued + cost * users.len() as f64 > most * FILLED[2];
             let idle = changes.is_empty() && !gates;
-            if idle || full || !users.iter().all(|p| self.may_tell(now, *p, haste > 0)) {
+            if idle || full || !users.iter().all(|p| self.may_tell(now, *p, haste)) {
                 continue;
             }
             for (server, weight) in changes {
@@ -656,7 +656,7 @@
             let standing = &self.state.tables[table];
             let gates = standing.gates.map_or(0, |_| self.routes.len());
             let cost = (standing.lines.len() + gates) as f64 + self.channel.head + 2.0;
-            let fits = queued + cost < most * FILLED[1] && self.may_tell(now, proxy, true);
+            let fits = queued + cost < most * FILLED[1] && self.may_tell(now, proxy, 2);
             if !standing.lines.is_empty() && fits {
                 orders.push(Order::Bind { proxy, table, routes: 0 });
                 *spent += cost;
@@ -666,13 +666,13 @@
         orders.extend(self.state.mark_messages(now, &spent, self.channel.messages_over));
     }
 
-    /// Messages to one proxy: ordinary ones keep apart and leave half the limit to removals.
-    fn may_tell(&self, now: Moment, at: ProxyIx, urgent: bool) -> bool {
+    /// Messages to one proxy: half of the limit is for removals alone, cold servers' lines once took it all.
+    fn may_tell(&self, now: Moment, at: ProxyIx, haste: usize) -> bool {
         let (told, most) = (&self.state.proxies[at].told, self.channel.messages_most);
         let recent = told.iter().filter(|told| now.since(**told) <= self.channel.messages_over).count();
         let since = told.last().map_or(Span(u64::MAX), |last| now.since(*last));
-        let joined = since >= self.pledge.drain_grace.times(0.3);
-        recent < most / 2 && (urgent || since >= GAP) || urgent && recent + 1 < most && joined
+        let joined = since >= self.pledge.drain_grace.times(0.4);
+        recent < most / 2 && (haste > 0 || since >= GAP) || haste == 2 && recent + 1 < most && joined
     }
 
     /// Sets how much of each route is let in and when proxies try again.
