--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -338,3 +338,18 @@
     stage.trace = format!("{} drain, {removals} removed, {} new", mine.len(), told.len() - removals);
     insta::assert_snapshot!(stage.trace);
 }
+
+#[test]
+fn cold_servers_do_not_use_up_the_messages_kept_for_removals() {
+    // Found by a rule search (crash, deploy, zone loss): lines for cold servers took all a proxy may be sent.
+    let mut stage = settled(Terms { messages_most: 6, ..terms() });
+    for after in 1..8 {
+        let at = 1000 * after as u64;
+        stage.at(at, &[change(entry(5 + after, 0, Listed::Running, 1.0, Some(at)))]);
+    }
+    let early = stage.trace.matches("Mark").count();
+    stage.at(8500, &[change(entry(0, 0, Listed::Stopping, 1.0, None))]);
+    let drained = stage.trace.contains("8500 line t0 s0 0.000");
+    stage.trace = format!("{early} messages for cold servers, then the drain goes at once: {drained}");
+    insta::assert_snapshot!(stage.trace);
+}
