Trimming looks at the thinnest lines alone: a fleet that doubles took the CPU

With hundreds of thin lines at cold servers each dropped line had all others weighed, cubic in the lines. Now the four thinnest are compared.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -22,6 +22,7 @@
 const DIGITS: f64 = 8.0;
 /// Lines under this part of the average share may be trimmed.
 const THIN: f64 = 0.1;
+const LOOKED_AT: usize = 4;
 /// What a cold server gets, by quarters of the longest warm-up; `shield_cold` keeps to what it can carry.
 const RAMP: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
 /// Part of what would topple a cold server that it may be sent, at ease and in a full fleet.
@@ -251,7 +252,6 @@
         ((gone * 4.0) as usize).min(RAMP.len() - 1)
     }
 
-    /// The weight a server may be given now: listed, corrected, eased in; nothing if it is not usable.
     fn carries(&self, now: Moment, at: ServerIx) -> f64 {
         let server = &self.state.servers[at];
         let weight = server.weight * CORRECTIONS[(UNCORRECTED + server.step) as usize];
@@ -293,7 +293,6 @@
         }
     }
 
-    /// Looks at lasting symptoms: servers far off the common load, a fleet with no room left.
     fn review(&mut self, now: Moment) {
         self.state.reviewed = now;
         let servers = self.state.servers.iter().enumerate().filter(|(_, s)| s.stand == Open);
@@ -675,7 +674,6 @@
         recent < most / 2 && (haste > 0 || since >= GAP) || haste == 2 && recent + 1 < most && joined
     }
 
-    /// Sets how much of each route is let in and when proxies try again.
     fn gate(&mut self, table: TableNo, orders: &mut Vec<Order>) {
         let step = self.state.step;
         // Rule 2 by construction; and what one full server turns away only fills the next.
@@ -724,7 +722,6 @@
     let mut seeds: Vec<&Member> = Vec::new();
     let mut groups: Vec<usize> = vec![0; members.len()];
     for next in order {
-        // A seed whose target a group already serves would only split that group.
         if seeds.iter().any(|seed| excess(seed.target, next.target) < MARGIN) {
             continue;
         }
@@ -752,14 +749,17 @@
 fn trim(mut table: Vec<Share>, members: &[&Member], zone: &[ZoneIx]) -> Vec<Share> {
     loop {
         rescale(&mut table);
-        let thin = THIN / table.len().max(1) as f64;
+        let bound = THIN / table.len().max(1) as f64;
+        let mut thin: Vec<&Share> = table.iter().filter(|line| line.1 < bound).collect();
+        thin.sort_by(|a, b| a.1.total_cmp(&b.1));
         let alone = |at: ServerIx| !table.iter().any(|l| l.0 != at && zone[l.0] == zone[at]);
         let without = |thin: &Share| {
             let mut left: Vec<Share> = table.iter().filter(|line| line.0 != thin.0).copied().collect();
             rescale(&mut left);
             (members.iter().map(|m| m.demand * excess(&left, m.target)).sum::<f64>(), left)
         };
-        let droppable = table.iter().filter(|line| line.1 < thin && !alone(line.0));
+        // The thinnest are looked at alone: all of a fleet that doubles is thin, and took the CPU.
+        let droppable = thin.into_iter().filter(|line| !alone(line.0)).take(LOOKED_AT);
         match droppable.map(without).min_by(|a, b| a.0.total_cmp(&b.0)) {
             Some((_, left)) => table = left,
             None => return table,
