A part of cold servers alone goes to its class; binds may fill more of the limit

With the class's target in their place a drain came 0.4 s late, since rejoined proxies waited to be bound: binds may fill 0.85 of the limit (0.75), ordinary lines 0.3 (0.4).

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -32,7 +32,7 @@
 /// Part of all tries dropped from which proxies that shun servers would heap their calls on cold ones.
 const SHUNNED: (f64, f64) = (0.2, 2.0);
 /// Parts of the limit on waiting lines that ordinary changes, bindings and cold ones, removals may fill.
-const FILLED: [f64; 3] = [0.4, 0.75, 0.95];
+const FILLED: [f64; 3] = [0.3, 0.85, 0.95];
 /// What bounds a table's lines: the time in which the channel can hand all tables out anew, the part of a
 /// server's connections that all proxies may hold, the calls on a line while an idle connection is kept.
 const HANDED_OUT: Span = Span::millis(1_800);
@@ -544,8 +544,9 @@
                 mine.clone().map(|at| (&self.state.parts[*at], held[*at].1)).collect();
             let heard: f64 = parts.iter().map(|part| part.1).sum();
             for (at, row) in mine.zip(spread(target, &parts, SWEEPS.0, SWEEPS.1)) {
-                // All of a part's servers may be cold ones that wait: its table would keep what drains.
-                rows[*at].0 = if row.is_empty() { target.clone() } else { row };
+                // A part of cold servers alone would push them over; one of none would keep what drains.
+                let cold = row.iter().all(|line| self.warmth(now, line.0) < RAMP.len() - 1);
+                rows[*at].0 = if cold { target.clone() } else { row };
             }
             rows.push((target.clone(), (all - heard).max(0.0)));
         }
@@ -745,7 +746,6 @@
     groups
 }
 
-/// Drops thin lines, those that add least imbalance first, never a zone's last; rescales and rounds.
 fn trim(mut table: Vec<Share>, members: &[&Member], zone: &[ZoneIx]) -> Vec<Share> {
     loop {
         rescale(&mut table);
