--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -620,8 +620,12 @@
         };
         let mut due: Vec<(usize, f64, TableNo, Vec<Share>)> = (0..users.len()).map(due).collect();
         due.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
+        let mut binds = None;
         for (haste, _, table, mut changes) in due {
             let users = &users[table];
+            if haste < 2 && binds.is_none() && queued > most * FILLED[0] {
+                binds = Some(self.binds(now, &mut queued, &mut spent));
+            }
             let stale = |at: usize| at != self.state.step && self.reach.throttle == Throttle::Fraction;
             let gates = self.state.tables[table].gates.is_none_or(stale);
             let head = self.channel.head + 1.0 + if gates { self.routes.len() as f64 } else { 0.0 };
@@ -650,20 +654,31 @@
             queued += cost * users.len() as f64;
             users.iter().for_each(|p| spent[*p] += cost);
         }
-        for (proxy, spent) in spent.iter_mut().enumerate() {
-            let known = &self.state.proxies[proxy];
-            let Some(table) = self.state.table(known).filter(|_| known.bound.is_none()) else { continue };
+        let binds = binds.unwrap_or_else(|| self.binds(now, &mut queued, &mut spent));
+        orders.extend(binds.into_iter().map(|(proxy, table)| Order::Bind { proxy, table, routes: 0 }));
+        orders.extend(self.state.mark_messages(now, &spent, self.channel.messages_over));
+    }
+
+    /// Whom to hand a table, longest joined first: behind a cut, proxies kept what has drained meanwhile, and
+    /// were seen to wait for it behind cold servers' lines. In a filled channel their room is taken first.
+    fn binds(&self, now: Moment, queued: &mut f64, spent: &mut [f64]) -> Vec<(ProxyIx, TableNo)> {
+        let waits = |at: &ProxyIx| self.state.proxies[*at].bound.is_none();
+        let mut waiting: Vec<ProxyIx> = (0..spent.len()).filter(waits).collect();
+        waiting.sort_by_key(|at| self.state.proxies[*at].joins);
+        let mut binds = Vec::new();
+        for proxy in waiting {
+            let Some(table) = self.state.table(&self.state.proxies[proxy]) else { continue };
             let standing = &self.state.tables[table];
             let gates = standing.gates.map_or(0, |_| self.routes.len());
             let cost = (standing.lines.len() + gates) as f64 + self.channel.head + 2.0;
-            let fits = queued + cost < most * FILLED[1] && self.may_tell(now, proxy, 2);
-            if !standing.lines.is_empty() && fits {
-                orders.push(Order::Bind { proxy, table, routes: 0 });
-                *spent += cost;
-                queued += cost;
+            let fits = *queued + cost < self.channel.most_waiting * FILLED[1];
+            if !standing.lines.is_empty() && fits && self.may_tell(now, proxy, 2) {
+                binds.push((proxy, table));
+                spent[proxy] += cost;
+                *queued += cost;
             }
         }
-        orders.extend(self.state.mark_messages(now, &spent, self.channel.messages_over));
+        binds
     }
 
     /// Messages to one proxy: half of the limit is for removals alone, cold servers' lines once took it all.
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -305,6 +305,8 @@
 pub struct Proxy {
     pub joined: bool,
     pub zone: ZoneIx,
+    /// Joins counted when it joined: the order in which proxies came.
+    pub joins: u64,
     pub first_guess: f64,
     pub calls: f64,
     pub over: f64,
@@ -372,6 +374,7 @@
 pub struct State {
     pub servers: Vec<Server>,
     pub proxies: Vec<Proxy>,
+    pub joins: u64,
     pub tables: Vec<Table>,
     /// What each table should hold; deltas lead there.
     pub wanted: Vec<Vec<Share>>,
@@ -514,7 +517,9 @@
 
     /// A proxy joined: nothing known of it before counts.
     pub fn join(&mut self, proxy: ProxyIx, zone: ZoneIx, first_guess: f64) {
-        *self.proxy(proxy) = Proxy { joined: true, zone, first_guess, ..Proxy::default() };
+        self.joins += 1;
+        let joins = self.joins;
+        *self.proxy(proxy) = Proxy { joined: true, joins, zone, first_guess, ..Proxy::default() };
         self.stirred = true;
     }
 
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -353,3 +353,22 @@
     stage.trace = format!("{early} messages for cold servers, then the drain goes at once: {drained}");
     insta::assert_snapshot!(stage.trace);
 }
+
+#[test]
+fn proxies_back_from_a_cut_are_bound_ahead_of_cold_servers_lines() {
+    // Found by a rule search (zone cut, deploy): proxies that rejoined kept drained servers for 5 s, while
+    // lines for cold servers took the channel's room turn after turn.
+    let mut stage = grown();
+    let cold = |from: usize| (from..from + 20).map(|s| entry(s, 0, Listed::Running, 1.0, Some(400))).collect();
+    stage.at(300, &(0..60).map(|proxy| Event::Left { proxy }).collect::<Vec<_>>());
+    stage.at(500, &[Event::List { kind: ListKind::Changes, entries: cold(40) }]);
+    stage.trace.clear();
+    stage.at(900, &(0..60).rev().map(|p| joined(p, 0, 2.0)).collect::<Vec<_>>());
+    let entries = cold(60);
+    stage.at(1000, &[Event::List { kind: ListKind::Changes, entries }]);
+    let told = |what: &str| stage.trace.lines().filter(|l| l.contains(what)).count();
+    let first: Vec<&str> = stage.trace.lines().filter(|l| l.contains("bind")).take(3).collect();
+    let (binds, lines) = (told(" bind "), told(" line "));
+    stage.trace = format!("{binds} bound, {lines} lines; first {first:#?}");
+    insta::assert_snapshot!(stage.trace);
+}
