--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -8,9 +8,10 @@
 pub mod door;
 mod histogram;
 mod shares;
-pub mod time;
 mod types;
 
+pub use pewtergap_time as time;
+
 pub use histogram::Histogram;
 pub use time::{Moment, Span};
 pub use types::*;
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -359,7 +359,8 @@
     // Found by a rule search (zone cut, deploy): proxies that rejoined kept drained servers for 5 s, while
     // lines for cold servers took the channel's room turn after turn.
     let mut stage = grown();
-    let cold = |from: usize| (from..from + 20).map(|s| entry(s, 0, Listed::Running, 1.0, Some(400))).collect();
+    let cold =
+        |from: usize| (from..from + 20).map(|s| entry(s, 0, Listed::Running, 1.0, Some(400))).collect();
     stage.at(300, &(0..60).map(|proxy| Event::Left { proxy }).collect::<Vec<_>>());
     stage.at(500, &[Event::List { kind: ListKind::Changes, entries: cold(40) }]);
     stage.trace.clear();
--- /dev/null
+++ b/crates/protocol/src/load_report.rs
@@ -0,0 +1,61 @@
+//! The open load-report header `endpoint-load-metrics`, in its TEXT and JSON forms, read leniently: what is
+//! not understood is left out, a number that is none as well. A report never fails a call.
+
+pub const HEADER: &str = "endpoint-load-metrics";
+
+/// What we read of a report.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    /// Part of the capacity in use; `application_utilization` goes before `cpu_utilization`.
+    pub util: Option<f64>,
+    /// Calls in hand, under the named metric `in_hand`.
+    pub in_hand: Option<f64>,
+}
+
+impl LoadReport {
+    pub fn read(text: &str) -> LoadReport {
+        let text = text.trim();
+        let (form, rest) = text.split_once(char::is_whitespace).unwrap_or(("", text));
+        match form {
+            "JSON" => LoadReport::json(rest),
+            "TEXT" => LoadReport::pairs(rest),
+            // The binary form is not spoken here; what names no form is taken as TEXT.
+            "BIN" => LoadReport::default(),
+            _ => LoadReport::pairs(text),
+        }
+    }
+
+    fn pairs(text: &str) -> LoadReport {
+        let value = |name: &str| {
+            let mut pairs = text.split(',').filter_map(|pair| pair.split_once(['=', ':']));
+            pairs.find(|pair| pair.0.trim() == name).and_then(|pair| pair.1.trim().parse().ok())
+        };
+        LoadReport::of(value)
+    }
+
+    fn json(text: &str) -> LoadReport {
+        let Ok(report) = serde_json::from_str::<serde_json::Value>(text) else {
+            return LoadReport::default();
+        };
+        LoadReport::of(|path: &str| {
+            path.split('.').try_fold(&report, |value, key| value.get(key)).and_then(serde_json::Value::as_f64)
+        })
+    }
+
+    fn of(value: impl Fn(&str) -> Option<f64>) -> LoadReport {
+        let sane = |number: &f64| number.is_finite() && *number >= 0.0;
+        let util = value("application_utilization").filter(|util| sane(util) && *util > 0.0);
+        LoadReport {
+            util: util.or_else(|| value("cpu_utilization")).filter(sane),
+            in_hand: value("named_metrics.in_hand").filter(sane),
+        }
+    }
+
+    /// In the TEXT form.
+    pub fn write(&self) -> String {
+        let util = self.util.map(|util| format!("application_utilization={util:.3}"));
+        let in_hand = self.in_hand.map(|calls| format!("named_metrics.in_hand={calls}"));
+        let pairs: Vec<String> = util.into_iter().chain(in_hand).collect();
+        format!("TEXT {}", pairs.join(","))
+    }
+}
--- /dev/null
+++ b/crates/protocol/tests/frames.rs
@@ -0,0 +1,150 @@
+//! Golden frames, and what cut, joined and random bytes lead to.
+
+use pewtergap_protocol::load_report::LoadReport;
+use pewtergap_protocol::*;
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn update() -> Down {
+    let change = TableChange {
+        table: 3,
+        from: 6,
+        to: 7,
+        set: vec![Line { server: "127.0.0.1:8080".into(), weight: 0.75 }],
+        removed: vec!["127.0.0.1:8081".into()],
+        gates: vec![Gate { routes: 1, level: 0.6, resend: 0 }],
+        ..TableChange::default()
+    };
+    let binds = vec![Bind { table: 3, routes: 0 }];
+    let update = Update { nonce: 9, turn: 12, ordered_at: 5, lines: 4, mark: 2, tables: vec![change], binds };
+    Down::of(down::Kind::Update(update))
+}
+
+fn hello() -> Up {
+    Up::of(up::Kind::Hello(Hello {
+        protocol: VERSION,
+        proxy: "p1".into(),
+        zone: "north".into(),
+        calls_per_s: 2.5,
+        held: vec![Held { planner: "a".into(), epoch: 7, table: 3, version: 6 }],
+        routes: vec!["search".into()],
+    }))
+}
+
+#[test]
+fn golden_frames_stay_as_they_are() {
+    let mut trace = String::new();
+    for (what, bytes) in [
+        ("hello", encode(&hello())),
+        ("update", encode(&update())),
+        ("ack", encode(&Up::of(up::Kind::Ack(Ack { nonce: 9, mark: 2 })))),
+        ("bye", encode(&Down::of(down::Kind::Bye(Bye { reason: "done".into() })))),
+    ] {
+        trace += &format!("{what} {}\n", hex(&bytes));
+    }
+    insta::assert_snapshot!(trace);
+}
+
+#[test]
+fn frames_come_whole_however_the_bytes_are_cut() {
+    let bytes: Vec<u8> = [encode(&update()), encode(&update()), encode(&update())].concat();
+    for cut in 1..bytes.len() {
+        let mut frames = Frames::<Down>::default();
+        let mut count = 0;
+        for part in bytes.chunks(cut) {
+            frames.push(part);
+            while let Some(message) = frames.take().unwrap() {
+                assert_eq!(message, update());
+                count += 1;
+            }
+        }
+        assert_eq!((count, frames.held()), (3, 0), "cut at {cut}");
+    }
+}
+
+#[test]
+fn refusals_say_where_and_what() {
+    let mut trace = String::new();
+    let mut say = |bytes: &[u8]| {
+        let mut frames = Frames::<Down>::default();
+        frames.push(&encode(&update()));
+        frames.push(bytes);
+        let mut outcome = frames.take();
+        while let Ok(Some(_)) = outcome {
+            outcome = frames.take();
+        }
+        trace += &format!("{}\n", outcome.map_or_else(|wrong| wrong.to_string(), |_| "waits".into()));
+    };
+    say(&[0xff, 0xff, 0xff, 0xff, 0]);
+    say(&[0, 0, 0, 0]);
+    say(&[0, 0, 0, 2, 0x0f, 0x01]);
+    say(&[0, 0, 1]);
+    let mut wrong = |edit: fn(&mut Update)| {
+        let mut message = update();
+        if let Some(down::Kind::Update(update)) = &mut message.kind {
+            edit(update);
+        }
+        say(&encode(&message));
+    };
+    wrong(|update| update.nonce = 0);
+    wrong(|update| update.tables[0].to = 6);
+    wrong(|update| update.tables[0].set[0].weight = f64::NAN);
+    wrong(|update| update.tables[0].set[0].server = "x".repeat(300));
+    wrong(|update| update.tables[0].gates[0].level = -1.0);
+    wrong(|update| update.tables[0].whole = true);
+    wrong(|update| update.binds = vec![Bind::default(); MOST_TABLES + 1]);
+    insta::assert_snapshot!(trace);
+}
+
+#[test]
+fn random_and_damaged_bytes_give_errors_and_never_more_memory_than_was_pushed() {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let (mut taken, mut refused) = (0, 0);
+    for _ in 0..20_000 {
+        let mut bytes = encode(&update());
+        for _ in 0..rng.usize(1..4) {
+            let at = rng.usize(0..bytes.len());
+            match rng.u8(0..3) {
+                0 => bytes[at] = rng.u8(..),
+                1 => bytes.truncate(at.max(1)),
+                _ => bytes.insert(at, rng.u8(..)),
+            }
+        }
+        let mut frames = Frames::<Down>::default();
+        for part in bytes.chunks(rng.usize(1..40)) {
+            frames.push(part);
+            assert!(frames.held() <= bytes.len());
+            match frames.take() {
+                Ok(Some(_)) => taken += 1,
+                Ok(None) => {}
+                Err(_) => {
+                    refused += 1;
+                    break;
+                }
+            }
+        }
+    }
+    assert!(taken > 100 && refused > 1000, "{taken} taken, {refused} refused");
+}
+
+#[test]
+fn load_reports_are_read_leniently() {
+    let mut trace = String::new();
+    for text in [
+        "TEXT cpu_utilization=0.3,mem_utilization=0.8,named_metrics.in_hand=4",
+        "TEXT application_utilization=0.9, cpu_utilization=0.3",
+        r#"JSON {"cpu_utilization":0.25,"named_metrics":{"in_hand":2}}"#,
+        "cpu_utilization:0.5",
+        "TEXT cpu_utilization=high,named_metrics.in_hand=-3",
+        "JSON {",
+        "BIN CgQIARAB",
+        "",
+    ] {
+        trace += &format!("{text:?} -> {:?}\n", LoadReport::read(text));
+    }
+    let report = LoadReport { util: Some(0.5), in_hand: Some(3.0) };
+    assert_eq!(LoadReport::read(&report.write()), report);
+    insta::assert_snapshot!(trace);
+}
--- /dev/null
+++ b/crates/reactor/src/lib.rs
@@ -0,0 +1,483 @@
+//! Drives nodes over real sockets: one mio loop, one thread, any number of nodes.
+//!
+//! Bounds: a link's unwritten bytes (`most_unwritten`; beyond it the link is closed as `Overflow`), the bytes
+//! read from one link before others have their turn, the connections taken from a listener in one go, and
+//! words from outside (a bounded queue; the teller waits).
+#![forbid(unsafe_code)]
+
+mod sockets;
+
+use mio::{Events, Interest, Poll, Token, Waker};
+use pewtergap_node::{Effect, Ended, Input, Level, Line, Link, Node, Outbox};
+use pewtergap_time::{Moment, Span};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
+use sockets::{Conn, Door, Taken};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+const WAKER: Token = Token(0);
+const SIGNALS: Token = Token(1);
+const FIRST: usize = 2;
+const MOST_WORDS: usize = 4096;
+
+/// Which of the reactor's nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place(pub usize);
+
+/// One clock for a process: counted from its start by a clock that never goes back, and put on the scale of
+/// the calendar once, so that moments of processes on one machine can be compared.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    base: u64,
+    start: Instant,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        let base = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Clock { base: base.as_nanos() as u64, start: Instant::now() }
+    }
+}
+
+impl Clock {
+    pub fn now(&self) -> Moment {
+        Moment(self.base + self.start.elapsed().as_nanos() as u64)
+    }
+}
+
+enum Told {
+    Word(Place, String),
+    End,
+}
+
+/// Speaks to the nodes of a reactor that runs in another thread.
+#[derive(Clone)]
+pub struct Handle {
+    words: SyncSender<Told>,
+    waker: Arc<Waker>,
+}
+
+impl Handle {
+    /// False when the reactor has ended.
+    pub fn tell(&self, place: Place, word: impl Into<String>) -> bool {
+        self.words.send(Told::Word(place, word.into())).is_ok() && self.waker.wake().is_ok()
+    }
+
+    pub fn end(&self) {
+        let _ = self.words.send(Told::End);
+        let _ = self.waker.wake();
+    }
+}
+
+/// A timer in the heap: earliest first, then in the order set.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Alarm(std::cmp::Reverse<(Moment, u64)>, usize, u64);
+
+enum Source {
+    Door { place: usize, door: u32 },
+    Link { place: usize, link: Link },
+}
+
+struct Slot {
+    node: Box<dyn Node>,
+    out: Outbox,
+    doors: HashMap<u32, (Token, Door)>,
+    links: HashMap<Link, (Token, Conn)>,
+}
+
+/// What waits for a node while another input is being carried out.
+enum Pending {
+    Opened(Link),
+    Closed(Link, Ended),
+    Listening(u32, SocketAddr),
+    NotListening(u32, String),
+    File(String, Result<Vec<u8>, String>),
+    Start,
+    Stop,
+    Reload,
+}
+
+pub struct Reactor {
+    poll: Poll,
+    clock: Clock,
+    signals: Option<Signals>,
+    words: Receiver<Told>,
+    handle: Handle,
+    slots: Vec<Slot>,
+    sources: HashMap<Token, Source>,
+    next_token: usize,
+    alarms: BinaryHeap<Alarm>,
+    alarms_set: u64,
+    pending: VecDeque<(usize, Pending)>,
+    /// Links that had more to read when their turn ended.
+    again: VecDeque<(usize, Link)>,
+    most_unwritten: usize,
+    /// Where kept files lie.
+    dir: PathBuf,
+    exit: Option<i32>,
+    buffer: Vec<u8>,
+}
+
+impl Reactor {
+    pub fn new(clock: Clock, most_unwritten: usize, dir: PathBuf) -> io::Result<Reactor> {
+        let poll = Poll::new()?;
+        let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
+        let (sender, words) = sync_channel(MOST_WORDS);
+        Ok(Reactor {
+            poll,
+            clock,
+            signals: None,
+            words,
+            handle: Handle { words: sender, waker },
+            slots: Vec::new(),
+            sources: HashMap::new(),
+            next_token: FIRST,
+            alarms: BinaryHeap::new(),
+            alarms_set: 0,
+            pending: VecDeque::new(),
+            again: VecDeque::new(),
+            most_unwritten,
+            dir,
+            exit: None,
+            buffer: vec![0; 64 * 1024],
+        })
+    }
+
+    /// SIGTERM and SIGINT end all nodes in order, SIGHUP has them read again.
+    pub fn catch_signals(&mut self) -> io::Result<()> {
+        let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+        self.poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
+        self.signals = Some(signals);
+        Ok(())
+    }
+
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    pub fn add(&mut self, node: Box<dyn Node>) -> Place {
+        let out = Outbox::default();
+        self.slots.push(Slot { node, out, doors: HashMap::new(), links: HashMap::new() });
+        self.pending.push_back((self.slots.len() - 1, Pending::Start));
+        Place(self.slots.len() - 1)
+    }
+
+    /// Runs until a node asks for the exit or the handle ends it; hands the nodes back.
+    pub fn run(mut self) -> io::Result<(i32, Vec<Box<dyn Node>>)> {
+        let mut events = Events::with_capacity(1024);
+        self.settle();
+        while self.exit.is_none() {
+            let wait = if self.again.is_empty() { self.wait() } else { Some(Duration::ZERO) };
+            match self.poll.poll(&mut events, wait) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                other => other?,
+            }
+            for event in &events {
+                match event.token() {
+                    WAKER => self.hear_words(),
+                    SIGNALS => self.hear_signals(),
+                    token => {
+                        self.ready(token, event.is_readable() || event.is_read_closed(), event.is_writable())
+                    }
+                }
+                self.settle();
+            }
+            for (place, link) in std::mem::take(&mut self.again) {
+                self.read(place, link);
+                self.settle();
+            }
+            self.ring();
+        }
+        // Whoever ends in order has its last words written, as far as the peers take them at once.
+        for slot in &mut self.slots {
+            slot.links.values_mut().for_each(|(_, conn)| {
+                let _ = conn.write();
+            });
+        }
+        Ok((self.exit.unwrap_or(0), self.slots.into_iter().map(|slot| slot.node).collect()))
+    }
+
+    fn wait(&self) -> Option<Duration> {
+        let next = self.alarms.peek()?;
+        let left = next.0 .0 .0.since(self.clock.now());
+        // The kernel waits whole milliseconds; rounding up keeps an alarm from ringing early and the loop
+        // from spinning.
+        Some(Duration::from_nanos(left.0))
+    }
+
+    fn ring(&mut self) {
+        loop {
+            let now = self.clock.now();
+            match self.alarms.peek() {
+                Some(alarm) if alarm.0 .0 .0 <= now && self.exit.is_none() => {}
+                _ => return,
+            }
+            let Some(Alarm(_, place, timer)) = self.alarms.pop() else { return };
+            self.give(place, Input::Due { timer });
+            self.settle();
+        }
+    }
+
+    fn hear_words(&mut self) {
+        while let Ok(told) = self.words.try_recv() {
+            match told {
+                Told::End => self.exit = Some(self.exit.unwrap_or(0)),
+                Told::Word(place, word) => {
+                    self.give(place.0, Input::Word(&word));
+                    self.settle();
+                }
+            }
+        }
+    }
+
+    fn hear_signals(&mut self) {
+        let caught: Vec<i32> = self.signals.iter_mut().flat_map(|signals| signals.pending()).collect();
+        for signal in caught {
+            for place in 0..self.slots.len() {
+                let what = if signal == SIGHUP { Pending::Reload } else { Pending::Stop };
+                self.pending.push_back((place, what));
+            }
+        }
+    }
+
+    fn give(&mut self, place: usize, input: Input<'_>) {
+        let now = self.clock.now();
+        let slot = &mut self.slots[place];
+        slot.node.handle(now, input, &mut slot.out);
+        let effects = std::mem::take(&mut slot.out.effects);
+        effects.into_iter().for_each(|effect| self.carry_out(place, effect));
+    }
+
+    /// Hands out what waits until nothing does.
+    fn settle(&mut self) {
+        while let Some((place, what)) = self.pending.pop_front() {
+            match what {
+                Pending::Opened(link) => self.give(place, Input::Opened { link }),
+                Pending::Closed(link, why) => self.give(place, Input::Closed { link, why }),
+                Pending::Listening(door, at) => self.give(place, Input::Listening { door, at }),
+                Pending::NotListening(door, why) => self.give(place, Input::NotListening { door, why }),
+                Pending::File(name, bytes) => {
+                    let bytes = bytes.as_deref().map_err(|why| why.clone());
+                    self.give(place, Input::File { name: &name, bytes });
+                }
+                Pending::Start => self.give(place, Input::Start),
+                Pending::Stop => self.give(place, Input::Stop),
+                Pending::Reload => self.give(place, Input::Reload),
+            }
+        }
+    }
+
+    fn carry_out(&mut self, place: usize, effect: Effect) {
+        match effect {
+            Effect::Listen { door, at } => self.listen(place, door, at),
+            Effect::Unlisten { door } => {
+                if let Some((token, mut open)) = self.slots[place].doors.remove(&door) {
+                    let _ = self.poll.registry().deregister(&mut open.listener);
+                    self.sources.remove(&token);
+                }
+            }
+            Effect::Connect { link, to, from } => match Conn::connect(to, from) {
+                Ok(conn) => self.admit(place, link, conn),
+                Err(_) => self.pending.push_back((place, Pending::Closed(link, Ended::Refused))),
+            },
+            Effect::Send { link, bytes } => {
+                let most = self.most_unwritten;
+                let Some((_, conn)) = self.slots[place].links.get_mut(&link) else { return };
+                conn.queue(bytes);
+                let went = conn.write();
+                let over = conn.unwritten() > most;
+                match went {
+                    Err(why) => self.drop_link(place, link, why),
+                    Ok(()) if over => self.drop_link(place, link, Ended::Overflow),
+                    Ok(()) => self.finished(place, link),
+                }
+            }
+            Effect::Finish { link } => {
+                if let Some((_, conn)) = self.slots[place].links.get_mut(&link) {
+                    conn.finishing = true;
+                    self.finished(place, link);
+                }
+            }
+            Effect::Cut { link } => {
+                if let Some((_, conn)) = self.slots[place].links.get_mut(&link) {
+                    conn.reset_on_drop();
+                    self.drop_link(place, link, Ended::Ours);
+                }
+            }
+            Effect::Pause { link } => {
+                if let Some((_, conn)) = self.slots[place].links.get_mut(&link) {
+                    conn.paused = true;
+                }
+            }
+            Effect::Resume { link } => {
+                if let Some((_, conn)) = self.slots[place].links.get_mut(&link) {
+                    conn.paused = false;
+                    self.again.push_back((place, link));
+                }
+            }
+            Effect::Wake { timer, at } => {
+                self.alarms_set += 1;
+                self.alarms.push(Alarm(std::cmp::Reverse((at, self.alarms_set)), place, timer));
+            }
+            Effect::Fetch { name } => {
+                let bytes = std::fs::read(self.dir.join(&name)).map_err(|e| e.to_string());
+                self.pending.push_back((place, Pending::File(name, bytes)));
+            }
+            Effect::Keep { name, bytes } => {
+                if let Err(e) = sockets::keep(&self.dir.join(&name), &bytes) {
+                    tracing::error!(file = %name, error = %e, "not_kept");
+                }
+            }
+            Effect::Log(line) => log(&line),
+            Effect::Exit { code } => self.exit = Some(self.exit.unwrap_or(code)),
+        }
+    }
+
+    fn listen(&mut self, place: usize, door: u32, at: SocketAddr) {
+        let token = self.token();
+        let opened = Door::open(at).and_then(|mut open| {
+            self.poll.registry().register(&mut open.listener, token, Interest::READABLE)?;
+            let at = open.listener.local_addr()?;
+            Ok((open, at))
+        });
+        match opened {
+            Ok((open, at)) => {
+                self.sources.insert(token, Source::Door { place, door });
+                self.slots[place].doors.insert(door, (token, open));
+                self.pending.push_back((place, Pending::Listening(door, at)));
+            }
+            Err(e) => self.pending.push_back((place, Pending::NotListening(door, format!("{at}: {e}")))),
+        }
+    }
+
+    fn token(&mut self) -> Token {
+        self.next_token += 1;
+        Token(self.next_token - 1)
+    }
+
+    fn admit(&mut self, place: usize, link: Link, mut conn: Conn) {
+        let token = self.token();
+        let both = Interest::READABLE | Interest::WRITABLE;
+        if self.poll.registry().register(&mut conn.stream, token, both).is_err() {
+            self.pending.push_back((place, Pending::Closed(link, Ended::Refused)));
+            return;
+        }
+        self.sources.insert(token, Source::Link { place, link });
+        self.slots[place].links.insert(link, (token, conn));
+    }
+
+    fn drop_link(&mut self, place: usize, link: Link, why: Ended) {
+        if let Some((token, mut conn)) = self.slots[place].links.remove(&link) {
+            let _ = self.poll.registry().deregister(&mut conn.stream);
+            self.sources.remove(&token);
+            if why == Ended::Overflow {
+                conn.reset_on_drop();
+            }
+            self.pending.push_back((place, Pending::Closed(link, why)));
+        }
+    }
+
+    /// Closes a link that was to be finished once all of it is written.
+    fn finished(&mut self, place: usize, link: Link) {
+        let done = |conn: &Conn| conn.finishing && conn.open && conn.unwritten() == 0;
+        if self.slots[place].links.get(&link).is_some_and(|(_, conn)| done(conn)) {
+            self.drop_link(place, link, Ended::Ours);
+        }
+    }
+
+    fn ready(&mut self, token: Token, readable: bool, writable: bool) {
+        match self.sources.get(&token) {
+            Some(Source::Door { place, door }) => self.accept(*place, *door),
+            Some(Source::Link { place, link }) => {
+                let (place, link) = (*place, *link);
+                if writable {
+                    self.writable(place, link);
+                    self.settle();
+                }
+                if readable {
+                    self.read(place, link);
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn accept(&mut self, place: usize, door: u32) {
+        loop {
+            let Some((_, open)) = self.slots[place].doors.get_mut(&door) else { return };
+            match open.accept() {
+                Ok(Some((conn, from))) => {
+                    let link = self.slots[place].out.link();
+                    self.admit(place, link, conn);
+                    self.give(place, Input::Accepted { link, door, from });
+                    self.settle();
+                }
+                Ok(None) => return,
+                Err(e) => {
+                    tracing::warn!(error = %e, "not_accepted");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn writable(&mut self, place: usize, link: Link) {
+        let Some((_, conn)) = self.slots[place].links.get_mut(&link) else { return };
+        if !conn.open {
+            match conn.established() {
+                Ok(true) => {
+                    conn.open = true;
+                    self.pending.push_back((place, Pending::Opened(link)));
+                }
+                Ok(false) => return,
+                Err(_) => return self.drop_link(place, link, Ended::Refused),
+            }
+        }
+        let Some((_, conn)) = self.slots[place].links.get_mut(&link) else { return };
+        match conn.write() {
+            Ok(()) => self.finished(place, link),
+            Err(why) => self.drop_link(place, link, why),
+        }
+    }
+
+    /// Reads one buffer; a link that has more comes again after the others.
+    fn read(&mut self, place: usize, link: Link) {
+        let Some((_, conn)) = self.slots[place].links.get_mut(&link) else { return };
+        if conn.paused || !conn.open {
+            return;
+        }
+        let mut buffer = std::mem::take(&mut self.buffer);
+        let taken = conn.read(&mut buffer);
+        match taken {
+            Taken::Bytes(count) => {
+                self.give(place, Input::Bytes { link, bytes: &buffer[..count] });
+                self.again.push_back((place, link));
+            }
+            Taken::Nothing => {}
+            Taken::Ended(why) => self.drop_link(place, link, why),
+        }
+        self.buffer = buffer;
+    }
+}
+
+fn log(line: &Line) {
+    let fields: Vec<String> = line.fields.iter().map(|(name, value)| format!("{name}={value}")).collect();
+    let (event, fields) = (line.event, fields.join(" "));
+    match line.level {
+        Level::Debug => tracing::debug!(event, "{fields}"),
+        Level::Info => tracing::info!(event, "{fields}"),
+        Level::Warn => tracing::warn!(event, "{fields}"),
+        Level::Error => tracing::error!(event, "{fields}"),
+    }
+}
+
+/// A span as the standard library has it.
+pub fn duration(span: Span) -> Duration {
+    Duration::from_nanos(span.0)
+}
--- a/crates/planner/src/time.rs
+++ b/crates/time/src/lib.rs
@@ -1,5 +1,7 @@
 //! Moments and spans, kept apart so that a point in time is never added to another.
+#![forbid(unsafe_code)]
 
+use std::fmt;
 use std::ops::{Add, Sub};
 
 /// A point on the planner's clock, in nanoseconds; it only ever advances.
@@ -22,6 +24,15 @@
         Span(ms * 1_000_000)
     }
 
+    pub const fn micros(us: u64) -> Span {
+        Span(us * 1_000)
+    }
+
+    /// Nothing for what is negative or no number.
+    pub fn of_seconds(seconds: f64) -> Span {
+        Span((seconds * 1e9).max(0.0) as u64)
+    }
+
     pub fn seconds(self) -> f64 {
         self.0 as f64 / 1e9
     }
@@ -51,3 +62,13 @@
         Span(self.0.saturating_add(other.0))
     }
 }
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            0..=999_999 => write!(f, "{} us", self.0 / 1_000),
+            1_000_000..=9_999_999_999 => write!(f, "{} ms", self.0 / 1_000_000),
+            _ => write!(f, "{:.1} s", self.seconds()),
+        }
+    }
+}
