--- a/crates/control/src/tables.rs
+++ b/crates/control/src/tables.rs
@@ -104,6 +104,10 @@
                 }
             }
             let Follower { bound, versions } = follower;
+            // What a proxy came with stays known until it is bound: it may be bound to just that.
+            if bound.is_empty() {
+                continue;
+            }
             versions.retain(|table, _| bound.iter().any(|known| known.1 == *table));
             for (table, version) in versions {
                 let Some(standing) = self.tables.get(table) else { continue };
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -146,7 +146,15 @@
 }
 
 fn record(play: &Play) -> Result<Vec<Row>, String> {
-    std::fs::create_dir_all(&play.dir).map_err(|e| format!("{}: {e}", play.dir.display()))?;
+    let told = |e: std::io::Error| format!("{}: {e}", play.dir.display());
+    std::fs::create_dir_all(&play.dir).map_err(told)?;
+    // What an earlier rehearsal left would be taken for this fleet's past: lists with other ports, and newer.
+    for left in std::fs::read_dir(&play.dir).map_err(told)?.flatten() {
+        let name = left.file_name().to_string_lossy().into_owned();
+        if name.ends_with(".list.json") || name.ends_with(".log") {
+            std::fs::remove_file(left.path()).map_err(told)?;
+        }
+    }
     let day = play.day;
     let (sender, rungs) = channel();
     let bell = Bell(sender);
@@ -350,7 +358,7 @@
     // ---- parties
 
     fn upstream(&self, name: &str, at: SocketAddr) {
-        self.lab.tell(self.relay, format!("upstream {name} {at}"));
+        self.say(self.relay, format!("upstream {name} {at}"));
     }
 
     fn planner_text(&self, at: usize) -> String {
@@ -476,7 +484,11 @@
     fn start_planner(&mut self, at: usize) -> Result<(), String> {
         let name = planner_name(at);
         self.listens.remove(&name);
-        let text = self.planner_text(at);
+        let mut text = self.planner_text(at);
+        if self.play.plant == Some(Plant::LongQueue) && at == 0 {
+            let limit = format!("most_waiting = {}", self.play.day.channel.most_waiting);
+            text = text.replace(&limit, &format!("{limit}000"));
+        }
         let party = match self.play.plant {
             Some(plant) if plant != Plant::Repeat && at == 0 => {
                 let file =
@@ -517,7 +529,7 @@
         self.wait_for(&names)?;
         for name in names {
             self.upstream(&name, self.listens[&name]);
-            self.lab.tell(self.clients, format!("at {name} {}", self.listens[&format!("door {name}")]));
+            self.say(self.clients, format!("at {name} {}", self.listens[&format!("door {name}")]));
         }
         Ok(())
     }
@@ -555,36 +567,41 @@
         let started = self.clock.now();
         let facts = serde_json::to_string(&self.facts(started)).map_err(|e| e.to_string())?;
         self.rows.push(Row { text: facts, ..Row::new(started.0, Kind::Day, "director", "") });
-        self.lab.tell(self.clients, "go");
+        self.say(self.clients, "go");
         for (at, act) in script(day, self.play.seed) {
             self.pass(started + at)?;
             (self.play.progress)(&format!("{:.1} s of {}: {act:?}", at.seconds(), day.lasts));
             self.carry_out(act)?;
         }
         self.pass(started + day.lasts)?;
-        self.lab.tell(self.clients, "end");
+        self.say(self.clients, "end");
         // The last calls have until their time limit.
         let longest = day.asked.iter().map(|asked| asked.time_limit).max().unwrap_or_default();
         self.pass(self.clock.now() + longest + Span::millis(100))
     }
 
+    /// A word for a stand-in. If the lab has ended, the wait for what should follow says so.
+    fn say(&self, place: Place, word: impl Into<String>) {
+        self.lab.tell(place, word);
+    }
+
     fn server(&self, name: &str, word: &str) {
         if let Some(place) = self.servers.get(name) {
-            self.lab.tell(*place, word);
+            self.say(*place, word);
         }
     }
 
     fn start(&mut self, name: &str) {
         self.server(name, "start");
         if self.refused.remove(name) {
-            self.lab.tell(self.relay, format!("accept {name}"));
+            self.say(self.relay, format!("accept {name}"));
         }
     }
 
     fn end(&mut self, name: &str) {
         self.server(name, "kill");
         if self.refused.insert(name.into()) {
-            self.lab.tell(self.relay, format!("refuse {name}"));
+            self.say(self.relay, format!("refuse {name}"));
         }
     }
 
@@ -592,7 +609,7 @@
         let (place, slot) = (&self.places[slot], &self.play.day.slots[slot]);
         let at = self.listens[&format!("door {}", place.present)];
         let word = format!("put {at} {} running {} {}", slot.zone, slot.weight, started.0 / 1_000_000);
-        self.lab.tell(self.list, word);
+        self.say(self.list, word);
     }
 
     fn list_tell(&self, slot: usize, name: &str, word: &str) {
@@ -600,7 +617,7 @@
         let zone = &self.play.day.slots[slot].zone;
         let tail = if word == "gone" { String::new() } else { format!(" {word}") };
         let verb = if word == "gone" { "gone" } else { "state" };
-        self.lab.tell(self.list, format!("{verb} {at} {zone}{tail}"));
+        self.say(self.list, format!("{verb} {at} {zone}{tail}"));
     }
 
     fn in_zone(&self, zone: &str) -> Vec<usize> {
@@ -677,15 +694,13 @@
                 }
             }
             Act::Server(slot, word) => self.server(&self.places[slot].present, &word),
-            Act::Relay(word) => drop(self.lab.tell(self.relay, word)),
-            Act::RelayProxy(word, proxy) => {
-                drop(self.lab.tell(self.relay, format!("{word} {}", proxy_name(proxy))))
-            }
+            Act::Relay(word) => self.say(self.relay, word),
+            Act::RelayProxy(word, proxy) => self.say(self.relay, format!("{word} {}", proxy_name(proxy))),
             Act::RelayServers(word, slots) => {
                 let names: Vec<&str> = slots.iter().map(|slot| self.places[*slot].present.as_str()).collect();
-                self.lab.tell(self.relay, format!("{word} {}", names.join(" ")));
+                self.say(self.relay, format!("{word} {}", names.join(" ")));
             }
-            Act::List(word) => drop(self.lab.tell(self.list, word)),
+            Act::List(word) => self.say(self.list, word),
             Act::Unlist(slot) => self.list_tell(slot, &self.places[slot].present, "gone"),
             Act::Relist(slot) => self.list_put(slot, now - Span::millis(3_600_000)),
             Act::Invent(slot, there) => {
@@ -694,11 +709,11 @@
                 let zone = &self.play.day.slots[slot].zone;
                 let word =
                     if there { format!("put {at} {zone} running 1 0") } else { format!("gone {at} {zone}") };
-                self.lab.tell(self.list, word);
+                self.say(self.list, word);
             }
-            Act::Clients(word) => drop(self.lab.tell(self.clients, word)),
+            Act::Clients(word) => self.say(self.clients, word),
             Act::HotProxy(proxy, factor) => {
-                self.lab.tell(self.clients, format!("rate {} {factor}", proxy_name(proxy)));
+                self.say(self.clients, format!("rate {} {factor}", proxy_name(proxy)));
             }
             Act::KillPlanner(_)
             | Act::StopPlanner(_)
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -77,6 +77,7 @@
         downs: Frames<Down>,
         proxy: String,
         joined: bool,
+        told: bool,
         bound: bool,
     },
     List {
@@ -205,6 +206,7 @@
                 downs: Frames::default(),
                 proxy: String::new(),
                 joined: false,
+                told: false,
                 bound: false,
             },
             Passes::List => {
@@ -248,17 +250,14 @@
 
     fn bytes(&mut self, now: Moment, link: Link, bytes: &[u8], out: &mut Outbox) {
         let Some((id, way)) = self.by_link.get(&link).copied() else { return };
-        let Some(mut pair) = self.pairs.remove(&id) else { return };
-        let passes = self.read(now, &mut pair, way, bytes);
-        if !passes {
-            // The answer vanishes: the server has done its work, and nobody hears of it.
-            for end in pair.ends.iter().flatten() {
-                self.by_link.remove(end);
-                out.cut(*end);
-            }
-            return;
+        let Some(pair) = self.pairs.get(&id) else { return };
+        let slow = self.slowness(pair);
+        // A planner's message counts as out when it is on its socket; all else counts when it is delivered.
+        let stream = matches!(pair.reads, Reads::Stream { .. });
+        if stream {
+            self.read(now, id, way, bytes);
         }
-        let slow = self.slowness(&pair);
+        let Some(pair) = self.pairs.get_mut(&id) else { return };
         let held = &mut pair.held[way as usize];
         let delay =
             slow.map_or(Span(0), |slow| slow.delay + Span::of_seconds(bytes.len() as f64 / slow.bytes_per_s));
@@ -270,32 +269,42 @@
         if held.queue.iter().map(|part| part.1.len()).sum::<usize>() > MOST_HELD {
             out.push(Effect::Pause { link });
         }
-        self.pairs.insert(id, pair);
         self.flush(now, id, out);
     }
 
     /// Passes on what is due of a pair, unless it is cut off.
     fn flush(&mut self, now: Moment, id: u64, out: &mut Outbox) {
-        let Some(pair) = self.pairs.get(&id) else { return };
-        if self.cut(pair) {
-            return;
-        }
-        let Some(pair) = self.pairs.get_mut(&id) else { return };
         let mut next: Option<Moment> = None;
         for way in [Way::In, Way::Back] {
-            // What comes from one end goes to the other.
-            let (from, to) = (pair.ends[way as usize], pair.ends[1 - way as usize]);
-            let held = &mut pair.held[way as usize];
-            let before = held.queue.len();
-            while held.queue.front().is_some_and(|part| part.0 <= now) {
-                if let (Some((_, bytes)), Some(to)) = (held.queue.pop_front(), to) {
+            loop {
+                let Some(pair) = self.pairs.get(&id) else { return };
+                if self.cut(pair) {
+                    return;
+                }
+                let stream = matches!(pair.reads, Reads::Stream { .. });
+                let Some(pair) = self.pairs.get_mut(&id) else { return };
+                let held = &mut pair.held[way as usize];
+                let Some((at, _)) = held.queue.front() else { break };
+                if *at > now {
+                    next = next.into_iter().chain([*at]).min();
+                    break;
+                }
+                let Some((_, bytes)) = held.queue.pop_front() else { break };
+                if !stream && !self.read(now, id, way, &bytes) {
+                    // The answer vanishes: the server has done its work, and nobody hears of it.
+                    return self.reset_one(now, id, out);
+                }
+                let Some(pair) = self.pairs.get(&id) else { return };
+                // What comes from one end goes to the other.
+                if let Some(to) = pair.ends[1 - way as usize] {
                     out.send(to, bytes);
                 }
+                if let Some(link) = pair.ends[way as usize] {
+                    out.push(Effect::Resume { link });
+                }
             }
-            if let (true, Some(from)) = (before > held.queue.len(), from) {
-                out.push(Effect::Resume { link: from });
-            }
-            next = next.into_iter().chain(held.queue.front().map(|part| part.0)).min();
+            let Some(pair) = self.pairs.get_mut(&id) else { return };
+            let held = &pair.held[way as usize];
             if held.ended && held.queue.is_empty() {
                 if let Some(to) = pair.ends[1 - way as usize].take() {
                     self.by_link.remove(&to);
@@ -303,6 +312,7 @@
                 }
             }
         }
+        let Some(pair) = self.pairs.get(&id) else { return };
         if pair.ends.iter().all(Option::is_none) {
             self.end(now, id);
         } else if let Some(at) = next {
@@ -317,6 +327,7 @@
         pair.held[way as usize].ended = true;
         // Nothing can be written to an end that is gone.
         pair.held[1 - way as usize].queue.clear();
+        self.tell_joined(now, id);
         let hidden = self.pairs.get(&id).is_some_and(|pair| self.cut(pair));
         if matches!(why, Ended::Reset | Ended::Refused | Ended::Overflow) && !hidden {
             // A reset overtakes what waits.
@@ -330,9 +341,24 @@
     }
 
     fn end(&mut self, now: Moment, id: u64) {
-        let Some(pair) = self.pairs.remove(&id) else { return };
-        if let Reads::Stream { proxy, joined: true, .. } = &pair.reads {
-            let row = Row::new(now.0, Kind::Left, proxy, &self.doors[pair.door].door.name);
+        if let Some(pair) = self.pairs.get_mut(&id) {
+            pair.ends = [None, None];
+        }
+        self.tell_joined(now, id);
+        self.pairs.remove(&id);
+    }
+
+    /// A proxy is joined while its stream stands and something can pass: behind a cut nobody can be told
+    /// anything, and when it heals the time for that begins anew.
+    fn tell_joined(&mut self, now: Moment, id: u64) {
+        let Some(pair) = self.pairs.get(&id) else { return };
+        let stands = pair.ends.iter().all(Option::is_some) && !self.cut(pair);
+        let Some(pair) = self.pairs.get_mut(&id) else { return };
+        let Reads::Stream { proxy, joined, told, .. } = &mut pair.reads else { return };
+        let is = *joined && stands;
+        if std::mem::replace(told, is) != is {
+            let kind = if is { Kind::Joined } else { Kind::Left };
+            let row = Row::new(now.0, kind, proxy, &self.doors[pair.door].door.name);
             self.row(row);
         }
     }
@@ -340,18 +366,20 @@
     // ---- the recording
 
     /// Reads what passes; false when it is to be taken away.
-    fn read(&mut self, now: Moment, pair: &mut Pair, way: Way, bytes: &[u8]) -> bool {
-        let door = self.doors[pair.door].door.clone();
+    fn read(&mut self, now: Moment, id: u64, way: Way, bytes: &[u8]) -> bool {
+        let Some(pair) = self.pairs.get_mut(&id) else { return true };
+        let (door, party) = (self.doors[pair.door].door.clone(), pair.party.clone());
         let mut reads = std::mem::replace(&mut pair.reads, Reads::Nothing);
         let fine = match &mut reads {
-            Reads::Calls { .. } => self.read_calls(now, &door, &pair.party, &mut reads, way, bytes),
+            Reads::Calls { .. } => self.read_calls(now, &door, &party, &mut reads, way, bytes),
             Reads::Stream { .. } => self.read_stream(now, &door, &mut reads, way, bytes),
-            Reads::List { .. } => self.read_list(now, &pair.party, &mut reads, way, bytes),
+            Reads::List { .. } => self.read_list(now, &party, &mut reads, way, bytes),
             Reads::Nothing => Some(true),
         };
-        if fine.is_some() {
+        if let (Some(pair), Some(_)) = (self.pairs.get_mut(&id), fine) {
             pair.reads = reads;
         }
+        self.tell_joined(now, id);
         fine.unwrap_or(true)
     }
 
@@ -429,7 +457,7 @@
         way: Way,
         bytes: &[u8],
     ) -> Option<bool> {
-        let Reads::Stream { ups, downs, proxy, joined, bound } = reads else { return Some(true) };
+        let Reads::Stream { ups, downs, proxy, joined, bound, .. } = reads else { return Some(true) };
         if way == Way::In {
             ups.push(bytes);
             while let Some(message) = ups.take().ok()? {
@@ -455,10 +483,7 @@
         downs.push(bytes);
         while let Some(message) = downs.take().ok()? {
             match message.kind? {
-                down::Kind::Welcome(_) => {
-                    *joined = true;
-                    self.row(Row::new(now.0, Kind::Joined, proxy, &door.name));
-                }
+                down::Kind::Welcome(_) => *joined = true,
                 down::Kind::Update(update) => {
                     let text = format!("turn {} nonce {}", update.turn, update.nonce);
                     let row = Row {
@@ -571,12 +596,18 @@
                     self.listen(door, out);
                 }
             }
-            ["cut", zone] => drop(self.cut_zones.insert(zone.to_string())),
+            ["cut", zone] => {
+                self.cut_zones.insert(zone.to_string());
+                self.flush_all(now, out);
+            }
             ["heal", zone] => {
                 self.cut_zones.remove(*zone);
                 self.flush_all(now, out);
             }
-            ["stall", name] => drop(self.stalled.insert(name.to_string())),
+            ["stall", name] => {
+                self.stalled.insert(name.to_string());
+                self.flush_all(now, out);
+            }
             ["unstall", name] => {
                 self.stalled.remove(*name);
                 self.flush_all(now, out);
@@ -607,6 +638,7 @@
 
     fn flush_all(&mut self, now: Moment, out: &mut Outbox) {
         for id in self.pairs.keys().copied().collect::<Vec<_>>() {
+            self.tell_joined(now, id);
             self.flush(now, id, out);
         }
     }
--- a/crates/lab/src/wrong.rs
+++ b/crates/lab/src/wrong.rs
@@ -17,9 +17,10 @@
     Repeat,
     /// Removals are left out of the messages (rule 3).
     LateDrain,
-    /// Servers that come later get many times their weight (rule 4).
+    /// Servers that come later get many times their weight, the newest most (rule 4).
     ColdPush,
-    /// Messages are ordered and not sent for seconds (rule 5).
+    /// Messages are ordered and not sent for seconds, and the planner reckons with a limit far above the stated
+    /// one (rule 5).
     LongQueue,
 }
 
@@ -44,6 +45,7 @@
     frames: HashMap<Link, Frames<Down>>,
     /// Servers of the first tables; what comes later is new.
     first: BTreeSet<String>,
+    later: Vec<String>,
     settled: Option<Moment>,
     held: VecDeque<(Moment, Link, Vec<u8>)>,
     dialled: HashMap<Link, (SocketAddr, Option<IpAddr>)>,
@@ -60,6 +62,7 @@
             bell,
             frames: HashMap::new(),
             first: BTreeSet::new(),
+            later: Vec::new(),
             settled: None,
             held: VecDeque::new(),
             dialled: HashMap::new(),
@@ -78,7 +81,12 @@
                         if now < settled {
                             self.first.insert(line.server.clone());
                         } else if !self.first.contains(&line.server) {
-                            line.weight *= 200.0;
+                            if !self.later.contains(&line.server) {
+                                self.later.push(line.server.clone());
+                            }
+                            // Each newer one outweighs all before it.
+                            let place = self.later.iter().position(|server| *server == line.server);
+                            line.weight *= 200f64.powi(place.unwrap_or(0) as i32 + 1);
                         }
                     }
                 }
--- a/crates/proxy/src/tables.rs
+++ b/crates/proxy/src/tables.rs
@@ -125,7 +125,8 @@
                 change.from, change.to
             ));
         }
-        if change.whole && holds >= change.to {
+        // The same whole again changes nothing and does no harm.
+        if change.whole && holds > change.to {
             return refuse(format!("an old whole: {holds} is held, {} came", change.to));
         }
         let table = self.tables.entry(change.table).or_default();
