--- a/crates/lab/src/bell.rs
+++ b/crates/lab/src/bell.rs
@@ -13,6 +13,8 @@
     Failed(String),
     /// A proxy answered a message of its planner for the first time since it joined.
     Bound(String),
+    /// A measured proxy answered a message.
+    Acked(String, Moment),
     /// For the recording.
     Row(Row),
 }
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -33,6 +33,10 @@
     ("zone_cut", "trouble(\"zone_cut\", at = \"2s\", lasts = \"5s\", zone = \"south\")"),
     ("zone_lost", "trouble(\"zone_lost\", at = \"2s\", lasts = \"4s\", zone = \"west\")"),
     ("proxy_deaf", "trouble(\"proxy_deaf\", at = \"1s\", lasts = \"6s\"), trouble(\"deploy\", at = \"2s\", lasts = \"5s\", share = 0.5)"),
+    ("killed_while_lines_wait", "trouble(\"deploy\", at = \"1s\", lasts = \"7s\", share = 0.34), \
+                                 trouble(\"slow_channel\", at = \"1s\", lasts = \"6s\", factor = 0.3), \
+                                 trouble(\"planner_killed\", at = \"2s\", lasts = \"3s\"), \
+                                 trouble(\"streams_broken\", at = \"4s\", share = 0.5)"),
     ("list_trouble", "trouble(\"list_goes_back\", at = \"5s\", lasts = \"2s\"), trouble(\"list_expires\", at = \"3s\"), \
                       trouble(\"list_torn\", at = \"1s\"), trouble(\"deploy\", at = \"2s\", lasts = \"4s\", share = 0.34)"),
 ];
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -319,6 +319,7 @@
             Rung::Bound(proxy) => drop(self.bound.insert(proxy)),
             Rung::Row(row) => self.rows.push(row),
             Rung::Failed(why) => self.failed = Some(why),
+            Rung::Acked(..) => {}
         }
     }
 
--- a/crates/pewtergap/src/main.rs
+++ b/crates/pewtergap/src/main.rs
@@ -50,6 +50,11 @@
     },
     /// Play a day against stand-ins on loopback and judge the five rules.
     Rehearse(rehearse::Wanted),
+    /// Measure, with figures as ratios within one run.
+    Measure {
+        #[command(subcommand)]
+        what: Measured,
+    },
     /// Judge the five rules from a recording.
     Audit {
         recording: PathBuf,
@@ -58,6 +63,19 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Measured {
+    /// From a list change to the last proxy's ACK, by number of proxies; streams only, no calls.
+    Order {
+        #[arg(long, value_delimiter = ',', default_value = "10,100,1000")]
+        proxies: Vec<usize>,
+        #[arg(long, default_value_t = 20)]
+        rounds: usize,
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 /// Unwritten bytes on one stream beyond which it is closed.
 const MOST_UNWRITTEN: usize = 4 * 1024 * 1024;
 
@@ -79,6 +97,7 @@
             drive(clock, Box::new(file.proxy(clock.now().0)), dir, announce)
         }),
         Verb::Rehearse(wanted) => rehearse::rehearse(wanted),
+        Verb::Measure { what: Measured::Order { proxies, rounds, json } } => order(&proxies, rounds, json),
         Verb::Audit { recording, json } => rehearse::audit(&recording, json),
     };
     match ended {
@@ -138,3 +157,33 @@
     let (code, _) = reactor.run().map_err(told)?;
     Ok(code as u8)
 }
+
+fn order(counts: &[usize], rounds: usize, json: bool) -> Ended {
+    let program = std::env::current_exe().map_err(|e| (3, e.to_string()))?;
+    let dir = std::env::temp_dir().join(format!("pewtergap-measure-{}", std::process::id()));
+    if !json {
+        println!("proxies  rounds  last ACK p50, worst  each ACK p50, p99  all joined  channel's pace  CPU a round  a stream");
+    }
+    for proxies in counts {
+        let m = pewtergap_lab::measure::order_to_effect(&program, &dir, *proxies, rounds)
+            .map_err(|e| (3, format!("the measurement failed: {e}")))?;
+        if json {
+            println!("{}", serde_json::to_string(&m).unwrap_or_default());
+            continue;
+        }
+        println!(
+            "{:>7}  {:>6}  {:>7.1} ms, {:>6.1}  {:>7.1} ms, {:>5.1}  {:>7.0} ms  {:>11.1} ms  {:>8.1} ms  {:.1} KiB",
+            m.proxies,
+            m.rounds,
+            m.last_p50_ms,
+            m.last_worst_ms,
+            m.each_p50_ms,
+            m.each_p99_ms,
+            m.join_all_ms,
+            m.pace_ms,
+            m.planner_cpu_ms_a_round,
+            m.planner_kib_a_stream
+        );
+    }
+    Ok(0)
+}
--- /dev/null
+++ b/crates/proxy/tests/parts.rs
@@ -0,0 +1,382 @@
+//! Tables by version, and the proxy as a node: what it does with calls, orders and failures.
+
+use pewtergap_node::{Effect, Ended, Input, Link, Node, Outbox};
+use pewtergap_protocol::{down, encode, Bind, Down, Frames, Gate, Line, TableChange, Up, Update, Welcome};
+use pewtergap_proxy::tables::Tables;
+use pewtergap_proxy::{Front, Home, Proxy, Route, Shunning};
+use pewtergap_time::{Moment, Span};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+fn welcome(planner: &str, epoch: u64) -> Welcome {
+    let routes = vec!["search".into(), "order".into()];
+    Welcome { protocol: 1, planner: planner.into(), epoch, routes, report_every_us: 500_000 }
+}
+
+fn change(table: u32, from: u64, to: u64, set: &[(&str, f64)], removed: &[&str]) -> TableChange {
+    let set =
+        set.iter().map(|(server, weight)| Line { server: server.to_string(), weight: *weight }).collect();
+    let removed = removed.iter().map(|server| server.to_string()).collect();
+    TableChange { table, from, to, whole: from == 0, set, removed, gates: Vec::new() }
+}
+
+fn update(nonce: u64, tables: Vec<TableChange>, binds: &[u32]) -> Update {
+    let binds = binds.iter().map(|table| Bind { table: *table, routes: 0 }).collect();
+    Update { nonce, tables, binds, ..Update::default() }
+}
+
+#[test]
+fn deltas_dropped_reordered_and_repeated_are_refused_and_nothing_is_applied_twice() {
+    let mut tables = Tables::standing(&["s0:1".into()], 2);
+    let mut trace = tables.print();
+    let mut take = |tables: &mut Tables, what: &str, update: &Update| {
+        let done = tables
+            .apply(update)
+            .map_or_else(|refusal| format!("refused: {}", refusal.reason), |()| "taken".into());
+        trace += &format!("{what}: {done}\n{}", tables.print());
+    };
+    tables.welcome(&welcome("a", 1));
+    take(
+        &mut tables,
+        "a change before the first binding",
+        &update(1, vec![change(3, 1, 2, &[("s1:1", 1.0)], &[])], &[]),
+    );
+    take(
+        &mut tables,
+        "the whole",
+        &update(2, vec![change(3, 0, 5, &[("s1:1", 1.0), ("s2:1", 1.0)], &[])], &[3]),
+    );
+    take(&mut tables, "version 7 before 6", &update(4, vec![change(3, 6, 7, &[], &["s2:1"])], &[]));
+    take(&mut tables, "version 6", &update(3, vec![change(3, 5, 6, &[("s3:1", 0.5)], &[])], &[]));
+    take(&mut tables, "version 6 again", &update(3, vec![change(3, 5, 6, &[("s3:1", 0.5)], &[])], &[]));
+    let both = vec![change(4, 0, 1, &[("s9:1", 1.0)], &[]), change(3, 8, 9, &[], &["s1:1"])];
+    take(&mut tables, "one table fits and one does not: nothing of it", &update(5, both, &[4]));
+    take(&mut tables, "an older whole, late", &update(6, vec![change(3, 0, 4, &[("s0:1", 1.0)], &[])], &[3]));
+    tables.welcome(&welcome("b", 9));
+    take(
+        &mut tables,
+        "another planner's change of its own table 3",
+        &update(1, vec![change(3, 6, 7, &[], &["s1:1"])], &[]),
+    );
+    take(
+        &mut tables,
+        "another planner's first binding",
+        &update(2, vec![change(0, 0, 1, &[("s4:1", 1.0)], &[])], &[0]),
+    );
+    insta::assert_snapshot!(trace);
+}
+
+const START: Moment = Moment(1_000_000_000_000);
+
+/// A proxy on a bare stage: inputs by short calls, what it does as text.
+struct Stage {
+    proxy: Proxy,
+    now: Moment,
+    out: Outbox,
+    trace: String,
+    names: BTreeMap<Link, String>,
+    timers: Vec<(Moment, u64)>,
+    planner: Option<Link>,
+    next: u64,
+}
+
+impl Stage {
+    fn new(shun_after: u32, servers: &[&str], resend: u32) -> Stage {
+        let route = |name: &str, mutating| Route {
+            name: name.into(),
+            time_limit: Span::millis(1_000),
+            mutating,
+            resend,
+        };
+        let home = Home {
+            name: "p1".into(),
+            zone: "north".into(),
+            planners: vec!["127.0.0.1:7100".parse().unwrap(), "127.0.0.1:7200".parse().unwrap()],
+            calls_per_s: 3.0,
+        };
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let front = Front { listen, from: None, most_calls: 100, keep_alive: Span::millis(5_000) };
+        let routes = vec![route("search", false), route("order", true)];
+        let standing: Vec<String> = servers.iter().map(|server| format!("127.0.0.1:{server}")).collect();
+        let shunning = Shunning { after: shun_after, rest: Span::millis(2_000) };
+        let proxy = Proxy::new(home, front, routes, shunning, &standing, 7);
+        let mut stage = Stage {
+            proxy,
+            now: START,
+            out: Outbox::default(),
+            trace: String::new(),
+            names: BTreeMap::new(),
+            timers: Vec::new(),
+            planner: None,
+            next: 1_000_000,
+        };
+        stage.give(Input::Start);
+        stage
+    }
+
+    fn give(&mut self, input: Input<'_>) {
+        self.proxy.handle(self.now, input, &mut self.out);
+        for effect in std::mem::take(&mut self.out.effects) {
+            let at = self.now.since(START).0 / 1_000_000;
+            let line = match effect {
+                Effect::Connect { link, to, .. } => {
+                    let planner = matches!(to.port(), 7100 | 7200);
+                    self.planner = if planner { Some(link) } else { self.planner };
+                    self.names.insert(
+                        link,
+                        format!("{}{}", if planner { "planner " } else { "server " }, to.port()),
+                    );
+                    format!("dials {}", self.names[&link])
+                }
+                Effect::Send { link, bytes } => {
+                    let name = self.names.get(&link).cloned().unwrap_or_default();
+                    if name.starts_with("planner") {
+                        let mut frames = Frames::<Up>::default();
+                        frames.push(&bytes);
+                        format!("tells {name}: {}", spoken(&frames.take().unwrap().unwrap()))
+                    } else {
+                        let text = String::from_utf8_lossy(&bytes).into_owned();
+                        let ended = text
+                            .lines()
+                            .find_map(|line| line.strip_prefix("x-pewtergap-ended: ").map(str::to_string));
+                        format!(
+                            "to {name}: {} {}",
+                            text.lines().next().unwrap_or(""),
+                            ended.unwrap_or_default()
+                        )
+                    }
+                }
+                Effect::Cut { link } => {
+                    format!("cuts {}", self.names.get(&link).cloned().unwrap_or_default())
+                }
+                Effect::Wake { timer, at } => {
+                    self.timers.push((at, timer));
+                    continue;
+                }
+                Effect::Log(line) if line.event == "shuns" => format!("shuns {}", line.fields[0].1),
+                _ => continue,
+            };
+            self.trace += &format!("{at:>5} {}\n", line.trim_end());
+        }
+    }
+
+    /// Lets time pass; timers ring in their order.
+    fn pass(&mut self, ms: u64) {
+        let until = self.now + Span::millis(ms);
+        loop {
+            self.timers.sort();
+            let Some((at, timer)) = self.timers.first().copied().filter(|t| t.0 <= until) else { break };
+            self.timers.remove(0);
+            self.now = self.now.max(at);
+            self.give(Input::Due { timer });
+        }
+        self.now = until;
+    }
+
+    fn call(&mut self, route: &str) -> Link {
+        self.next += 1;
+        let link = Link(self.next);
+        self.names.insert(link, "client".into());
+        self.give(Input::Accepted { link, door: 0, from: SocketAddr::from(([127, 0, 0, 1], 9)) });
+        let call = format!("POST /{route}/x HTTP/1.1\r\ncontent-length: 2\r\n\r\n{{}}");
+        self.give(Input::Bytes { link, bytes: call.as_bytes() });
+        link
+    }
+
+    /// The connection to a server dialled last.
+    fn server(&self) -> Link {
+        *self
+            .names
+            .iter()
+            .rev()
+            .find(|(link, name)| name.starts_with("server") && link.0 < 1_000_000)
+            .unwrap()
+            .0
+    }
+
+    fn answer(&mut self, link: Link, answer: &str) {
+        self.give(Input::Bytes { link, bytes: answer.as_bytes() });
+    }
+
+    fn close(&mut self, link: Link, why: Ended) {
+        self.give(Input::Closed { link, why });
+    }
+
+    fn join(&mut self, planner: &str, epoch: u64) {
+        let link = self.planner.unwrap();
+        self.give(Input::Opened { link });
+        self.down(down::Kind::Welcome(welcome(planner, epoch)));
+    }
+
+    fn down(&mut self, kind: down::Kind) {
+        let (link, bytes) = (self.planner.unwrap(), encode(&Down::of(kind)));
+        self.give(Input::Bytes { link, bytes: &bytes });
+    }
+}
+
+fn spoken(up: &Up) -> String {
+    use pewtergap_protocol::up::Kind;
+    match up.kind.as_ref().unwrap() {
+        Kind::Hello(hello) => {
+            format!("hello, holds {:?}", hello.held.iter().map(|h| (h.table, h.version)).collect::<Vec<_>>())
+        }
+        Kind::Ack(ack) => format!("ack {}", ack.nonce),
+        Kind::Nack(nack) => format!("nack {}: {}", nack.nonce, nack.reason),
+        Kind::Sums(sums) => {
+            let rows: Vec<String> =
+                sums.rows.iter().map(|r| format!("{} {}/{} dropped", r.server, r.dropped, r.tries)).collect();
+            format!("sums {}", rows.join(", "))
+        }
+        Kind::Arrivals(arrivals) => {
+            format!("arrivals {:?}", arrivals.rows.iter().map(|r| (r.calls, r.dropped)).collect::<Vec<_>>())
+        }
+        Kind::Beat(_) => "beat".into(),
+    }
+}
+
+const OK: &str =
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nendpoint-load-metrics: TEXT cpu_utilization=0.5\r\n\r\nok";
+const NOT_RUN: &str = "HTTP/1.1 503 Busy\r\nx-pewtergap-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+
+#[test]
+fn an_answer_that_vanishes_is_never_followed_by_a_second_try_of_what_must_not_run_twice() {
+    let mut stage = Stage::new(0, &["8001", "8002"], 2);
+    for (route, why) in [("order", Ended::Reset), ("order", Ended::Refused), ("search", Ended::Reset)] {
+        stage.trace += &format!("# {route}, its connection ends: {why:?}\n");
+        stage.call(route);
+        let link = stage.server();
+        stage.close(link, why);
+    }
+    stage.trace += "# order, turned away before it ran\n";
+    stage.call("order");
+    let link = stage.server();
+    stage.answer(link, NOT_RUN);
+    stage.trace += "# order, half an answer and then the end\n";
+    stage.call("order");
+    let link = stage.server();
+    stage.answer(link, "HTTP/1.1 200 OK\r\ncontent-le");
+    stage.close(link, Ended::Done);
+    stage.trace += "# order, no answer until its time is up: given up at once then\n";
+    stage.call("order");
+    stage.pass(1_100);
+    insta::assert_snapshot!(stage.trace);
+}
+
+#[test]
+fn a_broken_stream_leaves_the_tables_in_force_and_the_next_planner_replaces_them() {
+    let mut stage = Stage::new(0, &["8001"], 0);
+    stage.join("a", 5);
+    stage.down(down::Kind::Update(update(1, vec![change(2, 0, 4, &[("127.0.0.1:8002", 1.0)], &[])], &[2])));
+    stage.call("search");
+    let planner = stage.planner.unwrap();
+    stage.close(planner, Ended::Reset);
+    stage.trace += "# the stream is broken; calls go on by the tables\n";
+    stage.call("search");
+    stage.pass(100);
+    let planner = stage.planner.unwrap();
+    stage.close(planner, Ended::Refused);
+    stage.pass(200);
+    stage.join("b", 6);
+    stage.trace += "# another planner, a delta of its own first: refused; then its binding\n";
+    stage.down(down::Kind::Update(update(1, vec![change(2, 4, 5, &[], &["127.0.0.1:8002"])], &[])));
+    stage.call("search");
+    stage.down(down::Kind::Update(update(2, vec![change(0, 0, 1, &[("127.0.0.1:8003", 1.0)], &[])], &[0])));
+    stage.call("search");
+    stage.trace += "# it falls silent: after four missed beats the proxy dials again\n";
+    stage.pass(3_500);
+    insta::assert_snapshot!(stage.trace);
+}
+
+#[test]
+fn levels_let_in_their_part_and_a_table_without_lines_is_told_at_once() {
+    let mut stage = Stage::new(0, &["8001"], 0);
+    stage.join("a", 5);
+    let mut table = change(2, 0, 4, &[("127.0.0.1:8002", 1.0)], &[]);
+    table.gates = vec![Gate { routes: 1, level: 0.25, resend: 0 }];
+    stage.down(down::Kind::Update(update(1, vec![table], &[2])));
+    for _ in 0..40 {
+        stage.call("search");
+    }
+    let throttled = stage.trace.matches("throttled").count();
+    stage.trace = format!("{throttled} of 40 throttled at a level of 0.25\n");
+    stage.down(down::Kind::Update(update(2, vec![change(2, 4, 5, &[], &["127.0.0.1:8002"])], &[])));
+    stage.call("order");
+    stage.call("nowhere");
+    insta::assert_snapshot!(stage.trace);
+}
+
+#[test]
+fn a_server_that_fails_in_a_row_is_left_alone_for_a_while_unless_it_is_the_last() {
+    let mut stage = Stage::new(2, &["8001", "8002"], 0);
+    for _ in 0..6 {
+        stage.call("search");
+        let link = stage.server();
+        if stage.names[&link].ends_with("8001") {
+            stage.close(link, Ended::Refused);
+        } else {
+            stage.answer(link, OK);
+            stage.close(link, Ended::Done);
+        }
+    }
+    stage.trace += "# the other one goes as well: a shunned line is better than none\n";
+    for _ in 0..4 {
+        stage.call("search");
+        let link = stage.server();
+        stage.close(link, Ended::Refused);
+    }
+    insta::assert_snapshot!(stage.trace);
+}
+
+#[test]
+fn picks_are_split_by_weight_within_two_percent_over_a_long_run() {
+    let mut stage = Stage::new(0, &["8001"], 0);
+    stage.join("a", 5);
+    let lines = [
+        ("127.0.0.1:8001", 1.0),
+        ("127.0.0.1:8002", 0.5),
+        ("127.0.0.1:8003", 0.125),
+        ("127.0.0.1:8004", 2.0),
+    ];
+    stage.down(down::Kind::Update(update(1, vec![change(2, 0, 1, &lines, &[])], &[2])));
+    let calls = 4_000;
+    let mut counts: BTreeMap<String, f64> = BTreeMap::new();
+    for at in 0..calls {
+        if at == calls / 2 {
+            // A change in the middle moves nobody's turn.
+            stage.down(down::Kind::Update(update(
+                2,
+                vec![change(2, 1, 2, &[("127.0.0.1:8003", 0.125)], &[])],
+                &[],
+            )));
+        }
+        stage.trace.clear();
+        let client = stage.call("search");
+        let link = stage.server();
+        *counts.entry(stage.names[&link].clone()).or_default() += 1.0;
+        stage.close(link, Ended::Refused);
+        stage.close(client, Ended::Done);
+        stage.names.retain(|link, _| link.0 < 10);
+    }
+    let all: f64 = lines.iter().map(|line| line.1).sum();
+    for (server, weight) in lines {
+        let share = counts[&format!("server {}", server.rsplit(':').next().unwrap())] / f64::from(calls);
+        assert!(
+            (share - weight / all).abs() < 0.02 * weight / all + 1.0 / f64::from(calls),
+            "{server}: {share}"
+        );
+    }
+}
+
+#[test]
+fn sums_tell_what_the_proxy_met_and_the_load_that_answers_brought() {
+    let mut stage = Stage::new(0, &["8001"], 0);
+    stage.join("a", 5);
+    for status in ["200 OK", "500 Oops"] {
+        stage.call("search");
+        let link = stage.server();
+        stage.answer(link, &OK.replace("200 OK", status));
+    }
+    stage.trace.clear();
+    stage.pass(1_200);
+    insta::assert_snapshot!(stage.trace);
+}
