--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -451,6 +451,14 @@
         if let Some(route) = hello.routes.iter().find(|route| !self.charge.routes.contains(route)) {
             return Err(format!("route '{route}' is not known here"));
         }
+        // A name is kept for good, as an index; whoever made up a new one each time would fill the memory.
+        let known = self.proxies.find(&hello.proxy).is_some();
+        if !known && self.proxies.count() >= 4 * self.reports.most_streams {
+            return Err(format!(
+                "{} proxies were named since the start, no new name is taken",
+                self.proxies.count()
+            ));
+        }
         let proxy = self.proxies.admit(&hello.proxy);
         // It came back before its old stream was seen to be broken.
         if let Some(old) = self.streams.by_proxy.get(&proxy).copied() {
--- a/crates/control/tests/service.rs
+++ b/crates/control/tests/service.rs
@@ -251,6 +251,13 @@
     for at in 0..6 {
         stage.join(&format!("q{at}"));
     }
+    let open: Vec<Link> = stage.streams.keys().copied().collect();
+    open.into_iter().for_each(|link| stage.give(Input::Closed { link, why: Ended::Done }));
+    stage.trace += "# new names without end\n";
+    for at in 0..20 {
+        let link = stage.join(&format!("made-up-{at}"));
+        stage.give(Input::Closed { link, why: Ended::Done });
+    }
     insta::assert_snapshot!(stage
         .trace
         .lines()
--- a/crates/planner/src/door.rs
+++ b/crates/planner/src/door.rs
@@ -31,6 +31,11 @@
         self.indices.get(name).copied()
     }
 
+    /// Names seen so far.
+    pub fn count(&self) -> usize {
+        self.names.len()
+    }
+
     pub fn name(&self, index: usize) -> &Id {
         &self.names[index]
     }
