--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -630,14 +630,8 @@
             }
             let users = &users[table];
             let stale = |at: usize| at != self.state.step && self.reach.throttle == Throttle::Fraction;
-            let levels = match self.state.tables[table].gates.is_none_or(stale) {
-                true => self.gates(table),
-                false => Vec::new(),
-            };
-            if levels.is_empty() {
-                self.state.tables[table].gates = Some(self.state.step);
-            }
-            let head = self.channel.head + 1.0 + levels.len() as f64;
+            let gates = self.state.tables[table].gates.is_none_or(stale);
+            let head = self.channel.head + 1.0 + if gates { self.routes.len() as f64 } else { 0.0 };
             let room = most * FILLED[haste] - queued;
             let fits = (room / users.len().max(1) as f64 - head).max(0.0) as usize;
             let removals = changes.iter().filter(|change| change.1 <= 0.0).count();
@@ -649,7 +643,7 @@
             changes.truncate(if haste == 2 { usize::MAX } else { fits });
             let cost = changes.len() as f64 + head;
             let full = queued + cost * users.len() as f64 > most * FILLED[2];
-            let idle = changes.is_empty() && levels.is_empty();
+            let idle = changes.is_empty() && !gates;
             if idle || full || !users.iter().all(|p| self.may_tell(now, *p, haste)) {
                 continue;
             }
@@ -657,8 +651,9 @@
                 orders.push(Order::Line { table, server, weight });
                 self.state.tables[table].set((server, weight));
             }
-            orders.extend(levels);
-            self.state.tables[table].gates = Some(self.state.step);
+            if gates {
+                self.gate(table, orders);
+            }
             queued += cost * users.len() as f64;
             users.iter().for_each(|p| spent[*p] += cost);
         }
@@ -698,21 +693,17 @@
         recent < most / 2 && (haste > 0 || since >= GAP) || haste == 2 && recent + 1 < most && joined
     }
 
-    /// One line for all routes of a level that changed: a line for each route and step took the channel where
-    /// levels follow an overload up and down.
-    fn gates(&self, table: TableNo) -> Vec<Order> {
+    fn gate(&mut self, table: TableNo, orders: &mut Vec<Order>) {
+        let step = self.state.step;
         // Rule 2 by construction; and what one full server turns away only fills the next.
         let set = |routes, level| Order::Gate { table, routes, level, resend: Resend::Never };
-        let step = if self.reach.throttle == Throttle::Fraction { self.state.step } else { 0 };
-        let before = self.state.tables[table].gates;
-        if step == 0 {
-            return vec![set(0, UNLIMITED)];
+        match (self.reach.throttle, step) {
+            (Throttle::Fraction, 1..) => {
+                orders.extend((0..self.routes.len()).map(|at| set(1 << at, self.level(at, step))))
+            }
+            _ => orders.push(set(0, UNLIMITED)),
         }
-        let mut masks = [0u64; 2];
-        (0..self.routes.len()).for_each(|at| masks[usize::from(!gives_way(&self.routes, at))] |= 1 << at);
-        let differs = |kind: &usize| LEVELS[before.unwrap_or(0)][*kind] != LEVELS[step][*kind];
-        let told = (0..2).filter(|kind| masks[*kind] > 0).filter(differs);
-        told.map(|kind| set(masks[kind], LEVELS[step][kind])).collect()
+        self.state.tables[table].gates = Some(step);
     }
 
     /// A slice whose server is not usable gets another, an exclusive one when no write can be left there.
