Removals in a full channel no longer leave a cold server alone in its table

In a filled channel drains go alone; the last line of a part's table that stayed was cold, and all calls of its proxies fell on it: planned share 0.0016, standing share 0.03. Now a dozen planned lines go along where no warm one stays.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -23,6 +23,8 @@
 /// Lines under this part of the average share may be trimmed.
 const THIN: f64 = 0.1;
 const LOOKED_AT: usize = 4;
+/// Lines that go along with removals which would leave cold ones alone.
+const ALONG: usize = 12;
 /// What a cold server gets, by quarters of the longest warm-up; `shield_cold` keeps to what it can carry.
 const RAMP: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
 /// Part of what would topple a cold server that it may be sent, at ease and in a full fleet.
@@ -634,11 +636,16 @@
             let head = self.channel.head + 1.0 + if gates { self.routes.len() as f64 } else { 0.0 };
             let room = most * FILLED[haste] - queued;
             let fits = (room / users.len().max(1) as f64 - head).max(0.0) as usize;
-            let removals = changes.iter().filter(|change| change.1 <= 0.0).count();
+            let removed = |at: ServerIx| changes.iter().any(|change| change.0 == at && change.1 <= 0.0);
+            let warm = |line: &Share| self.warmth(now, line.0) == RAMP.len() - 1;
+            let stays = self.state.tables[table].lines.iter().any(|line| warm(line) && !removed(line.0));
             let crowded = fits < changes.len() || queued > most * FILLED[0];
-            if haste == 2 && crowded && removals < self.state.tables[table].lines.len() {
-                // Drains go alone: they were seen to wait for seconds behind the lines of cold servers.
-                changes.retain(|change| change.1 <= 0.0);
+            if haste == 2 && crowded {
+                // Drains go alone: they were seen to wait for seconds behind the lines of cold servers. Where
+                // only cold lines would be left, one of them took all calls and was pushed over: some go along.
+                let few = changes.iter().filter(|change| change.1 > 0.0).take(if stays { 0 } else { ALONG });
+                let along: BTreeSet<ServerIx> = few.map(|change| change.0).collect();
+                changes.retain(|change| change.1 <= 0.0 || along.contains(&change.0));
             }
             changes.truncate(if haste == 2 { usize::MAX } else { fits });
             let cost = changes.len() as f64 + head;
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -428,3 +428,24 @@
         assert!(part <= 0.85, "{part} of the limit waits; bindings and cold servers' lines may fill 0.85");
     }
 }
+
+#[test]
+fn removals_in_a_full_channel_leave_no_cold_server_alone_in_its_table() {
+    // Found by a rule search (deploy, wrong list, zone loss): drains went alone, a table's last line was cold, and
+    // all calls of fourteen proxies fell on it.
+    let mut stage = grown();
+    let mine: Vec<usize> = (0..40).filter(|s| stage.trace.contains(&format!("line t1 s{s} "))).collect();
+    let restarted = mine[0];
+    stage.at(500, &[change(entry(restarted, 0, Listed::Running, 1.0, Some(450)))]);
+    stage.trace.clear();
+    let drains = mine[1..].iter().map(|s| entry(*s, 0, Listed::Stopping, 1.0, None)).collect();
+    stage.at(900, &[Event::List { kind: ListKind::Changes, entries: drains }]);
+    let told: Vec<&str> = stage.trace.lines().filter(|l| l.contains("line t1 ")).collect();
+    let removals = told.iter().filter(|line| line.ends_with(" 0.000")).count();
+    stage.trace = format!(
+        "{} drain, {removals} removed, {} new beside the cold one",
+        mine.len() - 1,
+        told.len() - removals
+    );
+    insta::assert_snapshot!(stage.trace);
+}
