Reactor: what it promises its nodes, tested on real sockets

Need: bounded writes, order of timers, ends of links and kept files were only tried by rehearsals. Four tests: a peer that does not read is closed at the limit, a finished link has its last words written, timers ring in order and a refused connection is told as such, a kept file is the old or the new one.

--- /dev/null
+++ b/crates/reactor/tests/sockets.rs
@@ -0,0 +1,171 @@
+//! What the reactor promises its nodes, on real sockets.
+
+use pewtergap_node::{Effect, Ended, Input, Link, Node, Outbox};
+use pewtergap_reactor::{Clock, Handle, Reactor};
+use pewtergap_time::{Moment, Span};
+use std::any::Any;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::Duration;
+
+/// Tells what it is given, and does what it is told by words.
+struct Parrot {
+    heard: Sender<String>,
+    at: Option<SocketAddr>,
+    links: Vec<Link>,
+}
+
+const CEILING: Duration = Duration::from_secs(30);
+
+impl Node for Parrot {
+    fn handle(&mut self, now: Moment, input: Input<'_>, out: &mut Outbox) {
+        let told = match input {
+            Input::Start => {
+                out.push(Effect::Listen { door: 1, at: SocketAddr::from(([127, 0, 0, 1], 0)) });
+                return;
+            }
+            Input::Listening { at, .. } => {
+                self.at = Some(at);
+                format!("{at}")
+            }
+            Input::Accepted { link, .. } => {
+                self.links.push(link);
+                "accepted".into()
+            }
+            Input::Bytes { link, bytes } => {
+                out.send(link, bytes.to_vec());
+                format!("{} bytes", bytes.len())
+            }
+            Input::Closed { why, .. } => format!("closed {why:?}"),
+            Input::Due { timer } => format!("due {timer}"),
+            Input::File { name, bytes } => {
+                format!("{name}: {:?}", bytes.map(|b| b.len()).map_err(|_| "missing"))
+            }
+            Input::NotListening { .. } => "not listening".into(),
+            Input::Word("flood") => {
+                self.links.iter().for_each(|link| (0..64).for_each(|_| out.send(*link, vec![7; 1 << 20])));
+                return;
+            }
+            Input::Word("finish") => {
+                self.links.iter().for_each(|link| {
+                    out.send(*link, b"last words".to_vec());
+                    out.finish(*link);
+                });
+                return;
+            }
+            Input::Word("timers") => {
+                for (timer, ms) in [(3, 30), (1, 10), (2, 10), (4, 0)] {
+                    out.wake(timer, now + Span::millis(ms));
+                }
+                return;
+            }
+            Input::Word("taken") => {
+                out.push(Effect::Listen { door: 2, at: self.at.unwrap() });
+                return;
+            }
+            Input::Word("nobody") => {
+                out.connect("127.0.0.1:1".parse().unwrap(), Some("127.0.0.9".parse().unwrap()));
+                return;
+            }
+            Input::Word("files") => {
+                out.push(Effect::Fetch { name: "none".into() });
+                out.push(Effect::Keep { name: "kept".into(), bytes: vec![1; 5] });
+                out.push(Effect::Keep { name: "kept".into(), bytes: vec![2; 9] });
+                out.push(Effect::Fetch { name: "kept".into() });
+                return;
+            }
+            other => format!("{other:?}"),
+        };
+        let _ = self.heard.send(told);
+    }
+
+    fn into_any(self: Box<Self>) -> Box<dyn Any> {
+        self
+    }
+}
+
+struct Stage {
+    handle: Handle,
+    place: pewtergap_reactor::Place,
+    heard: Receiver<String>,
+    at: SocketAddr,
+}
+
+fn stage() -> Stage {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let mut reactor = Reactor::new(Clock::default(), 4 << 20, dir).unwrap();
+    let (sender, heard) = channel();
+    let place = reactor.add(Box::new(Parrot { heard: sender, at: None, links: Vec::new() }));
+    let handle = reactor.handle();
+    std::thread::spawn(move || reactor.run().unwrap());
+    let at = heard.recv_timeout(CEILING).unwrap().parse().unwrap();
+    Stage { handle, place, heard, at }
+}
+
+impl Stage {
+    fn tell(&self, word: &str) {
+        assert!(self.handle.tell(self.place, word));
+    }
+
+    fn hear(&self) -> String {
+        self.heard.recv_timeout(CEILING).unwrap()
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.at).unwrap();
+        assert_eq!(self.hear(), "accepted");
+        stream
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        self.handle.end();
+    }
+}
+
+#[test]
+fn a_peer_that_does_not_read_is_closed_and_not_buffered_for_without_end() {
+    let stage = stage();
+    let _peer = stage.connect();
+    stage.tell("flood");
+    assert_eq!(stage.hear(), format!("closed {:?}", Ended::Overflow));
+}
+
+#[test]
+fn bytes_come_and_go_and_a_finished_link_has_its_last_words_written() {
+    let stage = stage();
+    let mut peer = stage.connect();
+    peer.write_all(b"hello").unwrap();
+    assert_eq!(stage.hear(), "5 bytes");
+    stage.tell("finish");
+    let mut all = String::new();
+    peer.read_to_string(&mut all).unwrap();
+    assert_eq!((all.as_str(), stage.hear()), ("hellolast words", "closed Ours".into()));
+    let peer = stage.connect();
+    drop(peer);
+    assert_eq!(stage.hear(), "closed Done");
+}
+
+#[test]
+fn timers_ring_in_their_order_and_nobody_there_is_told_as_refused() {
+    let stage = stage();
+    stage.tell("timers");
+    let rung: Vec<String> = (0..4).map(|_| stage.hear()).collect();
+    assert_eq!(rung, ["due 4", "due 1", "due 2", "due 3"]);
+    stage.tell("nobody");
+    assert_eq!(stage.hear(), format!("closed {:?}", Ended::Refused));
+    stage.tell("taken");
+    assert_eq!(stage.hear(), "not listening");
+}
+
+#[test]
+fn a_kept_file_is_the_old_one_or_the_new_one() {
+    let stage = stage();
+    stage.tell("files");
+    assert_eq!(stage.hear(), "none: Err(\"missing\")");
+    assert_eq!(stage.hear(), "kept: Ok(9)");
+    assert!(!PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("kept.new").exists());
+}
