A log line when removals alone pass the channel

Need: those on call should hear that draining servers are more than the channel takes, and for how long. The module notes lines beyond what waits and the time at the channel's pace, once a review at most; the service logs it.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -622,7 +622,7 @@
         };
         let mut due: Vec<(usize, f64, TableNo, Vec<Share>)> = (0..users.len()).map(due).collect();
         due.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
-        let mut binds = None;
+        let (mut binds, mut late) = (None, 0.0);
         for (haste, _, table, mut changes) in due {
             if haste < 2 && binds.is_none() && queued > most * FILLED[0] {
                 let bound = self.binds(now, &mut queued, &mut spent);
@@ -651,6 +651,7 @@
             let cost = changes.len() as f64 + head;
             let full = queued + cost * users.len() as f64 > most * FILLED[2];
             let idle = changes.is_empty() && !gates;
+            late += if haste == 2 && full { cost * users.len() as f64 } else { 0.0 };
             if idle || full || !users.iter().all(|p| self.may_tell(now, *p, haste)) {
                 continue;
             }
@@ -664,6 +665,13 @@
             queued += cost * users.len() as f64;
             users.iter().for_each(|p| spent[*p] += cost);
         }
+        if late > 0.0 && self.state.reviewed == now {
+            let wait = (queued + late) / self.channel.lines_per_s;
+            let text = format!(
+                "removals wait: {late:.0} lines beyond {queued:.0} in the channel, {wait:.1} s at its pace"
+            );
+            orders.push(Order::Note { text });
+        }
         let binds = binds.unwrap_or_else(|| self.binds(now, &mut queued, &mut spent));
         orders.extend(binds.into_iter().map(|(proxy, table)| Order::Bind { proxy, table, routes: 0 }));
         orders.extend(self.state.mark_messages(now, &spent, self.channel.messages_over));
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -449,3 +449,19 @@
     );
     insta::assert_snapshot!(stage.trace);
 }
+
+#[test]
+fn removals_that_alone_pass_the_channel_are_told_to_those_on_call() {
+    let terms = Terms { zones: 1, proxies: 80, conns_least: 100.0, most_waiting: 600.0, ..terms() };
+    let mut stage = Stage::new(terms);
+    let joins: Vec<Event> = (0..80).map(|p| joined(p, 0, 3.0)).collect();
+    stage.at(0, &[&[kept(&[0; 40])], joins.as_slice()].concat());
+    let applied = |mark| (0..80).map(|proxy| Event::Applied { proxy, mark }).collect::<Vec<_>>();
+    (1..8).for_each(|round| stage.at(300 * round, &applied(round)));
+    stage.trace.clear();
+    let drains = (0..30).map(|s| entry(s, 0, Listed::Stopping, 1.0, None)).collect();
+    stage.at(2_200, &[Event::List { kind: ListKind::Changes, entries: drains }]);
+    stage.pass(2_300, 5_500);
+    stage.trace = stage.trace.lines().filter(|l| l.contains("removals wait")).collect::<Vec<_>>().join("\n");
+    insta::assert_snapshot!(stage.trace);
+}
