Lines of proxies that left count while a full channel could still hold them

It now counts for twice what a full channel takes to empty, from the start settings. The test has 3024 lines of 1000 without it.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -35,6 +35,8 @@
 const SHUNNED: (f64, f64) = (0.2, 2.0);
 /// Parts of the limit on waiting lines that ordinary changes, bindings and cold ones, removals may fill.
 const FILLED: [f64; 3] = [0.3, 0.85, 0.95];
+/// Lines for a proxy that has left count for so many times what a full channel takes to empty.
+const OUTLASTS: f64 = 2.0;
 /// What bounds a table's lines: the time in which the channel can hand all tables out anew, the part of a
 /// server's connections that all proxies may hold, the calls on a line while an idle connection is kept.
 const HANDED_OUT: Span = Span::millis(1_800);
@@ -173,6 +175,12 @@
                     self.sign(now, *server, if out { Recovered } else { Confirmed }, None);
                 }
             }
+            Event::Left { proxy } | Event::Joined { proxy, .. } => {
+                // Uncounted, what a mass reconnect left in the channel took it past its limit.
+                let pace = self.channel.most_waiting / self.channel.lines_per_s;
+                self.state.depart(*proxy, now + Span::of_seconds(OUTLASTS * pace));
+                self.state.note(event);
+            }
             _ => self.state.note(event),
         }
     }
@@ -605,6 +613,7 @@
     fn push(&mut self, now: Moment, orders: &mut Vec<Order>) {
         self.state.pushed = now;
         let most = self.channel.most_waiting;
+        self.state.departed.retain(|left| left.0 > now);
         // Marks tell what has arrived, so this holds however slow the channel has become.
         let mut queued = self.state.queued();
         let mut spent = vec![0.0; self.state.proxies.len()];
@@ -626,7 +635,7 @@
         for (haste, _, table, mut changes) in due {
             if haste < 2 && binds.is_none() && queued > most * FILLED[0] {
                 let bound = self.binds(now, &mut queued, &mut spent);
-                // What changes in their tables after this goes to them as well; uncounted it passed the limit.
+                // What changes in their tables after this goes to them too; uncounted it passed the limit.
                 bound.iter().for_each(|(proxy, table)| users[*table].push(*proxy));
                 binds = Some(bound);
             }
@@ -642,7 +651,7 @@
             let crowded = fits < changes.len() || queued > most * FILLED[0];
             if haste == 2 && crowded {
                 // Drains go alone: they were seen to wait for seconds behind the lines of cold servers. Where
-                // only cold lines would be left, one of them took all calls and was pushed over: some go along.
+                // only cold lines would be left, one took all calls and was pushed over: some go along.
                 let few = changes.iter().filter(|change| change.1 > 0.0).take(if stays { 0 } else { ALONG });
                 let along: BTreeSet<ServerIx> = few.map(|change| change.0).collect();
                 changes.retain(|change| change.1 <= 0.0 || along.contains(&change.0));
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -395,6 +395,8 @@
     /// Weight that one call a second keeps busy, as seen while the fleet was at ease.
     pub work: Option<f64>,
     pub mark: u64,
+    /// Lines for proxies that have left, and until when they count as waiting: nobody will confirm them.
+    pub departed: Vec<(Moment, f64)>,
     /// Servers to probe in this turn.
     pub ask: Vec<ServerIx>,
     pub notes: Vec<String>,
@@ -460,7 +462,14 @@
 
     /// Lines on their way to proxies, as far as is known.
     pub fn queued(&self) -> f64 {
-        self.proxies.iter().flat_map(|p| p.unapplied.iter().map(|sent| sent.1)).sum()
+        let held: f64 = self.proxies.iter().flat_map(|p| p.unapplied.iter().map(|sent| sent.1)).sum();
+        held + self.departed.iter().map(|left| left.1).sum::<f64>()
+    }
+
+    /// A proxy leaves, or comes anew: what was on its way stays in the channel for a while.
+    pub fn depart(&mut self, at: ProxyIx, until: Moment) {
+        let lines: f64 = self.proxy(at).unapplied.drain(..).map(|sent| sent.1).sum();
+        self.departed.extend((lines > 0.0).then_some((until, lines)));
     }
 
     /// The proxies that were given each table.
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -465,3 +465,23 @@
     stage.trace = stage.trace.lines().filter(|l| l.contains("removals wait")).collect::<Vec<_>>().join("\n");
     insta::assert_snapshot!(stage.trace);
 }
+
+#[test]
+fn what_a_mass_reconnect_leaves_in_the_channel_counts() {
+    // Found by a rule search (mass reconnect): lines for proxies that had left were forgotten while they still
+    // waited, and 5483 lines stood where 5400 may.
+    let terms = Terms { zones: 1, proxies: 40, conns_least: 100.0, most_waiting: 1000.0, ..terms() };
+    let mut stage = Stage::new(terms);
+    let joins: Vec<Event> = (0..40).map(|p| joined(p, 0, 3.0)).collect();
+    let leave: Vec<Event> = (0..40).map(|proxy| Event::Left { proxy }).collect();
+    stage.at(0, &[&[kept(&[0; 40])], joins.as_slice()].concat());
+    for round in 1..4 {
+        stage.at(200 * round, &leave);
+        stage.at(200 * round + 50, &joins);
+    }
+    let waits = waiting(&stage.trace, 0..40);
+    assert!(waits <= 1000.0, "{waits} lines wait within 650 ms, none of them confirmed");
+    stage.trace.clear();
+    stage.pass(1_000, 4_000);
+    assert!(stage.trace.contains("bind"), "when they can wait no longer there is room again");
+}
