--- a/crates/control/src/tables.rs
+++ b/crates/control/src/tables.rs
@@ -44,10 +44,6 @@
         self.followers.remove(&proxy);
     }
 
-    pub fn joined(&self, proxy: usize) -> bool {
-        self.followers.contains_key(&proxy)
-    }
-
     /// Takes the orders of one turn and gives the message for each proxy concerned.
     pub fn carry_out(
         &mut self,
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -135,10 +135,6 @@
         self.highest
     }
 
-    pub fn state(&self) -> State {
-        self.state
-    }
-
     pub fn due(&mut self, now: Moment) -> Vec<Told> {
         self.step(now, Due, String::new(), Vec::new())
     }
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -295,11 +295,9 @@
         }
         cold.window.push_back((row.at, row.x));
         cold.sum += row.x;
-        while let Some((at, work)) = cold.window.front().copied().filter(|f| f.0 <= row.at - self.facts.fall)
-        {
+        while let Some((_, work)) = cold.window.front().copied().filter(|f| f.0 <= row.at - self.facts.fall) {
             cold.window.pop_front();
             cold.sum -= work;
-            debug_assert!(at <= row.at);
         }
         let warmth =
             self.facts.cold_from + (1.0 - self.facts.cold_from) * age as f64 / self.facts.cold_for as f64;
--- a/crates/lab/src/bell.rs
+++ b/crates/lab/src/bell.rs
@@ -3,7 +3,9 @@
 use crate::record::{Kind, Row};
 use pewtergap_time::Moment;
 use std::net::SocketAddr;
-use std::sync::mpsc::Sender;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::Arc;
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Rung {
@@ -19,13 +21,32 @@
     Row(Row),
 }
 
+/// Rungs that may wait for the director. It hears them all the time; if they pass this it has stopped, and the
+/// stand-ins must not wait for it.
+const MOST_RUNGS: usize = 200_000;
+
 #[derive(Clone)]
-pub struct Bell(pub Sender<Rung>);
+pub struct Bell {
+    sender: SyncSender<Rung>,
+    lost: Arc<AtomicU64>,
+}
 
 impl Bell {
+    pub fn new() -> (Bell, Receiver<Rung>) {
+        let (sender, rungs) = sync_channel(MOST_RUNGS);
+        (Bell { sender, lost: Arc::default() }, rungs)
+    }
+
+    /// Rungs that found no room: what was recorded is then not whole.
+    pub fn lost(&self) -> u64 {
+        self.lost.load(Ordering::Relaxed)
+    }
+
     /// The director may be gone by the time somebody rings; nothing depends on it then.
     pub fn ring(&self, rung: Rung) {
-        let _ = self.0.send(rung);
+        if let Err(std::sync::mpsc::TrySendError::Full(_)) = self.sender.try_send(rung) {
+            self.lost.fetch_add(1, Ordering::Relaxed);
+        }
     }
 
     pub fn listens(&self, name: &str, at: SocketAddr) {
--- a/crates/lab/src/list.rs
+++ b/crates/lab/src/list.rs
@@ -32,7 +32,7 @@
     older_until: Moment,
     conns: BTreeMap<Link, Reader>,
     watches: Vec<Link>,
-    /// Watches are told a bookmark now and then.
+    /// The next change ends all watches in the middle of its line.
     tearing: bool,
 }
 
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{channel, Receiver};
+use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
 /// From a list change to the proxies' ACKs, by number of proxies.
@@ -133,8 +133,7 @@
     if kept.exists() {
         std::fs::remove_file(kept).map_err(told)?;
     }
-    let (sender, rungs) = channel();
-    let bell = Bell(sender);
+    let (bell, rungs) = Bell::new();
     let clock = Clock::default();
     // The list has a reactor of its own: proxies that are many would delay its word.
     let mut reactor = Reactor::new(clock, 8 << 20, dir.into()).map_err(told)?;
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -24,7 +24,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{channel, Receiver};
+use std::sync::mpsc::Receiver;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -149,15 +149,16 @@
     let told = |e: std::io::Error| format!("{}: {e}", play.dir.display());
     std::fs::create_dir_all(&play.dir).map_err(told)?;
     // What an earlier rehearsal left would be taken for this fleet's past: lists with other ports, and newer.
-    for left in std::fs::read_dir(&play.dir).map_err(told)?.flatten() {
-        let name = left.file_name().to_string_lossy().into_owned();
-        if name.ends_with(".list.json") || name.ends_with(".log") {
-            std::fs::remove_file(left.path()).map_err(told)?;
+    // Only files of our own parties go: the folder may be anybody's.
+    let day = play.day;
+    let ours = (0..day.planners).map(planner_name).chain((0..day.proxies).map(proxy_name));
+    for name in ours.flat_map(|name| [format!("{name}.list.json"), format!("{name}.log")]) {
+        match std::fs::remove_file(play.dir.join(name)) {
+            Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(told(e)),
+            _ => {}
         }
     }
-    let day = play.day;
-    let (sender, rungs) = channel();
-    let bell = Bell(sender);
+    let (bell, rungs) = Bell::new();
     let clock = Clock::default();
     let told = |e: std::io::Error| format!("the lab's reactor: {e}");
     let mut reactor = Reactor::new(clock, MOST_UNWRITTEN, play.dir.clone()).map_err(told)?;
@@ -205,6 +206,9 @@
     director.lab.end();
     let ended = thread.join().map_err(|_| "the lab's reactor failed".to_string())?.map_err(told)?;
     played?;
+    if director.bell.lost() > 0 {
+        return Err(format!("{} rows found no room, the recording is not whole", director.bell.lost()));
+    }
     let mut rows = director.finish();
     // The relay is the first node; its rows are the recording proper.
     let first = ended.1.into_iter().next().ok_or("the relay is missing")?;
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -158,12 +158,13 @@
     }
 
     fn row(&mut self, row: Row) {
+        if self.rows.len() >= MOST_ROWS {
+            return;
+        }
+        self.rows.push(row);
         if self.rows.len() == MOST_ROWS {
             self.bell.ring(Rung::Failed(format!("the recording is full at {MOST_ROWS} rows")));
         }
-        if self.rows.len() < MOST_ROWS {
-            self.rows.push(row);
-        }
     }
 
     fn listen(&mut self, at: usize, out: &mut Outbox) {
--- a/crates/proxy/src/tables.rs
+++ b/crates/proxy/src/tables.rs
@@ -48,10 +48,6 @@
         Tables { tables, bound: vec![Some(STANDING); routes], sender: Sender::default(), joined: None }
     }
 
-    pub fn is_standing(&self) -> bool {
-        self.sender.planner.is_empty()
-    }
-
     /// The table that a route follows.
     pub fn of(&self, route: usize) -> Option<(u32, &Table)> {
         let table = (*self.bound.get(route)?)?;
