Bindings and cold servers' removals wait for nothing but what is as urgent

Change: no levels along with removals beyond the ordinary part; bindings by the grace at the stated pace; lines that take a cold server out are as urgent as those that let it in.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -190,16 +190,16 @@
         }
     }
 
-    /// Lines that may wait once ordinary changes, bindings and cold ones, removals are written. What waits
+    /// Lines that may wait once ordinary changes, cold ones, removals and, last, bindings are written. What waits
     /// counts against the grace at the pace the channel has now: it was seen to stand long after it was slow.
-    fn claims(&self) -> [f64; 3] {
-        let most = self.channel.most_waiting;
+    /// Bindings are as urgent as what drains: behind a slow channel they stood still for 15 s.
+    fn claims(&self) -> [f64; 4] {
+        let (most, stated) = (self.channel.most_waiting, self.channel.lines_per_s.min(f64::MAX));
         let grace = self.pledge.drain_grace.seconds() - self.channel.longest_way.seconds();
         // No account keeps a grace that is shorter than the way; it would only stand still.
-        let grace = grace.max(PAUSE.1.seconds());
-        let pace = self.state.pace.unwrap_or(self.channel.lines_per_s).min(f64::MAX);
-        let in_time = (grace * pace).min(most);
-        [FILLED[0] * in_time, FILLED[1] * in_time, FILLED[2] * most]
+        let in_time = |pace: f64| (grace.max(PAUSE.1.seconds()) * pace).min(most);
+        let soon = in_time(self.state.pace.unwrap_or(stated).min(stated));
+        [FILLED[0] * soon, FILLED[1] * soon, FILLED[2] * most, FILLED[1] * in_time(stated)]
     }
 
     /// What a full channel takes to empty at its pace.
@@ -665,7 +665,7 @@
             let changes = deltas(&standing.lines, &self.state.wanted[table]);
             let haste = |(server, weight): &Share| match self.state.servers[*server].stand {
                 Stand::Gone | Draining | Out if *weight <= 0.0 => 2,
-                _ => usize::from(*weight > 0.0 && self.warmth(now, *server) == 0),
+                _ => usize::from(self.warmth(now, *server) == 0),
             };
             let haste = changes.iter().map(haste).max().unwrap_or(0);
             let moved: f64 = changes.iter().map(|(at, weight)| (weight - standing.weight(*at)).abs()).sum();
@@ -673,8 +673,8 @@
         };
         let mut due: Vec<(usize, f64, TableNo, Vec<Share>)> = (0..users.len()).map(due).collect();
         due.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
-        // What removals alone would take. Where that passes their claim no level goes along, and the smallest
-        // messages go first: so most proxies are told in time.
+        // What removals alone would take. Where that passes their claim the smallest messages go first: so most
+        // proxies are told in time. Levels do not go along once the channel holds more than ordinary lines may.
         let urgent = due.iter().filter(|due| due.0 == 2);
         let removals: f64 = urgent.map(|due| (due.3.len() as f64 + head) * users[due.2].len() as f64).sum();
         let jammed = queued + removals > claims[2];
@@ -695,7 +695,8 @@
             let users = &users[table];
             let stale = |at: usize| at != self.state.step && self.reach.throttle == Throttle::Fraction;
             let known = self.state.tables[table].gates;
-            let gates = known.is_none_or(|step| stale(step) && !jammed);
+            let crowded = jammed || queued > claims[0];
+            let gates = known.is_none_or(|step| stale(step) && !crowded);
             let head = head + if gates { self.routes.len() as f64 } else { 0.0 };
             let room = claims[haste] - queued;
             let fits = (room / users.len().max(1) as f64 - head).max(0.0) as usize;
@@ -758,7 +759,7 @@
             let standing = &self.state.tables[table];
             let gates = standing.gates.map_or(0, |_| self.routes.len());
             let cost = (standing.lines.len() + gates) as f64 + self.channel.head + 2.0;
-            let fits = *queued + cost < claims[1];
+            let fits = *queued + cost < claims[3];
             if !standing.lines.is_empty() && fits && self.may_tell(now, proxy, 2) {
                 binds.push((proxy, table));
                 spent[proxy] += cost;
