Cold servers' lines leave room for bindings; the proxy in two sides and a house of nodes

Change: cold lines may fill 0.6, bindings 0.85; those that let a cold server in go last where a table's changes are cut off. The proxy is split into the planner's side and a worker, with a board and nodes for several threads (not yet wired into the program).

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -83,6 +83,7 @@
     /// A link that was to be handed stays here: the other node's driver has no room, or has ended.
     HandedBack {
         link: Link,
+        to: Seat,
     },
     /// Another node of the house has left something in what both share. Knocks that come before the node
     /// has heard the first are one.
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -37,9 +37,9 @@
 const EVEN: f64 = 8.0;
 /// Part of all tries dropped from which proxies that shun servers would heap their calls on cold ones.
 const SHUNNED: (f64, f64) = (0.2, 2.0);
-/// Parts of the limit on waiting lines that ordinary changes, bindings and cold ones, removals may fill; the
-/// first two of no more than leaves in the grace of a removal that is ordered behind them.
-const FILLED: [f64; 3] = [0.3, 0.85, 0.95];
+/// Parts of the limit on waiting lines that ordinary changes, cold ones, removals and bindings may fill; of
+/// no more than leaves in the grace of a removal that is ordered behind them, removals themselves apart.
+const FILLED: [f64; 4] = [0.3, 0.6, 0.95, 0.85];
 /// Lines for a proxy that has left count for so many times what a full channel takes to empty.
 const OUTLASTS: f64 = 2.0;
 /// What bounds a table's lines: the time in which the channel can hand all tables out anew, the part of a
@@ -190,7 +190,7 @@
         }
     }
 
-    /// Lines that may wait once ordinary changes, cold ones, removals and, last, bindings are written. What waits
+    /// Lines that may wait once ordinary changes, cold ones, removals and bindings are written. What waits
     /// counts against the grace at the pace the channel has now: it was seen to stand long after it was slow.
     /// Bindings are as urgent as what drains: behind a slow channel they stood still for 15 s.
     fn claims(&self) -> [f64; 4] {
@@ -199,7 +199,7 @@
         // No account keeps a grace that is shorter than the way; it would only stand still.
         let in_time = |pace: f64| (grace.max(PAUSE.1.seconds()) * pace).min(most);
         let soon = in_time(self.state.pace.unwrap_or(stated).min(stated));
-        [FILLED[0] * soon, FILLED[1] * soon, FILLED[2] * most, FILLED[1] * in_time(stated)]
+        [FILLED[0] * soon, FILLED[1] * soon, FILLED[2] * most, FILLED[3] * in_time(stated)]
     }
 
     /// What a full channel takes to empty at its pace.
@@ -557,7 +557,8 @@
                     has += 1.0;
                 }
             }
-            // A part of cold servers alone was given all lines of its class; in a deploy these filled the channel.
+            // A part of cold servers alone was given all lines of its class: in a deploy these filled the
+            // channel.
             let seats = |at: ServerIx| parts.iter().filter(|part| part.servers.contains(&at)).count();
             let mut ripe: Vec<(usize, ServerIx)> = ripe.iter().map(|at| (seats(*at), *at)).collect();
             for part in parts {
@@ -673,8 +674,8 @@
         };
         let mut due: Vec<(usize, f64, TableNo, Vec<Share>)> = (0..users.len()).map(due).collect();
         due.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
-        // What removals alone would take. Where that passes their claim the smallest messages go first: so most
-        // proxies are told in time. Levels do not go along once the channel holds more than ordinary lines may.
+        // What removals alone would take. Where that passes their claim the smallest messages go first: so
+        // most proxies are told in time. Levels never go along beyond what ordinary lines may fill.
         let urgent = due.iter().filter(|due| due.0 == 2);
         let removals: f64 = urgent.map(|due| (due.3.len() as f64 + head) * users[due.2].len() as f64).sum();
         let jammed = queued + removals > claims[2];
@@ -711,6 +712,11 @@
                 let along: BTreeSet<ServerIx> = few.map(|change| change.0).collect();
                 changes.retain(|change| change.1 <= 0.0 || along.contains(&change.0));
             }
+            if haste < 2 && fits < changes.len() {
+                // What is cut off waits: a cold server's line ahead of warm ones had a quarter of a table.
+                let grows = |(at, weight): &Share| *weight > self.state.tables[table].weight(*at);
+                changes.sort_by_key(|change| grows(change) && !warm(change));
+            }
             // Removals go whole, unless even an empty channel could not take them.
             let whole = (claims[2] / users.len().max(1) as f64 - head).max(1.0) as usize;
             changes.truncate(if haste == 2 { whole } else { fits });
@@ -819,8 +825,8 @@
     }
 }
 
-/// Demand-weighted k-means, seeded by the heaviest proxies, with as few groups as the margin allows. While the
-/// seeds alone are far from it no means are taken: for a hundred parts these took a second of CPU.
+/// Demand-weighted k-means, seeded by the heaviest proxies, with as few groups as the margin allows. While
+/// the seeds alone are far from it no means are taken: for a hundred parts these took a second of CPU.
 fn group(members: &[Member]) -> Vec<usize> {
     let mut order: Vec<&Member> = members.iter().collect();
     order.sort_by(|a, b| b.demand.total_cmp(&a.demand));
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -476,8 +476,8 @@
     }
 
     /// Lines on their way to proxies, at most. While marks come back within the time a full channel takes to
-    /// empty, what they have not confirmed; beyond it all that was ordered after the oldest such message: once
-    /// streams have broken, later messages overtake those that stay.
+    /// empty, what they have not confirmed; beyond it all that was ordered after the oldest such message:
+    /// once streams have broken, later messages overtake those that stay.
     pub fn queued(&mut self, now: Moment, full: Span) -> f64 {
         self.departed.retain(|left| left.0 > now);
         let waiting = self.proxies.iter().flat_map(|p| &p.unapplied);
@@ -497,9 +497,9 @@
         self.arrived.extend(done.into_iter().map(|sent| (now, sent.2, sent.1)));
     }
 
-    /// Lines a second that the channel takes. Messages leave in the order they were ordered in: since the oldest
-    /// that may still stand in it the channel was never idle, and what arrived since tells how fast it is. One
-    /// that was overtaken a whole way ago is lost or its proxy stands still. `way`: there and back, at most.
+    /// Lines a second that the channel takes. Messages leave in the order they were ordered in: since the
+    /// oldest that may still stand in it the channel was never idle, and what arrived since tells how fast it
+    /// is. One that was overtaken a whole way ago is lost or its proxy stands still. `way`: there and back, at most.
     pub fn measure_pace(&mut self, now: Moment, way: Span, stated: f64) -> f64 {
         let old = |arrived: &&(Moment, Moment, f64)| now.since(arrived.0) > way;
         let left = self.arrived.iter().filter(old).map(|arrived| arrived.1).max();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,15 +4,23 @@
 //! levels say, tries again only when ordered and only on proof for what must not run twice, keeps away from a
 //! server after so many failures of its own in a row, and tells its planner what it met, in sums.
 //!
+//! On several cores [`house`] makes it of several nodes, docs/cores.md.
+//!
 //! Not in here: choosing servers by load, hedging, caching, HTTP/2, TLS.
 #![forbid(unsafe_code)]
 
+mod board;
 mod calls;
+mod house;
 mod node;
+mod orders;
 mod picks;
 mod servers;
 mod stream;
 pub mod tables;
+mod worker;
 
+pub use board::{least_busy, Board, Seen};
+pub use house::{house, FRONT};
 pub use node::{Front, Proxy, Route, Shunning, ENDED, NOT_RUN};
 pub use stream::Home;
--- a/crates/proxy/src/tables.rs
+++ b/crates/proxy/src/tables.rs
@@ -80,6 +80,12 @@
 
     /// Takes a message, all of it or nothing.
     pub fn apply(&mut self, update: &Update) -> Result<(), Refusal> {
+        *self = self.applied(update)?;
+        Ok(())
+    }
+
+    /// The tables as a message leaves them.
+    pub fn applied(&self, update: &Update) -> Result<Tables, Refusal> {
         let mut next = self.clone();
         if let Some(sender) = &next.joined {
             // Table numbers of two planners, or of two starts of one, have nothing to do with each other.
@@ -108,8 +114,7 @@
         }
         let Tables { tables, bound, .. } = &mut next;
         tables.retain(|table, _| bound.contains(&Some(*table)));
-        *self = next;
-        Ok(())
+        Ok(next)
     }
 
     fn change(&mut self, change: &TableChange) -> Result<(), Refusal> {
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -133,7 +133,7 @@
     Listening(u32, SocketAddr),
     NotListening(u32, String),
     File(String, Result<Vec<u8>, String>),
-    HandedBack(Link),
+    HandedBack(Link, Seat),
     Start,
     Stop,
     Reload,
@@ -295,7 +295,9 @@
             match told {
                 Told::End => self.exit = Some(self.exit.unwrap_or(0)),
                 Told::Link(place, stream, door) => {
-                    let Ok(from) = stream.peer_addr() else { continue };
+                    // One whose peer has gone is handed on all the same, so that both sides count alike.
+                    let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+                    let from = stream.peer_addr().unwrap_or(nowhere);
                     let link = self.slots[place.0].out.link();
                     self.admit(place.0, link, Conn::taken_over(stream));
                     self.give(place.0, Input::Accepted { link, door, from });
@@ -339,7 +341,7 @@
                     let bytes = bytes.as_deref().map_err(|why| why.clone());
                     self.give(place, Input::File { name: &name, bytes });
                 }
-                Pending::HandedBack(link) => self.give(place, Input::HandedBack { link }),
+                Pending::HandedBack(link, to) => self.give(place, Input::HandedBack { link, to }),
                 Pending::Start => self.give(place, Input::Start),
                 Pending::Stop => self.give(place, Input::Stop),
                 Pending::Reload => self.give(place, Input::Reload),
@@ -457,7 +459,7 @@
             Ok(()) => self.pending.push_back((place, Pending::Closed(link, Ended::Handed))),
             Err(stream) => {
                 self.admit(place, link, Conn::taken_over(stream));
-                self.pending.push_back((place, Pending::HandedBack(link)));
+                self.pending.push_back((place, Pending::HandedBack(link, to)));
             }
         }
     }
--- a/crates/reactor/tests/house.rs
+++ b/crates/reactor/tests/house.rs
@@ -43,7 +43,7 @@
                 return;
             }
             Input::Closed { why, .. } => format!("{why:?}"),
-            Input::HandedBack { link } => {
+            Input::HandedBack { link, .. } => {
                 out.finish(link);
                 "handed back".into()
             }
