The planted long queue believes in a pace it does not have

Cause: what may wait is reckoned from the pace since the channel's account, so a planner with a limit a thousand times too high alone no longer let a queue grow, and the planted break was not found.

--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -493,6 +493,9 @@
         if self.play.plant == Some(Plant::LongQueue) && at == 0 {
             let limit = format!("most_waiting = {}", self.play.day.channel.most_waiting);
             text = text.replace(&limit, &format!("{limit}000"));
+            // What may wait is reckoned from the pace as well: this planner believes in one it does not have.
+            let pace = format!("lines_per_s = {}", self.play.day.channel.lines_per_s);
+            text = text.replace(&pace, &format!("{pace}000"));
         }
         let party = match self.play.plant {
             Some(plant) if plant != Plant::Repeat && at == 0 => {
