--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -139,7 +139,7 @@
     Cut {
         link: Link,
     },
-    /// Give a link that came in, and of which nothing was read, to another node of the house: that one has it
+    /// Give a link that came in, on which nothing was read or sent, to another node of the house: that one has it
     /// as `Accepted` at the same door, here it ends as `Handed`.
     Hand {
         link: Link,
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -11,7 +11,7 @@
 const PERIOD: Span = Span::millis(3_000);
 const REVIEW: Span = Span::millis(2_500);
 const CLOSE: Span = Span::millis(1_250);
-/// Levels open one step in so long: opened faster, they swung and cost service in every kind of fleet.
+/// Levels open one step in so long: opened faster, they swung and cost service wherever the wire has them.
 const OPEN: Span = Span::millis(5_000);
 const REBIND: Span = Span::millis(60_000);
 /// Plans keep this far apart for each proxy, up to a limit: lines that go out together share a head.
@@ -193,13 +193,13 @@
     /// Lines that may wait once ordinary changes, cold ones, removals and bindings are written. What waits
     /// counts against the grace at the pace the channel has now: it was seen to stand long after it was slow.
     /// Bindings are as urgent as what drains: behind a slow channel they stood still for 15 s.
-    fn claims(&self) -> [f64; 4] {
-        let (most, stated) = (self.channel.most_waiting, self.channel.lines_per_s.min(f64::MAX));
+    fn claims(&self, pace: f64) -> [f64; 4] {
+        let most = self.channel.most_waiting;
         let grace = self.pledge.drain_grace.seconds() - self.channel.longest_way.seconds();
         // No account keeps a grace that is shorter than the way; it would only stand still.
         let in_time = |pace: f64| (grace.max(PAUSE.1.seconds()) * pace).min(most);
-        let soon = in_time(self.state.pace.unwrap_or(stated).min(stated));
-        [FILLED[0] * soon, FILLED[1] * soon, FILLED[2] * most, FILLED[3] * in_time(stated)]
+        let (soon, usually) = (in_time(pace), in_time(self.channel.lines_per_s));
+        [FILLED[0] * soon, FILLED[1] * soon, FILLED[2] * most, FILLED[3] * usually]
     }
 
     /// What a full channel takes to empty at its pace.
@@ -652,9 +652,9 @@
     }
 
     fn push(&mut self, now: Moment, orders: &mut Vec<Order>) {
-        let (way, stated) = (self.channel.longest_way.times(2.0), self.channel.lines_per_s);
-        let pace = self.state.measure_pace(now, way, stated);
-        let claims = self.claims();
+        let there_and_back = self.channel.longest_way.times(2.0);
+        let pace = self.state.measure_pace(now, there_and_back, self.channel.lines_per_s);
+        let claims = self.claims(pace);
         self.state.pushed = now;
         // Marks tell what has arrived, so this holds however slow the channel has become.
         let mut queued = self.state.queued(now, self.empties());
@@ -676,28 +676,26 @@
         due.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
         // What removals alone would take. Where that passes their claim the smallest messages go first: so
         // most proxies are told in time. Levels never go along beyond what ordinary lines may fill.
+        let gone = |changes: &[Share]| changes.iter().filter(|change| change.1 <= 0.0).count();
         let urgent = due.iter().filter(|due| due.0 == 2);
-        let removals: f64 = urgent.map(|due| (due.3.len() as f64 + head) * users[due.2].len() as f64).sum();
+        let removals: f64 = urgent.map(|due| (gone(&due.3) as f64 + head) * users[due.2].len() as f64).sum();
         let jammed = queued + removals > claims[2];
         if jammed {
-            due.sort_by_key(|due| if due.0 == 2 { due.3.len() } else { usize::MAX });
+            due.sort_by_key(|due| if due.0 == 2 { gone(&due.3) } else { usize::MAX });
         }
         let (mut binds, mut late) = (None, 0.0);
         for (haste, _, table, mut changes) in due {
             if haste < 2 && binds.is_none() && queued > claims[0] {
-                let bound = self.binds(now, &mut queued, &mut spent);
+                let bound = self.binds(now, claims[3], &mut queued, &mut spent);
                 // What changes in their tables after this goes to them too; uncounted it passed the limit.
-                for (proxy, table) in &bound {
-                    users.iter_mut().for_each(|users| users.retain(|user| user != proxy));
-                    users[*table].push(*proxy);
-                }
+                bound.iter().for_each(|(proxy, table)| users[*table].push(*proxy));
                 binds = Some(bound);
             }
             let users = &users[table];
             let stale = |at: usize| at != self.state.step && self.reach.throttle == Throttle::Fraction;
             let known = self.state.tables[table].gates;
-            let crowded = jammed || queued > claims[0];
-            let gates = known.is_none_or(|step| stale(step) && !crowded);
+            let filled = jammed || queued > claims[0];
+            let gates = known.is_none_or(|step| stale(step) && !filled);
             let head = head + if gates { self.routes.len() as f64 } else { 0.0 };
             let room = claims[haste] - queued;
             let fits = (room / users.len().max(1) as f64 - head).max(0.0) as usize;
@@ -744,7 +742,7 @@
             );
             orders.push(Order::Note { text });
         }
-        let binds = binds.unwrap_or_else(|| self.binds(now, &mut queued, &mut spent));
+        let binds = binds.unwrap_or_else(|| self.binds(now, claims[3], &mut queued, &mut spent));
         for (proxy, table) in binds {
             let given = &mut self.state.proxies[proxy];
             (given.bound, given.holds) = (Some(now), Some(table));
@@ -755,17 +753,17 @@
 
     /// Whom to hand a table, longest joined first: behind a cut, proxies kept what has drained meanwhile, and
     /// were seen to wait for it behind cold servers' lines. In a filled channel their room is taken first.
-    fn binds(&self, now: Moment, queued: &mut f64, spent: &mut [f64]) -> Vec<(ProxyIx, TableNo)> {
+    fn binds(&self, now: Moment, most: f64, queued: &mut f64, spent: &mut [f64]) -> Vec<(ProxyIx, TableNo)> {
         let waits = |at: &ProxyIx| self.state.proxies[*at].bound.is_none();
         let mut waiting: Vec<ProxyIx> = (0..spent.len()).filter(waits).collect();
         waiting.sort_by_key(|at| self.state.proxies[*at].joins);
-        let (mut binds, claims) = (Vec::new(), self.claims());
+        let mut binds = Vec::new();
         for proxy in waiting {
             let Some(table) = self.state.table(&self.state.proxies[proxy]) else { continue };
             let standing = &self.state.tables[table];
             let gates = standing.gates.map_or(0, |_| self.routes.len());
             let cost = (standing.lines.len() + gates) as f64 + self.channel.head + 2.0;
-            let fits = *queued + cost < claims[3];
+            let fits = *queued + cost < most;
             if !standing.lines.is_empty() && fits && self.may_tell(now, proxy, 2) {
                 binds.push((proxy, table));
                 spent[proxy] += cost;
@@ -826,7 +824,7 @@
 }
 
 /// Demand-weighted k-means, seeded by the heaviest proxies, with as few groups as the margin allows. While
-/// the seeds alone are far from it no means are taken: for a hundred parts these took a second of CPU.
+/// the seeds alone are far from it no means are taken: for a hundred parts these took most of a second.
 fn group(members: &[Member]) -> Vec<usize> {
     let mut order: Vec<&Member> = members.iter().collect();
     order.sort_by(|a, b| b.demand.total_cmp(&a.demand));
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -465,7 +465,8 @@
     /// Marks the messages of a turn, by what each proxy's costs, so that their arrival will be told.
     pub fn mark_messages(&mut self, now: Moment, costs: &[f64], kept: Span) -> Option<Order> {
         let mark = (self.mark + 1) % 65_536;
-        self.ordered.push((now, costs.iter().sum()));
+        let lines: f64 = costs.iter().sum();
+        self.ordered.extend((lines > 0.0).then_some((now, lines)));
         for (proxy, cost) in self.proxies.iter_mut().zip(costs).filter(|(_, cost)| **cost > 0.0) {
             self.mark = mark;
             proxy.unapplied.push((mark, *cost, now));
@@ -499,7 +500,7 @@
 
     /// Lines a second that the channel takes. Messages leave in the order they were ordered in: since the
     /// oldest that may still stand in it the channel was never idle, and what arrived since tells how fast it
-    /// is. One that was overtaken a whole way ago is lost or its proxy stands still. `way`: there and back, at most.
+    /// is. One that was overtaken a whole way ago is lost or its proxy stands still. `way`: there and back.
     pub fn measure_pace(&mut self, now: Moment, way: Span, stated: f64) -> f64 {
         let old = |arrived: &&(Moment, Moment, f64)| now.since(arrived.0) > way;
         let left = self.arrived.iter().filter(old).map(|arrived| arrived.1).max();
--- a/crates/proxy/src/house.rs
+++ b/crates/proxy/src/house.rs
@@ -1,12 +1,12 @@
 //! The proxy as several nodes of one house: a front that lets clients in and speaks to the planner, and
-//! workers that serve calls. docs/cores.md has why.
+//! workers that serve calls. The program does not start it yet. One thread lets in and hands over, rather than
+//! each worker from a listener of its own, so that a worker that stands still gets no new clients.
 
 use crate::board::{least_busy, Board, Seen};
-use crate::node::{CLIENTS, HOUSEKEEPING};
-use crate::orders::{timer, Orders};
+use crate::orders::{timer, told_of_door, Orders, CLIENTS, HOUSEKEEPING};
 use crate::stream::Home;
 use crate::tables::Tables;
-use crate::worker::{self, Worker};
+use crate::worker::Worker;
 use crate::{Front, Route, Shunning};
 use pewtergap_node::{Effect, Input, Level as LogLevel, Node, Outbox, Seat};
 use pewtergap_time::{Moment, Span};
@@ -78,21 +78,13 @@
     }
 
     fn due(&mut self, now: Moment, timer: u64, out: &mut Outbox) {
-        match timer {
-            timer::DIAL => self.orders.dial(now, out),
-            timer::REPORT => {
-                if self.orders.report_due(now, out) {
-                    let (rows, arrivals) = self.board.take_counted(self.routes);
-                    self.orders.report(now, rows, &arrivals, out);
-                }
-            }
-            timer::HOUSEKEEPING => {
-                out.wake(timer::HOUSEKEEPING, now + HOUSEKEEPING);
-                self.orders.check_stream(now, out);
-            }
-            timer::PATIENCE => self.orders.check_stream(now, out),
-            // Workers that stand still are not waited for any longer than their calls could last.
-            _ => out.push(Effect::Exit { code: 0 }),
+        if self.orders.due(now, timer, out) {
+            let (rows, arrivals) = self.board.take_counted(self.routes);
+            self.orders.report(now, rows, &arrivals, out);
+        }
+        // Workers that stand still are not waited for any longer than their calls could last.
+        if timer == timer::STOP {
+            out.push(Effect::Exit { code: 0 });
         }
     }
 }
@@ -100,19 +92,8 @@
 impl Node for Porter {
     fn handle(&mut self, now: Moment, input: Input<'_>, out: &mut Outbox) {
         match input {
-            Input::Start => {
-                out.push(Effect::Listen { door: CLIENTS, at: self.front.listen });
-                out.wake(timer::HOUSEKEEPING, now + HOUSEKEEPING);
-                self.orders.dial(now, out);
-            }
-            Input::Listening { at, .. } => {
-                let fields = vec![("door", "clients".into()), ("at", at.to_string())];
-                out.log(LogLevel::Info, "listening", fields);
-            }
-            Input::NotListening { why, .. } => {
-                out.log(LogLevel::Error, "not_listening", vec![("why", why)]);
-                out.push(Effect::Exit { code: 3 });
-            }
+            Input::Start => self.orders.start(now, self.front.listen, out),
+            Input::Listening { .. } | Input::NotListening { .. } => told_of_door(&input, out),
             Input::Accepted { link, .. } => {
                 let seen = self.handed.iter().enumerate().map(|(at, handed)| (self.board.seen(at), *handed));
                 let seen: Vec<(Seen, u64)> = seen.collect();
@@ -143,7 +124,7 @@
                 self.board.stop();
                 self.knock(out);
                 out.push(Effect::Unlisten { door: CLIENTS });
-                out.wake(worker::CALLS, now + self.longest + HOUSEKEEPING);
+                out.wake(timer::STOP, now + self.longest + HOUSEKEEPING);
             }
             _ => {}
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,7 +4,7 @@
 //! levels say, tries again only when ordered and only on proof for what must not run twice, keeps away from a
 //! server after so many failures of its own in a row, and tells its planner what it met, in sums.
 //!
-//! On several cores [`house`] makes it of several nodes, docs/cores.md.
+//! For several cores [`house`] makes it of several nodes.
 //!
 //! Not in here: choosing servers by load, hedging, caching, HTTP/2, TLS.
 #![forbid(unsafe_code)]
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -1,10 +1,10 @@
 //! The proxy as one node: the planner's side and one worker.
 
-use crate::orders::{timer, Orders};
+use crate::orders::{timer, told_of_door, Orders, CLIENTS};
 use crate::stream::Home;
 use crate::tables::Tables;
-use crate::worker::{self, Worker};
-use pewtergap_node::{Effect, Input, Level as LogLevel, Node, Outbox};
+use crate::worker::Worker;
+use pewtergap_node::{Effect, Input, Node, Outbox};
 use pewtergap_time::{Moment, Span};
 use std::any::Any;
 use std::net::{IpAddr, SocketAddr};
@@ -40,9 +40,6 @@
 /// How a call ended here, when the proxy answered itself.
 pub const ENDED: &str = "x-pewtergap-ended";
 
-pub(crate) const CLIENTS: u32 = 0;
-pub(crate) const HOUSEKEEPING: Span = Span::millis(250);
-
 pub struct Proxy {
     front: Front,
     orders: Orders,
@@ -84,20 +81,12 @@
     }
 
     fn due(&mut self, now: Moment, timer: u64, out: &mut Outbox) {
+        if self.orders.due(now, timer, out) {
+            let (rows, arrivals) = self.worker.counted();
+            self.orders.report(now, rows, &arrivals, out);
+        }
         match timer {
-            timer::DIAL => self.orders.dial(now, out),
-            timer::REPORT => {
-                if self.orders.report_due(now, out) {
-                    let (rows, arrivals) = self.worker.counted();
-                    self.orders.report(now, rows, &arrivals, out);
-                }
-            }
-            timer::HOUSEKEEPING => {
-                out.wake(timer::HOUSEKEEPING, now + HOUSEKEEPING);
-                self.worker.reap(now, out);
-                self.orders.check_stream(now, out);
-            }
-            timer::PATIENCE => self.orders.check_stream(now, out),
+            timer::HOUSEKEEPING => self.worker.reap(now, out),
             id => self.worker.due(now, id, out),
         }
     }
@@ -106,19 +95,8 @@
 impl Node for Proxy {
     fn handle(&mut self, now: Moment, input: Input<'_>, out: &mut Outbox) {
         match input {
-            Input::Start => {
-                out.push(Effect::Listen { door: CLIENTS, at: self.front.listen });
-                out.wake(timer::HOUSEKEEPING, now + HOUSEKEEPING);
-                self.orders.dial(now, out);
-            }
-            Input::Listening { at, .. } => {
-                let fields = vec![("door", "clients".into()), ("at", at.to_string())];
-                out.log(LogLevel::Info, "listening", fields);
-            }
-            Input::NotListening { why, .. } => {
-                out.log(LogLevel::Error, "not_listening", vec![("why", why)]);
-                out.push(Effect::Exit { code: 3 });
-            }
+            Input::Start => self.orders.start(now, self.front.listen, out),
+            Input::Listening { .. } | Input::NotListening { .. } => told_of_door(&input, out),
             Input::Accepted { link, .. } => self.worker.accepted(link, out),
             Input::Opened { link } if self.orders.is_link(link) => self.orders.opened(now, out),
             Input::Opened { .. } => {}
@@ -137,7 +115,7 @@
                 self.orders.stop();
                 out.push(Effect::Unlisten { door: CLIENTS });
                 let wait = if self.worker.idle() { Span::millis(50) } else { self.worker.longest() };
-                out.wake(worker::CALLS - 1, now + wait);
+                out.wake(timer::STOP, now + wait);
             }
             Input::Stop | Input::Reload | Input::Word(_) | Input::File { .. } => {}
             Input::Knocked | Input::HandedBack { .. } => {}
--- a/crates/proxy/src/orders.rs
+++ b/crates/proxy/src/orders.rs
@@ -4,13 +4,13 @@
 use crate::tables::Tables;
 use crate::worker::Arrival;
 use crate::Route;
-use pewtergap_node::{Level as LogLevel, Link, Outbox};
+use pewtergap_node::{Effect, Input, Level as LogLevel, Link, Outbox};
 use pewtergap_protocol::{
     down, encode, up, Ack, Arrivals, Arrived, Beat, Hello, Nack, Sum, Sums, Up, VERSION,
 };
 use pewtergap_time::{Moment, Span};
 use std::collections::VecDeque;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 pub mod timer {
@@ -19,6 +19,26 @@
     pub const REPORT: u64 = 2;
     pub const HOUSEKEEPING: u64 = 3;
     pub const PATIENCE: u64 = 4;
+    /// The proxy is told to end: calls under way have had their time.
+    pub const STOP: u64 = 5;
+}
+
+/// The door that clients come in at.
+pub const CLIENTS: u32 = 0;
+pub const HOUSEKEEPING: Span = Span::millis(250);
+
+pub fn told_of_door(input: &Input<'_>, out: &mut Outbox) {
+    match input {
+        Input::Listening { at, .. } => {
+            let fields = vec![("door", "clients".into()), ("at", at.to_string())];
+            out.log(LogLevel::Info, "listening", fields);
+        }
+        Input::NotListening { why, .. } => {
+            out.log(LogLevel::Error, "not_listening", vec![("why", why.clone())]);
+            out.push(Effect::Exit { code: 3 });
+        }
+        _ => {}
+    }
 }
 
 /// Messages that not all workers follow yet; a planner that sends more is not waited for.
@@ -104,10 +124,30 @@
         self.stream_sign(now, Sign::Lost, out);
     }
 
-    pub fn dial(&mut self, now: Moment, out: &mut Outbox) {
+    pub fn start(&mut self, now: Moment, listen: SocketAddr, out: &mut Outbox) {
+        out.push(Effect::Listen { door: CLIENTS, at: listen });
+        out.wake(timer::HOUSEKEEPING, now + HOUSEKEEPING);
         self.stream_sign(now, Sign::Due, out);
     }
 
+    /// A timer; whether a planner is to be told what was counted.
+    pub fn due(&mut self, now: Moment, timer: u64, out: &mut Outbox) -> bool {
+        match timer {
+            timer::DIAL => self.stream_sign(now, Sign::Due, out),
+            timer::HOUSEKEEPING => {
+                out.wake(timer::HOUSEKEEPING, now + HOUSEKEEPING);
+                self.check_stream(now, out);
+            }
+            timer::PATIENCE => self.check_stream(now, out),
+            timer::REPORT => {
+                out.wake(timer::REPORT, now + self.stream.every);
+                return self.joined();
+            }
+            _ => {}
+        }
+        false
+    }
+
     fn stream_sign(&mut self, now: Moment, sign: Sign, out: &mut Outbox) {
         let Some((step, wait)) = self.stream.step(sign, self.rng.f64()) else { return };
         match step {
@@ -242,12 +282,6 @@
         }
     }
 
-    /// Time to report; whether a planner wants to hear.
-    pub fn report_due(&mut self, now: Moment, out: &mut Outbox) -> bool {
-        out.wake(timer::REPORT, now + self.stream.every);
-        self.joined()
-    }
-
     pub fn report(&mut self, now: Moment, rows: Vec<Sum>, arrivals: &[Arrival], out: &mut Outbox) {
         let over_us = now.since(self.reported).0 / 1_000;
         self.reported = now;
@@ -267,7 +301,7 @@
         }
     }
 
-    pub fn check_stream(&mut self, now: Moment, out: &mut Outbox) {
+    fn check_stream(&mut self, now: Moment, out: &mut Outbox) {
         if self.stream.overdue(now) {
             out.log(LogLevel::Warn, "stream_silent", Vec::new());
             self.stream_sign(now, Sign::Lost, out);
