Planner on the platform's protocol: RESP2 wire, platform node, pewtergap node

The users' platform starts real planners; the program could be reached by its own protocol only. Added: resp (reader, writer and messages of the wire), platform (node beside control::Service: door, streams, discovery, probes), start (benchlink's reader of the start settings, moved, now for both).

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -1,6 +1,5 @@
 //! The wire, line by line: batches of events in, one reply out. No decision is taken here.
 
-use crate::start;
 use pewtergap_planner::door::Door;
 use pewtergap_planner::{
     Entry, Event, ListKind, Listed, Load, Moment, Order, Planner, ProbeEnd, Resend, Span,
@@ -243,7 +242,9 @@
         for more in fields.parts.by_ref() {
             text = text + "\t" + more;
         }
-        let start = start::read(&text)?;
+        let start = serde_json::from_str(&text).map_err(|e| e.to_string());
+        let start = start.and_then(|text| pewtergap_start::read(&text));
+        let start = start.map_err(|e| format!("field BootInfo: {e}"))?;
         let slices = start.slicing.slices > 0;
         let planner = Planner::new(
             now,
--- a/crates/control/src/probes.rs
+++ b/crates/control/src/probes.rs
@@ -16,13 +16,20 @@
     /// No answer by then is silence.
     pub within: Span,
     pub most_open: usize,
+    /// Names of utilization and of calls in hand, where the report comes as the answer's body; without them it
+    /// comes in the header.
+    pub in_body: Option<(String, String)>,
 }
 
+/// Bytes of a report that are read.
+const MOST_REPORT: usize = 4 * 1024;
+
 struct Open {
     server: usize,
     until: Moment,
     reader: Reader,
     heard: Option<(ProbeEnd, Load)>,
+    body: Vec<u8>,
 }
 
 pub struct Probes {
@@ -51,7 +58,7 @@
     pub fn begin(&mut self, now: Moment, server: usize, link: Link) -> Moment {
         let until = now + self.asked.within;
         let reader = Reader::new(Side::Answers, Bounds::default());
-        self.open.insert(link, Open { server, until, reader, heard: None });
+        self.open.insert(link, Open { server, until, reader, heard: None, body: Vec::new() });
         until
     }
 
@@ -82,8 +89,19 @@
                     };
                     open.heard = Some((end, Load { util: report.util, in_hand: report.in_hand }));
                 }
-                Ok(Some(Part::Data(_))) => {}
-                Ok(Some(Part::End)) => return self.end(link, ProbeEnd::Erring),
+                Ok(Some(Part::Data(data))) => {
+                    if self.asked.in_body.is_some() && open.body.len() + data.len() <= MOST_REPORT {
+                        open.body.extend(data);
+                    }
+                }
+                Ok(Some(Part::End)) => {
+                    if let (Some((util, in_hand)), Some(heard)) = (&self.asked.in_body, &mut open.heard) {
+                        let text = String::from_utf8_lossy(&open.body);
+                        let report = LoadReport::read_as(&text, util, in_hand);
+                        heard.1 = Load { util: report.util, in_hand: report.in_hand };
+                    }
+                    return self.end(link, ProbeEnd::Erring);
+                }
                 Ok(None) => return None,
                 Err(_) => return self.end(link, ProbeEnd::Erring),
             }
--- /dev/null
+++ b/crates/pewtergap/src/fronts.rs
@@ -0,0 +1,93 @@
+//! The fronts by scripts and the rehearsal kit.
+
+use crate::{drive, Ended, MOST_UNWRITTEN};
+use clap::Subcommand;
+use pewtergap_reactor::Clock;
+use pewtergap_settings::{proxy_file, run, service_file, Faults, Script};
+use std::path::Path;
+
+#[derive(Subcommand)]
+pub enum Measured {
+    /// From a list change to the last proxy's ACK, by number of proxies; streams only, no calls.
+    Order {
+        #[arg(long, value_delimiter = ',', default_value = "10,100,1000")]
+        proxies: Vec<usize>,
+        #[arg(long, default_value_t = 20)]
+        rounds: usize,
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+pub fn planner(file: &Path, announce: bool) -> Ended {
+    let file = service_file(&load(file)?).map_err(wrong)?;
+    let dir = file.dir.clone();
+    let clock = Clock::default();
+    drive(clock, Box::new(file.service(clock.now(), clock.now().0)), dir, announce, MOST_UNWRITTEN)
+}
+
+pub fn proxy(file: &Path, announce: bool) -> Ended {
+    let file = proxy_file(&load(file)?).map_err(wrong)?;
+    let dir = file.dir.clone();
+    let clock = Clock::default();
+    drive(clock, Box::new(file.proxy(clock.now().0)), dir, announce, MOST_UNWRITTEN)
+}
+
+pub fn measure(what: Measured) -> Ended {
+    let Measured::Order { proxies, rounds, json } = what;
+    order(&proxies, rounds, json)
+}
+
+fn wrong(faults: Faults) -> (u8, String) {
+    (2, faults.to_string())
+}
+
+fn load(file: &Path) -> Result<Script, (u8, String)> {
+    let text = std::fs::read_to_string(file).map_err(|e| (2, format!("{}: {e}", file.display())))?;
+    run(&file.display().to_string(), &text).map_err(wrong)
+}
+
+pub fn check(file: &Path) -> Ended {
+    let script = load(file)?;
+    let what = match script.kind() {
+        "service" => service_file(&script).map(|file| format!("a planner, {}", file.charge.name)),
+        "proxy" => proxy_file(&script).map(|file| format!("a proxy, {}", file.home.name)),
+        _ => {
+            let text = std::fs::read_to_string(file).map_err(|e| (2, e.to_string()))?;
+            pewtergap_lab::day::Day::read(&file.display().to_string(), &text)
+                .map(|day| format!("a day, {}", day.name))
+        }
+    };
+    println!("{}: fine: {}", file.display(), what.map_err(wrong)?);
+    Ok(0)
+}
+
+fn order(counts: &[usize], rounds: usize, json: bool) -> Ended {
+    let program = std::env::current_exe().map_err(|e| (3, e.to_string()))?;
+    let dir = std::env::temp_dir().join(format!("pewtergap-measure-{}", std::process::id()));
+    if !json {
+        println!("proxies  rounds  last ACK p50, worst  each ACK p50, p99  all joined  channel's pace  CPU a round  a stream");
+    }
+    for proxies in counts {
+        let m = pewtergap_lab::measure::order_to_effect(&program, &dir, *proxies, rounds)
+            .map_err(|e| (3, format!("the measurement failed: {e}")))?;
+        if json {
+            println!("{}", serde_json::to_string(&m).unwrap_or_default());
+            continue;
+        }
+        println!(
+            "{:>7}  {:>6}  {:>7.1} ms, {:>6.1}  {:>7.1} ms, {:>5.1}  {:>7.0} ms  {:>11.1} ms  {:>8.1} ms  {:.1} KiB",
+            m.proxies,
+            m.rounds,
+            m.last_p50_ms,
+            m.last_worst_ms,
+            m.each_p50_ms,
+            m.each_p99_ms,
+            m.join_all_ms,
+            m.pace_ms,
+            m.planner_cpu_ms_a_round,
+            m.planner_kib_a_stream
+        );
+    }
+    Ok(0)
+}
--- /dev/null
+++ b/crates/platform/src/discovery.rs
@@ -0,0 +1,154 @@
+//! Follows discovery: the whole list, then watches on a kept connection, each going on at once.
+//!
+//! What goes wrong ends the connection; the next one begins with the whole list, which repairs whatever was
+//! missed. No wait is so long that a change could count as told while a silent connection is still waited on.
+
+use pewtergap_http::{request, Bounds, Part, Reader, Side};
+use pewtergap_node::{Link, Outbox};
+use pewtergap_time::{Moment, Span};
+use std::net::SocketAddr;
+
+/// What a watch asks to be held for.
+const WATCH: Span = Span::millis(1_500);
+/// For an answer beyond that, and for one that should come at once.
+const ANSWER: Span = Span::millis(700);
+const DIAL: Span = Span::millis(500);
+/// Between attempts: the first, and the longest.
+const BACK_OFF: (Span, Span) = (Span::millis(40), Span::millis(640));
+const BOUNDS: Bounds = Bounds { head: 16 * 1024, body: 4 * 1024 * 1024 };
+const PATH: &str = "/discovery/hosts";
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Until it is time to dial.
+    Resting,
+    Dialling,
+    /// The whole list is asked for; changes are.
+    Listing,
+    Watching,
+}
+
+pub struct Discovery {
+    at: SocketAddr,
+    phase: Phase,
+    until: Moment,
+    link: Option<Link>,
+    reader: Reader,
+    body: Vec<u8>,
+    status: u16,
+    failures: i32,
+}
+
+impl Discovery {
+    pub fn new(at: SocketAddr) -> Discovery {
+        Discovery {
+            at,
+            phase: Phase::Resting,
+            until: Moment(0),
+            link: None,
+            reader: Reader::new(Side::Answers, BOUNDS),
+            body: Vec::new(),
+            status: 0,
+            failures: 0,
+        }
+    }
+
+    pub fn at(&self) -> SocketAddr {
+        self.at
+    }
+
+    pub fn has(&self, link: Link) -> bool {
+        self.link == Some(link)
+    }
+
+    /// When to look again.
+    pub fn until(&self) -> Moment {
+        self.until
+    }
+
+    /// Discovery is at another address now.
+    pub fn move_to(&mut self, now: Moment, at: SocketAddr, out: &mut Outbox) {
+        self.drop_link(out);
+        (self.at, self.failures) = (at, 0);
+        self.dial(now, out);
+    }
+
+    fn drop_link(&mut self, out: &mut Outbox) {
+        if let Some(link) = self.link.take() {
+            out.cut(link);
+        }
+    }
+
+    fn dial(&mut self, now: Moment, out: &mut Outbox) {
+        self.link = Some(out.connect(self.at, None));
+        (self.phase, self.until) = (Phase::Dialling, now + DIAL);
+        self.reader = Reader::new(Side::Answers, BOUNDS);
+        self.body = Vec::new();
+    }
+
+    /// Its time is up: dial, or give up what does not come. Says what was given up.
+    pub fn due(&mut self, now: Moment, out: &mut Outbox) -> Option<&'static str> {
+        if now < self.until {
+            return None;
+        }
+        match self.phase {
+            Phase::Resting => {
+                self.dial(now, out);
+                None
+            }
+            Phase::Dialling => self.fail(now, "no connection in time", out),
+            Phase::Listing | Phase::Watching => self.fail(now, "no answer in time", out),
+        }
+    }
+
+    pub fn fail(&mut self, now: Moment, why: &'static str, out: &mut Outbox) -> Option<&'static str> {
+        self.drop_link(out);
+        let rest = BACK_OFF.0.times(2f64.powi(self.failures.min(16))).min(BACK_OFF.1);
+        self.failures += 1;
+        (self.phase, self.until) = (Phase::Resting, now + rest);
+        Some(why)
+    }
+
+    pub fn opened(&mut self, now: Moment, out: &mut Outbox) {
+        self.ask(now, PATH.to_string(), Phase::Listing, ANSWER, out);
+    }
+
+    /// Goes on with a watch for what is newer.
+    pub fn watch(&mut self, now: Moment, since: u64, out: &mut Outbox) {
+        let target = format!("{PATH}?since={since}&timeout_ms={}", WATCH.0 / 1_000_000);
+        self.ask(now, target, Phase::Watching, WATCH + ANSWER, out);
+    }
+
+    fn ask(&mut self, now: Moment, target: String, phase: Phase, within: Span, out: &mut Outbox) {
+        let Some(link) = self.link else { return };
+        let host = self.at.to_string();
+        out.send(link, request("GET", &target, &[("host", &host)], None));
+        (self.phase, self.until) = (phase, now + within);
+    }
+
+    /// The bodies of answers that are complete; what cannot be read is an error.
+    pub fn bytes(&mut self, bytes: &[u8]) -> Result<Option<Vec<u8>>, &'static str> {
+        self.reader.push(bytes);
+        loop {
+            match self.reader.take() {
+                Ok(None) => return Ok(None),
+                Ok(Some(_)) if !matches!(self.phase, Phase::Listing | Phase::Watching) => {
+                    return Err("an answer that was not asked for");
+                }
+                Ok(Some(Part::Head(head))) => {
+                    self.status = head.status();
+                    self.body.clear();
+                }
+                Ok(Some(Part::Data(data))) => self.body.extend(data),
+                Ok(Some(Part::End)) if self.status != 200 => return Err("an answer other than 200"),
+                Ok(Some(Part::End)) => return Ok(Some(std::mem::take(&mut self.body))),
+                Err(_) => return Err("not HTTP"),
+            }
+        }
+    }
+
+    /// An answer was good; what follows goes on from it.
+    pub fn went_well(&mut self) {
+        self.failures = 0;
+    }
+}
--- /dev/null
+++ b/crates/platform/src/node.rs
@@ -0,0 +1,675 @@
+//! The platform's planner as a node: messages to events, orders to messages.
+
+use crate::books::Books;
+use crate::charge::{Charge, Limits};
+use crate::discovery::Discovery;
+use crate::peers::{kind, manner, Effect as Does, Kind, Peer, Peers, Stand, Stream};
+use crate::peers::{JOINED, MOST_MARKS, STRANGERS};
+use crate::roll::{Answer, News, Roll, Target};
+use pewtergap_control::probes::Probes;
+use pewtergap_control::Probing;
+use pewtergap_node::{Effect, Ended, Input, Level, Link, Node, Outbox};
+use pewtergap_planner::door::Door;
+use pewtergap_planner::{Entry, Event, ListKind, Listed, Load, Order, Planner, ProbeEnd};
+use pewtergap_resp::{nack, pong, read, Reader, Said};
+use pewtergap_time::{Moment, Span};
+use std::any::Any;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+const DOOR: u32 = 0;
+
+/// Events that come within this time share a turn.
+const ROUND: Span = Span::millis(2);
+const SWEEP: Span = Span::millis(100);
+/// Who has not joined by then is closed.
+const PATIENCE: Span = Span::millis(1_050);
+/// Sockets for discovery, its successor, the listener and what a process has open anyway.
+const OWN_SOCKETS: usize = 32;
+const MOST_PROBES: usize = 32;
+/// No answer to a probe by then is silence.
+const PROBED: Span = Span::millis(400);
+/// Incomplete messages of all peers together may take one part in so many of the memory.
+const HELD: u64 = 16;
+/// A file that is being replaced is read again so often, so long apart.
+const READ_AGAIN: (u32, Span) = (5, Span::millis(100));
+/// Log lines in a second; what goes beyond is counted.
+const MOST_LOGGED: f64 = 40.0;
+const TALLY: Span = Span::millis(5_000);
+
+mod timer {
+    pub const TURN: u64 = 1;
+    pub const WOKEN: u64 = 2;
+    pub const SWEEP: u64 = 3;
+    pub const DISCOVERY: u64 = 4;
+    pub const PROBES: u64 = 5;
+    pub const RELOAD: u64 = 6;
+}
+
+/// Counted since the last tally line.
+#[derive(Debug, Default)]
+struct Tally {
+    turns: u64,
+    events: u64,
+    messages: u64,
+    lines: u64,
+    joins: u64,
+    leaves: u64,
+    applied: u64,
+    worst_applied: Span,
+    sums: u64,
+    /// Sums that came with a load report.
+    reports: u64,
+    arrivals: u64,
+    probes: BTreeMap<&'static str, u64>,
+    /// Messages left out, by reason; reasons are of a fixed set.
+    omitted: BTreeMap<&'static str, u64>,
+    turned_away: u64,
+    unlogged: u64,
+}
+
+pub struct Platform {
+    name: String,
+    /// The file that is read again on a reload.
+    file: String,
+    listen: SocketAddr,
+    limits: Limits,
+    zones: Vec<String>,
+    routes: Vec<String>,
+    most_proxies: u64,
+    planner: Planner,
+    servers: Door<String>,
+    proxies: Door<u64>,
+    /// Where each server is probed, by index.
+    endpoints: Vec<Option<SocketAddr>>,
+    roll: Roll,
+    discovery: Discovery,
+    peers: Peers,
+    books: Books,
+    probes: Probes,
+    events: Vec<Event>,
+    turn_set: bool,
+    woken: Option<Moment>,
+    read_again: u32,
+    tally: Tally,
+    tallied: Moment,
+    /// When a line was logged last, and how many more may be.
+    logged: (Moment, f64),
+}
+
+impl Platform {
+    pub fn new(now: Moment, charge: Charge, file: String) -> Platform {
+        let Charge { name, listen, discovery, seed, limits, known, start } = charge;
+        let most_proxies = start.fleet.proxies as u64;
+        let planner = Planner::new(
+            now,
+            seed,
+            start.fleet,
+            start.routes,
+            start.channel,
+            start.pledge,
+            start.reach,
+            start.slicing,
+        );
+        let probing = Probing {
+            path: "/metrics/load".into(),
+            within: PROBED,
+            most_open: MOST_PROBES.min(limits.sockets / 8),
+            in_body: Some(("util".into(), "inflight".into())),
+        };
+        Platform {
+            name,
+            file,
+            listen,
+            limits,
+            zones: start.zone_names,
+            routes: start.route_names,
+            most_proxies,
+            planner,
+            servers: Door::default(),
+            proxies: Door::default(),
+            endpoints: Vec::new(),
+            roll: Roll::kept(known.0, known.1),
+            discovery: Discovery::new(discovery),
+            peers: Peers::default(),
+            books: Books::default(),
+            probes: Probes::new(probing),
+            events: vec![Event::Tick],
+            turn_set: false,
+            woken: None,
+            read_again: 0,
+            tally: Tally::default(),
+            tallied: now,
+            logged: (now, MOST_LOGGED),
+        }
+    }
+
+    fn start(&mut self, now: Moment, out: &mut Outbox) {
+        let known: Vec<Target> = self.roll.known().cloned().collect();
+        if !known.is_empty() {
+            self.tell_list(now, ListKind::Kept, &known, out);
+        }
+        out.push(Effect::Listen { door: DOOR, at: self.listen });
+        out.wake(timer::SWEEP, now + SWEEP);
+        self.look(now, out);
+        self.turn(now, out);
+    }
+
+    fn log(
+        &mut self,
+        now: Moment,
+        level: Level,
+        event: &'static str,
+        fields: Vec<(&'static str, String)>,
+        out: &mut Outbox,
+    ) {
+        let saved = self.logged.1 + now.since(self.logged.0).seconds() * MOST_LOGGED;
+        self.logged = (now, saved.min(MOST_LOGGED));
+        if self.logged.1 < 1.0 {
+            self.tally.unlogged += 1;
+            return;
+        }
+        self.logged.1 -= 1.0;
+        out.log(level, event, fields);
+    }
+
+    // ---- the list
+
+    /// Whatever discovery is due for, and the next look.
+    fn look(&mut self, now: Moment, out: &mut Outbox) {
+        if let Some(why) = self.discovery.due(now, out) {
+            self.log(now, Level::Warn, "discovery_failed", vec![("why", why.into())], out);
+        }
+        out.wake(timer::DISCOVERY, self.discovery.until());
+    }
+
+    fn discovery_failed(&mut self, now: Moment, why: &'static str, out: &mut Outbox) {
+        self.discovery.fail(now, why, out);
+        self.log(now, Level::Warn, "discovery_failed", vec![("why", why.into())], out);
+        out.wake(timer::DISCOVERY, self.discovery.until());
+    }
+
+    fn discovery_heard(&mut self, now: Moment, bytes: &[u8], out: &mut Outbox) {
+        let body = match self.discovery.bytes(bytes) {
+            Ok(None) => return,
+            Ok(Some(body)) => body,
+            Err(why) => return self.discovery_failed(now, why, out),
+        };
+        let Ok(answer) = Answer::read(&body) else {
+            return self.discovery_failed(now, "an answer that is no list", out);
+        };
+        self.discovery.went_well();
+        for unread in answer.targets.iter().filter_map(|target| target.as_ref().err()) {
+            let name = unread.name.clone().unwrap_or_default();
+            let fields = vec![("server", name), ("why", unread.what.clone())];
+            self.log(now, Level::Warn, "list_entry_refused", fields, out);
+        }
+        let version = answer.version;
+        match self.roll.take(answer) {
+            News::Nothing => {}
+            News::Stale => {
+                let fields =
+                    vec![("version", version.to_string()), ("known", self.roll.version().to_string())];
+                self.log(now, Level::Warn, "list_stale", fields, out);
+            }
+            News::Changes(changes) => self.tell_list(now, ListKind::Changes, &changes, out),
+            News::Complete(all) => self.tell_list(now, ListKind::Complete, &all, out),
+        }
+        self.discovery.watch(now, self.roll.version(), out);
+        out.wake(timer::DISCOVERY, self.discovery.until());
+    }
+
+    fn tell_list(&mut self, now: Moment, kind: ListKind, targets: &[Target], out: &mut Outbox) {
+        if kind != ListKind::Changes {
+            self.endpoints.fill(None);
+        }
+        let mut entries = Vec::new();
+        let mut shown = Vec::new();
+        for target in targets {
+            let Some(zone) = self.zones.iter().position(|zone| *zone == target.zone) else {
+                let why = format!("zone '{}' is not among ours", target.zone);
+                let fields = vec![("server", target.name.clone()), ("why", why)];
+                self.log(now, Level::Warn, "list_entry_refused", fields, out);
+                continue;
+            };
+            let server = self.servers.admit(&target.name);
+            if self.endpoints.len() <= server {
+                self.endpoints.resize(server + 1, None);
+            }
+            self.endpoints[server] = Some(target.at).filter(|_| target.state != Listed::Deleted);
+            let (cell, state, weight) = (target.cell, target.state, target.weight);
+            entries.push(Entry { server, zone, cell, state, weight, last_start: target.started });
+            if kind == ListKind::Changes && shown.len() < 32 {
+                let started = target.started.map_or(String::new(), |at| format!("@{}", at.0 / 1_000_000));
+                shown.push(format!("{}={state:?}{started}", target.name));
+            }
+        }
+        let fields = vec![
+            ("kind", format!("{kind:?}")),
+            ("version", self.roll.version().to_string()),
+            ("entries", entries.len().to_string()),
+            ("changes", shown.join(" ")),
+        ];
+        self.log(now, Level::Info, "list", fields, out);
+        self.event(now, Event::List { kind, entries }, out);
+    }
+
+    // ---- turns
+
+    fn event(&mut self, now: Moment, event: Event, out: &mut Outbox) {
+        self.events.push(event);
+        if !self.turn_set {
+            self.turn_set = true;
+            out.wake(timer::TURN, now + ROUND);
+        }
+    }
+
+    fn turn(&mut self, now: Moment, out: &mut Outbox) {
+        self.turn_set = false;
+        let events = std::mem::take(&mut self.events);
+        if events.is_empty() {
+            return;
+        }
+        self.tally.turns += 1;
+        self.tally.events += events.len() as u64;
+        let orders = self.planner.turn(now, &events);
+        for order in &orders {
+            match order {
+                Order::Probe { server } => self.probes.ask(*server),
+                Order::Wake { at } => {
+                    self.woken = Some(*at);
+                    out.wake(timer::WOKEN, *at);
+                }
+                Order::Note { text } => {
+                    self.log(now, Level::Info, "planner", vec![("text", text.clone())], out)
+                }
+                // Discovery is watched all the time; nothing has to be asked for.
+                Order::Subscribe
+                | Order::Line { .. }
+                | Order::Bind { .. }
+                | Order::Gate { .. }
+                | Order::Mark { .. } => {}
+            }
+        }
+        let (mark, messages) = self.books.carry_out(&orders, &self.servers, &self.routes);
+        if !messages.is_empty() {
+            let lines: usize = messages.iter().map(|message| message.lines).sum();
+            self.tally.messages += messages.len() as u64;
+            self.tally.lines += lines as u64;
+            let binds = orders.iter().filter(|order| matches!(order, Order::Bind { .. })).count();
+            let fields = vec![
+                ("events", events.len().to_string()),
+                ("messages", messages.len().to_string()),
+                ("lines", lines.to_string()),
+                ("binds", binds.to_string()),
+                ("mark", mark.map_or(String::new(), |mark| mark.to_string())),
+            ];
+            self.log(now, Level::Info, "orders", fields, out);
+        }
+        for message in messages {
+            let Some(stream) = self.peers.streams.get_mut(&message.proxy) else { continue };
+            if let Some(mark) = mark {
+                if stream.marks.len() == MOST_MARKS {
+                    stream.marks.pop_front();
+                }
+                stream.marks.push_back((mark, now));
+            }
+            out.send(stream.link, message.bytes.to_vec());
+        }
+        self.ask_next(now, out);
+    }
+
+    // ---- probes
+
+    fn ask_next(&mut self, now: Moment, out: &mut Outbox) {
+        while let Some(server) = self.probes.next_asked() {
+            let Some(at) = self.endpoints.get(server).copied().flatten() else { continue };
+            let link = out.connect(at, None);
+            let until = self.probes.begin(now, server, link);
+            out.wake(timer::PROBES, until);
+        }
+    }
+
+    fn probed(&mut self, now: Moment, (server, end, load): (usize, ProbeEnd, Load), out: &mut Outbox) {
+        let word = match end {
+            ProbeEnd::Answered => "answered",
+            ProbeEnd::Refused => "refused",
+            ProbeEnd::Erring => "erring",
+            ProbeEnd::Silent => "silent",
+            ProbeEnd::Dead => "dead",
+        };
+        *self.tally.probes.entry(word).or_default() += 1;
+        if matches!(end, ProbeEnd::Erring | ProbeEnd::Silent | ProbeEnd::Dead) {
+            let fields = vec![("server", self.servers.name(server).clone()), ("end", word.into())];
+            self.log(now, Level::Info, "probe", fields, out);
+        }
+        self.event(now, Event::Probed { server, end, load }, out);
+        self.ask_next(now, out);
+    }
+
+    fn late_probes(&mut self, now: Moment, out: &mut Outbox) {
+        for (link, server) in self.probes.late(now) {
+            out.cut(link);
+            self.probed(now, (server, ProbeEnd::Silent, Load::default()), out);
+        }
+    }
+
+    // ---- connections that came in
+
+    /// Connections that may stand at once, whoever they are.
+    fn room(&self) -> usize {
+        self.limits.sockets.saturating_sub(OWN_SOCKETS + MOST_PROBES.min(self.limits.sockets / 8))
+    }
+
+    fn accepted(&mut self, now: Moment, link: Link, out: &mut Outbox) {
+        let peer = Peer { stand: Stand::Stranger, reader: Reader::new(STRANGERS), since: now, proxy: 0 };
+        self.peers.all.insert(link, peer);
+        // Whoever joins finds room as long as somebody is there who has not.
+        while self.peers.all.len() > self.room() {
+            let Some(oldest) = self.peers.loose().next().map(|loose| loose.0) else { return };
+            self.turn_away(now, oldest, "no room", out);
+        }
+    }
+
+    /// Ends a connection; one that has not joined is told why.
+    fn turn_away(&mut self, now: Moment, link: Link, why: &str, out: &mut Outbox) {
+        let Some(peer) = self.peers.all.remove(&link) else { return };
+        self.peers.held -= peer.reader.held();
+        self.gone(now, link, &peer, out);
+        if peer.stand == Stand::Stranger {
+            self.tally.turned_away += 1;
+            out.send(link, nack(why));
+            out.finish(link);
+        } else {
+            let fields = vec![("stand", format!("{:?}", peer.stand)), ("why", why.to_string())];
+            self.log(now, Level::Warn, "closed", fields, out);
+            out.cut(link);
+        }
+    }
+
+    /// What the end of a connection means: for a proxy's present stream, that the proxy has left.
+    fn gone(&mut self, now: Moment, link: Link, peer: &Peer, out: &mut Outbox) {
+        let present = self.peers.streams.get(&peer.proxy).is_some_and(|stream| stream.link == link);
+        if peer.stand == Stand::Proxy && present {
+            self.peers.streams.remove(&peer.proxy);
+            self.books.forget(peer.proxy);
+            self.tally.leaves += 1;
+            self.event(now, Event::Left { proxy: peer.proxy }, out);
+        }
+    }
+
+    fn closed(&mut self, now: Moment, link: Link, why: Ended, out: &mut Outbox) {
+        if let Some(peer) = self.peers.all.remove(&link) {
+            self.peers.held -= peer.reader.held();
+            if why == Ended::Overflow {
+                let fields = vec![("stand", format!("{:?}", peer.stand)), ("why", "does not read".into())];
+                self.log(now, Level::Warn, "closed", fields, out);
+            }
+            self.gone(now, link, &peer, out);
+        }
+    }
+
+    fn heard(&mut self, now: Moment, link: Link, bytes: &[u8], out: &mut Outbox) {
+        let Some(mut peer) = self.peers.all.remove(&link) else { return };
+        self.peers.held -= peer.reader.held();
+        peer.reader.push(bytes);
+        let heard = self.listen_to(now, link, &mut peer, out);
+        peer.reader.shrink();
+        self.peers.held += peer.reader.held();
+        self.peers.all.insert(link, peer);
+        let most = (self.limits.memory_mb * 1024 * 1024 / HELD) as usize;
+        match heard {
+            Err(why) => self.turn_away(now, link, &why, out),
+            Ok(()) if self.peers.held > most => self.turn_away(now, link, "messages too long for all", out),
+            Ok(()) => {}
+        }
+    }
+
+    /// Reads what has come; an error ends the connection.
+    fn listen_to(
+        &mut self,
+        now: Moment,
+        link: Link,
+        peer: &mut Peer,
+        out: &mut Outbox,
+    ) -> Result<(), String> {
+        let Peer { stand, reader, since, proxy } = peer;
+        loop {
+            let Some(items) = reader.take().map_err(|wrong| wrong.to_string())? else { return Ok(()) };
+            let said = read(&items);
+            let what = said.as_ref().map_or(Kind::Spoilt, kind);
+            let (next, does) = manner(*stand, what);
+            let omitted = match (does, said) {
+                (Does::Pong, _) => {
+                    out.send(link, pong());
+                    None
+                }
+                (Does::Admit, Ok(said)) => {
+                    let bounds = JOINED;
+                    match said {
+                        Said::Joins { proxy: number, zone, calls_per_s, bare } => {
+                            *proxy = self.join(now, link, (number, zone, calls_per_s, bare), out)?;
+                        }
+                        Said::Collects { zone } if self.zones.iter().any(|known| known == zone) => {}
+                        _ => return Err("az: the zone does not exist".into()),
+                    }
+                    (*stand, *since) = (next, now);
+                    reader.set_bounds(bounds);
+                    return self.listen_to(now, link, peer, out);
+                }
+                (Does::Tell, Ok(said)) => self.tell(now, link, *stand, *proxy, said, out).err(),
+                (Does::Refuse, Err(spoilt)) => return Err(spoilt.to_string()),
+                (Does::Refuse, Ok(_)) => return Err("this is not how to join".into()),
+                (_, Err(spoilt)) => Some(spoilt.what),
+                (_, Ok(_)) => Some("not from such a peer"),
+            };
+            if let Some(why) = omitted {
+                *self.tally.omitted.entry(why).or_default() += 1;
+            }
+        }
+    }
+
+    fn join(
+        &mut self,
+        now: Moment,
+        link: Link,
+        (number, zone, calls_per_s, bare): (u64, &str, f64, bool),
+        out: &mut Outbox,
+    ) -> Result<usize, String> {
+        if number >= self.most_proxies {
+            return Err("sidecar: the proxy does not exist".into());
+        }
+        let zone = self.zones.iter().position(|known| known == zone).ok_or("az: the zone does not exist")?;
+        let proxy = self.proxies.admit(&number);
+        // The end of the stream it had may be seen later; it changes nothing any more.
+        if let Some(old) = self.peers.streams.get(&proxy).map(|stream| stream.link) {
+            if let Some(former) = self.peers.all.get_mut(&old) {
+                (former.stand, former.since) = (Stand::Former, now);
+            }
+        }
+        self.books.forget(proxy);
+        self.peers.streams.insert(proxy, Stream { link, marks: VecDeque::new(), heard: now });
+        self.tally.joins += 1;
+        let fields = vec![
+            ("proxy", number.to_string()),
+            ("calls_per_s", calls_per_s.to_string()),
+            ("bare", bare.to_string()),
+        ];
+        out.log(Level::Debug, "joined", fields);
+        self.event(now, Event::Joined { proxy, zone, calls_per_s }, out);
+        Ok(proxy)
+    }
+
+    /// Tells the module what a joined peer says; why not, if something it names does not exist.
+    fn tell(
+        &mut self,
+        now: Moment,
+        link: Link,
+        stand: Stand,
+        own: usize,
+        said: Said<'_>,
+        out: &mut Outbox,
+    ) -> Result<(), &'static str> {
+        if let Some(stream) = self.peers.streams.get_mut(&own) {
+            stream.heard = if stream.link == link { now } else { stream.heard };
+        }
+        let event = match said {
+            Said::Sums(sums) => {
+                let zone = self.zones.iter().position(|known| known == sums.zone);
+                let zone = zone.ok_or("the zone does not exist")?;
+                let server = self.servers.find(&sums.server.to_string()).ok_or("the server is not known")?;
+                self.tally.sums += 1;
+                self.tally.reports += u64::from(sums.util.is_some());
+                let load = Load { util: sums.util, in_hand: sums.in_hand };
+                let (tries, dropped) = (sums.tries as f64, sums.dropped as f64);
+                Event::Sums { server, zone, tries, dropped, mean: sums.mean, over: sums.over, load }
+            }
+            Said::Arrivals { proxy: number, route, calls, dropped, over } => {
+                let proxy = self.proxies.find(&number).filter(|at| self.peers.streams.contains_key(at));
+                let proxy = proxy.ok_or("the proxy has not joined")?;
+                if stand == Stand::Proxy && proxy != own {
+                    return Err("the proxy is another");
+                }
+                let route = self.routes.iter().position(|known| known == route);
+                let route = route.ok_or("the route does not exist")?;
+                self.tally.arrivals += 1;
+                Event::Arrivals { proxy, route, calls: calls as f64, dropped: dropped as f64, over }
+            }
+            Said::Applied { proxy: number, mark, after } => {
+                if self.proxies.find(&number) != Some(own) {
+                    return Err("the proxy is another");
+                }
+                let stream = self.peers.streams.get_mut(&own).ok_or("the proxy has not joined")?;
+                let sent = stream.marks.iter().position(|sent| sent.0 == mark);
+                stream.marks.drain(..=sent.ok_or("the mark was not sent")?);
+                self.tally.applied += 1;
+                self.tally.worst_applied = self.tally.worst_applied.max(after);
+                Event::Applied { proxy: own, mark }
+            }
+            Said::Ping | Said::Collects { .. } | Said::Joins { .. } => return Err("not from such a peer"),
+        };
+        self.event(now, event, out);
+        Ok(())
+    }
+
+    fn sweep(&mut self, now: Moment, out: &mut Outbox) {
+        out.wake(timer::SWEEP, now + SWEEP);
+        let late: Vec<Link> = self
+            .peers
+            .loose()
+            .filter(|(_, peer)| now.since(peer.since) >= PATIENCE)
+            .map(|loose| loose.0)
+            .collect();
+        for link in late {
+            self.turn_away(now, link, "no joining in time", out);
+        }
+        if now.since(self.tallied) >= TALLY {
+            self.tallied = now;
+            let tally = std::mem::take(&mut self.tally);
+            let unanswered: usize = self.peers.streams.values().map(|stream| stream.marks.len()).sum();
+            let fields = vec![
+                ("peers", self.peers.all.len().to_string()),
+                ("proxies", self.peers.streams.len().to_string()),
+                ("servers", self.roll.known().count().to_string()),
+                ("unanswered", unanswered.to_string()),
+                ("since", format!("{tally:?}")),
+            ];
+            out.log(Level::Info, "tally", fields);
+        }
+    }
+
+    // ---- signals
+
+    fn reload(&mut self, now: Moment, bytes: Result<&[u8], String>, out: &mut Outbox) {
+        let text = bytes.and_then(|bytes| String::from_utf8(bytes.to_vec()).map_err(|e| e.to_string()));
+        let told = |name: &str| match name {
+            "NODE_NAME" => Some(self.name.clone()),
+            "NODE_LISTEN" => Some(self.listen.to_string()),
+            "NODE_DISCOVERY" => Some(self.discovery.at().to_string()),
+            _ => None,
+        };
+        match text.and_then(|text| Charge::read(&text, told)) {
+            Err(why) => {
+                self.log(now, Level::Error, "configuration_refused", vec![("why", why)], out);
+                if self.read_again > 0 {
+                    self.read_again -= 1;
+                    out.wake(timer::RELOAD, now + READ_AGAIN.1);
+                }
+            }
+            Ok(charge) => {
+                self.read_again = 0;
+                let fields = vec![("discovery", charge.discovery.to_string())];
+                self.log(now, Level::Info, "configuration", fields, out);
+                self.limits = charge.limits;
+                if charge.discovery != self.discovery.at() {
+                    self.discovery.move_to(now, charge.discovery, out);
+                    out.wake(timer::DISCOVERY, self.discovery.until());
+                }
+            }
+        }
+    }
+}
+
+impl Node for Platform {
+    fn handle(&mut self, now: Moment, input: Input<'_>, out: &mut Outbox) {
+        match input {
+            Input::Start => self.start(now, out),
+            Input::Listening { at, .. } => out.log(Level::Info, "listening", vec![("at", at.to_string())]),
+            Input::NotListening { why, .. } => {
+                out.log(Level::Error, "not_listening", vec![("why", why)]);
+                out.push(Effect::Exit { code: 3 });
+            }
+            Input::Accepted { link, .. } => self.accepted(now, link, out),
+            Input::Opened { link } if self.discovery.has(link) => {
+                self.discovery.opened(now, out);
+                out.wake(timer::DISCOVERY, self.discovery.until());
+            }
+            Input::Opened { link } if self.probes.knows(link) => {
+                let call = self.probes.call(&self.name);
+                out.send(link, call);
+            }
+            Input::Opened { .. } => {}
+            Input::Bytes { link, bytes } if self.discovery.has(link) => self.discovery_heard(now, bytes, out),
+            Input::Bytes { link, bytes } if self.probes.knows(link) => {
+                if let Some(probed) = self.probes.bytes(link, bytes) {
+                    out.cut(link);
+                    self.probed(now, probed, out);
+                }
+            }
+            Input::Bytes { link, bytes } => self.heard(now, link, bytes, out),
+            Input::Closed { link, .. } if self.discovery.has(link) => {
+                self.discovery_failed(now, "the connection broke", out);
+            }
+            Input::Closed { link, why } if self.probes.knows(link) => {
+                if let Some(probed) = self.probes.closed(link, why) {
+                    self.probed(now, probed, out);
+                }
+            }
+            Input::Closed { link, why } => self.closed(now, link, why, out),
+            Input::Due { timer: timer::TURN } => self.turn(now, out),
+            Input::Due { timer: timer::WOKEN } if self.woken.is_some_and(|at| at <= now) => {
+                self.woken = None;
+                self.event(now, Event::Tick, out);
+            }
+            Input::Due { timer: timer::SWEEP } => self.sweep(now, out),
+            Input::Due { timer: timer::DISCOVERY } if now >= self.discovery.until() => self.look(now, out),
+            Input::Due { timer: timer::PROBES } => self.late_probes(now, out),
+            Input::Due { timer: timer::RELOAD } | Input::Reload => {
+                if matches!(input, Input::Reload) {
+                    self.read_again = READ_AGAIN.0;
+                }
+                out.push(Effect::Fetch { name: self.file.clone() });
+            }
+            Input::File { bytes, .. } => self.reload(now, bytes, out),
+            Input::Stop => {
+                out.log(Level::Info, "stopped", vec![]);
+                out.push(Effect::Exit { code: 0 });
+            }
+            Input::Due { .. } | Input::HandedBack { .. } | Input::Knocked | Input::Word(_) => {}
+        }
+    }
+
+    fn into_any(self: Box<Self>) -> Box<dyn Any> {
+        self
+    }
+}
--- /dev/null
+++ b/crates/platform/src/peers.rs
@@ -0,0 +1,119 @@
+//! Who stands behind a connection, and what a message from such a one does.
+
+use pewtergap_node::Link;
+use pewtergap_resp::{Bounds, Reader, Said};
+use pewtergap_time::Moment;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Before it has joined, a connection may hold this much; afterwards a message may be as long as the platform has
+/// them.
+pub const STRANGERS: Bounds = Bounds { bytes: 4 * 1024, items: 64 };
+pub const JOINED: Bounds = Bounds { bytes: 1024 * 1024, items: 4 * 1024 };
+/// Marks of one stream that are not answered; the module's account refuses far earlier.
+pub const MOST_MARKS: usize = 256;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stand {
+    /// Has not said who it is.
+    Stranger,
+    Collector,
+    Proxy,
+    /// A proxy's stream that another one has taken over.
+    Former,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Ping,
+    Collects,
+    Sums,
+    Joins,
+    Applied,
+    Arrivals,
+    /// Framed as it should be, but spoilt.
+    Spoilt,
+}
+
+pub fn kind(said: &Said) -> Kind {
+    match said {
+        Said::Ping => Kind::Ping,
+        Said::Collects { .. } => Kind::Collects,
+        Said::Sums(_) => Kind::Sums,
+        Said::Joins { .. } => Kind::Joins,
+        Said::Applied { .. } => Kind::Applied,
+        Said::Arrivals { .. } => Kind::Arrivals,
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Pong,
+    /// Take it in as what it says it is, if that exists.
+    Admit,
+    /// Tell the module, if all it names exists.
+    Tell,
+    /// Turn it away.
+    Refuse,
+    /// Leave the message out.
+    Omit,
+}
+
+use Effect::*;
+use Kind::*;
+use Stand::{Collector, Former, Proxy, Stranger};
+
+/// The first row that fits counts. Who has not joined is turned away at the first wrong word; who has joined
+/// loses no more than the message.
+pub const MANNERS: &[(&[Stand], &[Kind], Stand, Effect)] = &[
+    (&[Stranger], &[Ping], Stranger, Pong),
+    (&[Collector], &[Ping], Collector, Pong),
+    (&[Proxy], &[Ping], Proxy, Pong),
+    (&[Stranger], &[Collects], Collector, Admit),
+    (&[Stranger], &[Joins], Proxy, Admit),
+    (&[Stranger], &[Sums, Applied, Arrivals, Spoilt], Stranger, Refuse),
+    (&[Collector], &[Sums, Arrivals], Collector, Tell),
+    (&[Collector], &[Collects, Joins, Applied, Spoilt], Collector, Omit),
+    (&[Proxy], &[Applied, Arrivals], Proxy, Tell),
+    (&[Proxy], &[Collects, Joins, Sums, Spoilt], Proxy, Omit),
+    (&[Former], &[Ping, Collects, Sums, Joins, Applied, Arrivals, Spoilt], Former, Omit),
+];
+
+pub fn manner(stand: Stand, kind: Kind) -> (Stand, Effect) {
+    let row = MANNERS.iter().find(|row| row.0.contains(&stand) && row.1.contains(&kind));
+    row.map_or((stand, Omit), |row| (row.2, row.3))
+}
+
+pub struct Peer {
+    pub stand: Stand,
+    pub reader: Reader,
+    /// Since when it stands as it does.
+    pub since: Moment,
+    /// Index of the proxy, where it is one.
+    pub proxy: usize,
+}
+
+/// A joined proxy's stream.
+#[derive(Debug)]
+pub struct Stream {
+    pub link: Link,
+    /// Marks sent and not answered, and when.
+    pub marks: VecDeque<(u64, Moment)>,
+    pub heard: Moment,
+}
+
+/// All connections that came in at the door, and the streams among them.
+#[derive(Default)]
+pub struct Peers {
+    pub all: BTreeMap<Link, Peer>,
+    pub streams: BTreeMap<usize, Stream>,
+    /// Bytes held of messages that are not complete, of all together.
+    pub held: usize,
+}
+
+impl Peers {
+    /// Connections that have not joined, oldest first.
+    pub fn loose(&self) -> impl Iterator<Item = (Link, &Peer)> + '_ {
+        let loose = |peer: &Peer| matches!(peer.stand, Stranger | Former);
+        self.all.iter().filter(move |(_, peer)| loose(peer)).map(|(link, peer)| (*link, peer))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/roll.rs
@@ -0,0 +1,171 @@
+//! The servers as discovery lists them, and what of an answer is news.
+
+use pewtergap_planner::Listed;
+use pewtergap_time::Moment;
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// One server of a list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    pub name: String,
+    pub at: SocketAddr,
+    pub zone: String,
+    pub cell: u64,
+    pub state: Listed,
+    pub weight: f64,
+    pub started: Option<Moment>,
+}
+
+/// A list or the changes since another; an entry that cannot be read tells the name it is about, if it has one.
+pub struct Answer {
+    pub version: u64,
+    pub whole: bool,
+    pub targets: Vec<Result<Target, Unread>>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unread {
+    pub name: Option<String>,
+    pub what: String,
+}
+
+#[derive(Deserialize)]
+struct Wire {
+    rev: u64,
+    all: bool,
+    targets: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct Row {
+    uid: String,
+    endpoint: String,
+    az: String,
+    #[serde(default)]
+    pod_group: Option<u64>,
+    state: String,
+    #[serde(default)]
+    capacity_hint: Option<f64>,
+    #[serde(default)]
+    boot_ms: Option<f64>,
+}
+
+/// Longer names are no names of servers: they stand in every line of every message.
+const MOST_NAME: usize = 128;
+
+fn target(row: Value) -> Result<Target, String> {
+    let row: Row = serde_json::from_value(row).map_err(|e| e.to_string())?;
+    // These would end a line or a field of an order.
+    if row.uid.is_empty() || row.uid.len() > MOST_NAME || row.uid.contains([':', ',', '+', '\r', '\n', ' ']) {
+        return Err("uid is not the name of a server".into());
+    }
+    let at = row.endpoint.parse().map_err(|_| format!("endpoint '{}' is no address", row.endpoint))?;
+    let state = match row.state.as_str() {
+        "Ready" => Listed::Running,
+        "Terminating" => Listed::Stopping,
+        "Gone" => Listed::Deleted,
+        other => return Err(format!("state '{other}' is not known")),
+    };
+    let weight = row.capacity_hint.unwrap_or(1.0);
+    let started = row.boot_ms.unwrap_or(0.0);
+    if !(0.0..=1e9).contains(&weight) || !(0.0..=1e15).contains(&started) {
+        return Err("capacity_hint or boot_ms is out of range".into());
+    }
+    let started = Some(Moment((started * 1e6) as u64)).filter(|at| at.0 > 0);
+    let cell = row.pod_group.unwrap_or(0);
+    Ok(Target { name: row.uid, at, zone: row.az, cell, state, weight, started })
+}
+
+impl Answer {
+    pub fn read(bytes: &[u8]) -> Result<Answer, String> {
+        Answer::of(serde_json::from_slice(bytes).map_err(|e| e.to_string())?)
+    }
+
+    pub fn of(list: Value) -> Result<Answer, String> {
+        let wire: Wire = serde_json::from_value(list).map_err(|e| e.to_string())?;
+        let read = |row: Value| {
+            let name = row.get("uid").and_then(Value::as_str).map(str::to_string);
+            target(row).map_err(|what| Unread { name, what })
+        };
+        let targets = wire.targets.into_iter().map(read).collect();
+        Ok(Answer { version: wire.rev, whole: wire.all, targets })
+    }
+}
+
+/// What an answer changes.
+#[derive(Debug, PartialEq)]
+pub enum News {
+    Nothing,
+    /// Older than what is known.
+    Stale,
+    Changes(Vec<Target>),
+    Complete(Vec<Target>),
+}
+
+#[derive(Debug, Default)]
+pub struct Roll {
+    version: u64,
+    listed: BTreeMap<String, Target>,
+    /// A whole list has come since the start.
+    complete: bool,
+}
+
+impl Roll {
+    pub fn kept(version: u64, known: Vec<Target>) -> Roll {
+        let listed = known.into_iter().filter(|t| t.state != Listed::Deleted);
+        Roll { version, listed: listed.map(|t| (t.name.clone(), t)).collect(), complete: false }
+    }
+
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    pub fn known(&self) -> impl Iterator<Item = &Target> {
+        self.listed.values()
+    }
+
+    /// Takes an answer in. An older one never undoes what is known; an entry that cannot be read leaves what is
+    /// known of that server in force; what is told again is no news.
+    pub fn take(&mut self, answer: Answer) -> News {
+        let first = answer.whole && !self.complete;
+        if answer.version < self.version || answer.version == self.version && !first && !answer.whole {
+            return if answer.version < self.version { News::Stale } else { News::Nothing };
+        }
+        self.version = answer.version;
+        let mut told: BTreeMap<String, Target> = BTreeMap::new();
+        let mut unread: Vec<String> = Vec::new();
+        for target in answer.targets {
+            match target {
+                Ok(target) => drop(told.insert(target.name.clone(), target)),
+                Err(what) => unread.extend(what.name),
+            }
+        }
+        if answer.whole {
+            let kept = unread.into_iter().filter_map(|name| self.listed.remove_entry(&name));
+            let kept: Vec<(String, Target)> = kept.collect();
+            told.retain(|_, target| target.state != Listed::Deleted);
+            for (name, target) in kept {
+                told.entry(name).or_insert(target);
+            }
+            let same = self.complete && told == self.listed;
+            self.complete = true;
+            self.listed = told;
+            return if same { News::Nothing } else { News::Complete(self.known().cloned().collect()) };
+        }
+        told.retain(|name, target| self.listed.get(name) != Some(target));
+        for (name, target) in &told {
+            match target.state {
+                Listed::Deleted => drop(self.listed.remove(name)),
+                _ => drop(self.listed.insert(name.clone(), target.clone())),
+            }
+        }
+        if told.is_empty() {
+            News::Nothing
+        } else {
+            News::Changes(told.into_values().collect())
+        }
+    }
+}
--- a/crates/protocol/src/load_report.rs
+++ b/crates/protocol/src/load_report.rs
@@ -2,6 +2,7 @@
 //! not understood is left out, a number that is none as well. A report never fails a call.
 
 pub const HEADER: &str = "endpoint-load-metrics";
+const IN_HAND: &str = "named_metrics.in_hand";
 
 /// What we read of a report.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -14,40 +15,29 @@
 
 impl LoadReport {
     pub fn read(text: &str) -> LoadReport {
+        // `application_utilization` goes before `cpu_utilization`, unless it says nothing.
+        let application = LoadReport::read_as(text, "application_utilization", IN_HAND);
+        match application.util.filter(|util| *util > 0.0) {
+            Some(_) => application,
+            None => LoadReport::read_as(text, "cpu_utilization", IN_HAND),
+        }
+    }
+
+    /// Reads a report of servers that have other names for the two.
+    pub fn read_as(text: &str, util: &str, in_hand: &str) -> LoadReport {
         let text = text.trim();
         let (form, rest) = text.split_once(char::is_whitespace).unwrap_or(("", text));
+        let sane = |number: &f64| number.is_finite() && *number >= 0.0;
+        let of = |value: &dyn Fn(&str) -> Option<f64>| LoadReport {
+            util: value(util).filter(sane),
+            in_hand: value(in_hand).filter(sane),
+        };
         match form {
-            "JSON" => LoadReport::json(rest),
-            "TEXT" => LoadReport::pairs(rest),
+            "JSON" => of(&json(rest)),
+            "TEXT" => of(&pairs(rest)),
             // The binary form is not spoken here; what names no form is taken as TEXT.
             "BIN" => LoadReport::default(),
-            _ => LoadReport::pairs(text),
-        }
-    }
-
-    fn pairs(text: &str) -> LoadReport {
-        let value = |name: &str| {
-            let mut pairs = text.split(',').filter_map(|pair| pair.split_once(['=', ':']));
-            pairs.find(|pair| pair.0.trim() == name).and_then(|pair| pair.1.trim().parse().ok())
-        };
-        LoadReport::of(value)
-    }
-
-    fn json(text: &str) -> LoadReport {
-        let Ok(report) = serde_json::from_str::<serde_json::Value>(text) else {
-            return LoadReport::default();
-        };
-        LoadReport::of(|path: &str| {
-            path.split('.').try_fold(&report, |value, key| value.get(key)).and_then(serde_json::Value::as_f64)
-        })
-    }
-
-    fn of(value: impl Fn(&str) -> Option<f64>) -> LoadReport {
-        let sane = |number: &f64| number.is_finite() && *number >= 0.0;
-        let util = value("application_utilization").filter(|util| sane(util) && *util > 0.0);
-        LoadReport {
-            util: util.or_else(|| value("cpu_utilization")).filter(sane),
-            in_hand: value("named_metrics.in_hand").filter(sane),
+            _ => of(&pairs(text)),
         }
     }
 
@@ -59,3 +49,17 @@
         format!("TEXT {}", pairs.join(","))
     }
 }
+
+fn pairs(text: &str) -> impl Fn(&str) -> Option<f64> + '_ {
+    move |name: &str| {
+        let mut pairs = text.split(',').filter_map(|pair| pair.split_once(['=', ':']));
+        pairs.find(|pair| pair.0.trim() == name).and_then(|pair| pair.1.trim().parse().ok())
+    }
+}
+
+fn json(text: &str) -> impl Fn(&str) -> Option<f64> {
+    let report = serde_json::from_str::<serde_json::Value>(text).unwrap_or_default();
+    move |path: &str| {
+        path.split('.').try_fold(&report, |value, key| value.get(key)).and_then(serde_json::Value::as_f64)
+    }
+}
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -189,6 +189,7 @@
                 path: part.or("path", "/healthz".to_string()),
                 within: part.or("within", Span::millis(500)),
                 most_open: part.or("most_open", 64),
+                in_body: None,
             };
             (part.or("on", true), part.or("carry_load", false), probing)
         });
