--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,7 +33,7 @@
     Refused,
     /// The peer or the network broke it.
     Reset,
-    /// More waited to be written than the driver allows.
+    /// More waited to be written than the driver allows, or this side has no room for another connection.
     Overflow,
     /// The node closed it.
     Ours,
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -36,6 +36,8 @@
 /// Log lines in a second; what goes beyond is counted.
 const MOST_LOGGED: f64 = 40.0;
 const TALLY: Span = Span::millis(5_000);
+/// Servers or changes named in one line.
+const SHOWN: usize = 6;
 
 mod timer {
     pub const TURN: u64 = 1;
@@ -61,6 +63,8 @@
     /// Sums that came with a load report.
     reports: u64,
     arrivals: u64,
+    /// Tries and dropped ones by server.
+    tries: BTreeMap<usize, (u64, u64)>,
     probes: BTreeMap<&'static str, u64>,
     /// Probes that were answered with a load report.
     probe_reports: u64,
@@ -241,7 +245,7 @@
             self.endpoints[server] = Some(target.at).filter(|_| target.state != Listed::Deleted);
             let (cell, state, weight) = (target.cell, target.state, target.weight);
             entries.push(Entry { server, zone, cell, state, weight, last_start: target.started });
-            if kind == ListKind::Changes && shown.len() < 32 {
+            if kind == ListKind::Changes && shown.len() < SHOWN {
                 let started = target.started.map_or(String::new(), |at| format!("@{}", at.0 / 1_000_000));
                 shown.push(format!("{}={state:?}{started}", target.name));
             }
@@ -523,6 +527,8 @@
                 let server = self.servers.find(&sums.server.to_string()).ok_or("the server is not known")?;
                 self.tally.sums += 1;
                 self.tally.reports += u64::from(sums.util.is_some());
+                let tries = self.tally.tries.entry(server).or_default();
+                *tries = (tries.0 + sums.tries, tries.1 + sums.dropped);
                 let load = Load { util: sums.util, in_hand: sums.in_hand };
                 let (tries, dropped) = (sums.tries as f64, sums.dropped as f64);
                 Event::Sums { server, zone, tries, dropped, mean: sums.mean, over: sums.over, load }
@@ -568,13 +574,20 @@
         }
         if now.since(self.tallied) >= TALLY {
             self.tallied = now;
-            let tally = std::mem::take(&mut self.tally);
+            let mut tally = std::mem::take(&mut self.tally);
+            // Of the servers, those that dropped most.
+            let mut worst: Vec<_> = std::mem::take(&mut tally.tries).into_iter().filter(|t| t.1 .1 > 0).collect();
+            worst.sort_by_key(|tried| std::cmp::Reverse(tried.1 .1));
+            worst.truncate(SHOWN);
+            let worst: Vec<String> =
+                worst.iter().map(|(at, (n, bad))| format!("{}:{bad}/{n}", self.servers.name(*at))).collect();
             let unanswered: usize = self.peers.streams.values().map(|stream| stream.marks.len()).sum();
             let fields = vec![
                 ("peers", self.peers.all.len().to_string()),
                 ("proxies", self.peers.streams.len().to_string()),
                 ("servers", self.roll.known().count().to_string()),
                 ("unanswered", unanswered.to_string()),
+                ("dropping", worst.join(",")),
                 ("since", format!("{tally:?}")),
             ];
             out.log(Level::Info, "tally", fields);
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -26,6 +26,9 @@
 const SIGNALS: Token = Token(1);
 const FIRST: usize = 2;
 const MOST_WORDS: usize = 4096;
+/// Connections taken from a listener in one go, and how long it rests when descriptors have run out.
+const MOST_TAKEN_IN: usize = 16;
+const NO_ROOM: Span = Span::millis(50);
 
 /// Which of the reactor's nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -156,6 +159,8 @@
     pending: VecDeque<(usize, Pending)>,
     /// Links that had more to read when their turn ended.
     again: VecDeque<(usize, Link)>,
+    /// Doors with more to take in, and when to look again.
+    waiting: Vec<(usize, u32, Moment)>,
     most_unwritten: usize,
     /// Where kept files lie.
     dir: PathBuf,
@@ -184,6 +189,7 @@
             alarms_set: 0,
             pending: VecDeque::new(),
             again: VecDeque::new(),
+            waiting: Vec::new(),
             most_unwritten,
             dir,
             announces: false,
@@ -233,6 +239,9 @@
         self.settle();
         while self.exit.is_none() {
             let wait = if self.again.is_empty() { self.wait() } else { Some(Duration::ZERO) };
+            let now = self.clock.now();
+            let doors = self.waiting.iter().map(|door| duration(door.2.since(now)));
+            let wait = doors.chain(wait).min();
             match self.poll.poll(&mut events, wait) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 other => other?,
@@ -251,6 +260,12 @@
                 self.read(place, link);
                 self.settle();
             }
+            let now = self.clock.now();
+            let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting).into_iter().partition(|door| door.2 <= now);
+            self.waiting = later;
+            for (place, door, _) in due {
+                self.accept(place, door);
+            }
             self.ring();
         }
         // Whoever ends in order has its last words written, as far as the peers take them at once.
@@ -360,6 +375,10 @@
             }
             Effect::Connect { link, to, from } => match Conn::connect(to, from) {
                 Ok(conn) => self.admit(place, link, conn),
+                // That this side has no room says nothing of the peer: taken for a refusal it was a dead server.
+                Err(e) if matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS)) => {
+                    self.pending.push_back((place, Pending::Closed(link, Ended::Overflow)));
+                }
                 Err(_) => self.pending.push_back((place, Pending::Closed(link, Ended::Refused))),
             },
             Effect::Send { link, bytes } => {
@@ -516,8 +535,12 @@
         }
     }
 
+    /// Takes in a few: what these have to say is heard before more come, or hundreds that say nothing would
+    /// push out those who are about to. When descriptors run out the door is looked at again after a while; the
+    /// kernel tells of a waiting connection once only.
     fn accept(&mut self, place: usize, door: u32) {
-        loop {
+        self.waiting.retain(|waiting| (waiting.0, waiting.1) != (place, door));
+        for _ in 0..MOST_TAKEN_IN {
             let Some((_, open)) = self.slots[place].doors.get_mut(&door) else { return };
             match open.accept() {
                 Ok(Some((conn, from))) => {
@@ -529,10 +552,11 @@
                 Ok(None) => return,
                 Err(e) => {
                     tracing::warn!(error = %e, "not_accepted");
-                    return;
+                    return self.waiting.push((place, door, self.clock.now() + NO_ROOM));
                 }
             }
         }
+        self.waiting.push((place, door, self.clock.now()));
     }
 
     fn writable(&mut self, place: usize, link: Link) {
