Servers that drop more than they answer lose weight while the fleet as a whole answers

Ruled out: lists, marks and joins (all in the log), silent probes (none). At fault: review and STANDS know no server that is alive and fails; the load that such a one reports does not tell. Changed: in review, a server that drops over half of its tries loses a step at each review while the fleet is under 0.9 busy and drops under 12%.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -71,6 +71,8 @@
 const BAD_TRIES: f64 = 3.0;
 const BAD_PART: f64 = 0.85;
 const GOOD_PART: f64 = 0.2;
+/// Part dropped from which a server loses weight at each review while the fleet as a whole answers.
+const FAILS: f64 = 0.5;
 /// Dead probes in a row that confirm it.
 const CONFIRM: usize = 2;
 /// Servers are not shut out when less than this part of the listed weight would remain.
@@ -343,16 +345,23 @@
                 let work = common * held / calls;
                 self.state.work = Some(self.state.work.map_or(work, |before| 0.7 * before + 0.3 * work));
             }
+            let (tries, dropped) = self.state.tally(|s| s.stand == Open);
+            let at_ease = common < BUSY && dropped < DROPS.0 * tries;
             for (at, util, _) in util {
                 let server = &mut self.state.servers[at];
+                // One that is too slow answers probes in time: seen to drop 40 of 40 tries in 5 s at its whole
+                // weight, with every probe answered. It costs a step, whatever the load says.
+                let drops = server.dropped / server.tries.max(BAD_TRIES);
+                let fails = at_ease && drops > FAILS;
                 let factor = |by: i32| CORRECTIONS.get((UNCORRECTED + server.step + by) as usize);
                 let wanted = factor(0).unwrap_or(&1.0) * common / util.max(0.1);
                 let above = factor(1).is_some_and(|next| wanted >= next * 0.95);
                 let below = factor(-1).is_some_and(|next| wanted <= next / 0.95);
-                let call = i32::from(above) - i32::from(below);
+                let call = if fails { -1 } else { i32::from(above) - i32::from(below) };
                 server.asked = if call == server.asked.signum() { server.asked + call } else { call };
-                if server.asked.abs() >= 2 + i32::from(self.reach.load_on_probe) && common < BUSY {
-                    server.step += call;
+                let asked = server.asked.abs() >= 2 + i32::from(self.reach.load_on_probe);
+                if asked && common < BUSY || fails {
+                    server.step = (server.step + call).max(-UNCORRECTED);
                     server.asked = 0;
                     self.state.stirred = true;
                 }
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -147,6 +147,20 @@
     insta::assert_snapshot!(stage.trace);
 }
 
+#[test]
+fn a_server_that_drops_more_than_it_answers_loses_weight_though_it_looks_idle() {
+    // Seen on sockets: servers dropped most of their tries for 10 s while every probe was answered; they kept
+    // their share, since none of the signs of a dead one ever came.
+    let mut stage = settled(terms());
+    for round in 0..4 {
+        let others = (1..6).map(|s| sums(s, 50.0, 0.0, Some(0.5)));
+        let sums: Vec<Event> = others.chain([sums(0, 10.0, 6.0, Some(0.3))]).collect();
+        stage.at(1000 + 2500 * round, &sums);
+        stage.pass(1500 + 2500 * round, 3000 + 2500 * round);
+    }
+    insta::assert_snapshot!(stage.trace);
+}
+
 #[test]
 fn a_full_channel_holds_ordinary_lines_back_and_lets_drains_through() {
     let mut stage = Stage::new(Terms { most_waiting: 120.0, ..terms() });
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -576,7 +576,8 @@
             self.tallied = now;
             let mut tally = std::mem::take(&mut self.tally);
             // Of the servers, those that dropped most.
-            let mut worst: Vec<_> = std::mem::take(&mut tally.tries).into_iter().filter(|t| t.1 .1 > 0).collect();
+            let mut worst: Vec<_> =
+                std::mem::take(&mut tally.tries).into_iter().filter(|t| t.1 .1 > 0).collect();
             worst.sort_by_key(|tried| std::cmp::Reverse(tried.1 .1));
             worst.truncate(SHOWN);
             let worst: Vec<String> =
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -261,7 +261,8 @@
                 self.settle();
             }
             let now = self.clock.now();
-            let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting).into_iter().partition(|door| door.2 <= now);
+            let (due, later): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.waiting).into_iter().partition(|door| door.2 <= now);
             self.waiting = later;
             for (place, door, _) in due {
                 self.accept(place, door);
