Silent streams count as left until they are heard again

Now a stream with a message unanswered and nothing heard for twice that time and the way counts as left; its connection stays, and when it is heard again its proxy comes anew. Simulated servers on real sockets.

--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -27,6 +27,8 @@
 /// Sockets for discovery, its successor, the listener and what a process has open anyway.
 const OWN_SOCKETS: usize = 32;
 const MOST_PROBES: usize = 32;
+/// Where the channel has no limit told, or a very long one.
+const LONGEST_EMPTIES: Span = Span::millis(5_000);
 /// No answer to a probe by then is silence.
 const PROBED: Span = Span::millis(400);
 /// Incomplete messages of all peers together may take one part in so many of the memory.
@@ -83,6 +85,8 @@
     zones: Vec<String>,
     routes: Vec<String>,
     most_proxies: u64,
+    /// A stream that leaves a message unanswered and says nothing for so long counts as left.
+    deaf_after: Span,
     planner: Planner,
     servers: Door<String>,
     proxies: Door<u64>,
@@ -107,6 +111,10 @@
     pub fn new(now: Moment, charge: Charge, file: String) -> Platform {
         let Charge { name, listen, discovery, seed, limits, known, start } = charge;
         let most_proxies = start.fleet.proxies as u64;
+        // Twice what a full channel takes to empty, and the way there and back.
+        let empties = start.channel.most_waiting / start.channel.lines_per_s;
+        let empties = if empties.is_finite() { Span::of_seconds(empties) } else { LONGEST_EMPTIES };
+        let deaf_after = empties.min(LONGEST_EMPTIES).times(2.0) + start.channel.longest_way.times(2.0);
         let planner = Planner::new(
             now,
             seed,
@@ -131,6 +139,7 @@
             zones: start.zone_names,
             routes: start.route_names,
             most_proxies,
+            deaf_after,
             planner,
             servers: Door::default(),
             proxies: Door::default(),
@@ -398,7 +407,9 @@
     fn gone(&mut self, now: Moment, link: Link, peer: &Peer, out: &mut Outbox) {
         let present = self.peers.streams.get(&peer.proxy).is_some_and(|stream| stream.link == link);
         if peer.stand == Stand::Proxy && present {
-            self.peers.streams.remove(&peer.proxy);
+            if self.peers.streams.remove(&peer.proxy).is_some_and(|stream| stream.silent) {
+                return;
+            }
             self.books.forget(peer.proxy);
             self.tally.leaves += 1;
             self.event(now, Event::Left { proxy: peer.proxy }, out);
@@ -419,6 +430,9 @@
     fn heard(&mut self, now: Moment, link: Link, bytes: &[u8], out: &mut Outbox) {
         let Some(mut peer) = self.peers.all.remove(&link) else { return };
         self.peers.held -= peer.reader.held();
+        if peer.stand == Stand::Proxy {
+            self.speaks(now, link, peer.proxy, out);
+        }
         peer.reader.push(bytes);
         let heard = self.listen_to(now, link, &mut peer, out);
         peer.reader.shrink();
@@ -432,6 +446,37 @@
         }
     }
 
+    /// A stream that was silent is heard again: to the module its proxy comes anew and is handed its table whole.
+    fn speaks(&mut self, now: Moment, link: Link, proxy: usize, out: &mut Outbox) {
+        let Some(stream) = self.peers.streams.get_mut(&proxy).filter(|stream| stream.link == link) else {
+            return;
+        };
+        stream.heard = now;
+        if std::mem::take(&mut stream.silent) {
+            let (zone, calls_per_s) = (stream.zone, stream.calls_per_s);
+            self.tally.joins += 1;
+            self.event(now, Event::Joined { proxy, zone, calls_per_s }, out);
+        }
+    }
+
+    /// Streams that went silent count as left, or all that is ordered after their oldest unanswered message would
+    /// count as waiting and fill the account. The connection stays: to end it is not ours, and it may come back.
+    fn silence(&mut self, now: Moment, out: &mut Outbox) {
+        let deaf_after = self.deaf_after;
+        let overdue = self.peers.streams.iter().filter(|(_, stream)| stream.overdue(now, deaf_after));
+        let overdue: Vec<usize> = overdue.map(|(proxy, _)| *proxy).collect();
+        for proxy in overdue {
+            if let Some(stream) = self.peers.streams.get_mut(&proxy) {
+                stream.silent = true;
+                stream.marks.clear();
+            }
+            self.books.forget(proxy);
+            self.tally.leaves += 1;
+            self.log(now, Level::Warn, "silent", vec![("proxy", self.proxies.name(proxy).to_string())], out);
+            self.event(now, Event::Left { proxy }, out);
+        }
+    }
+
     /// Reads what has come; an error ends the connection.
     fn listen_to(
         &mut self,
@@ -464,7 +509,7 @@
                     reader.set_bounds(bounds);
                     return self.listen_to(now, link, peer, out);
                 }
-                (Does::Tell, Ok(said)) => self.tell(now, link, *stand, *proxy, said, out).err(),
+                (Does::Tell, Ok(said)) => self.tell(now, *stand, *proxy, said, out).err(),
                 (Does::Refuse, Err(spoilt)) => return Err(spoilt.to_string()),
                 (Does::Refuse, Ok(_)) => return Err("this is not how to join".into()),
                 (_, Err(spoilt)) => Some(spoilt.what),
@@ -495,7 +540,10 @@
             }
         }
         self.books.forget(proxy);
-        self.peers.streams.insert(proxy, Stream { link, marks: VecDeque::new(), heard: now });
+        self.peers.streams.insert(
+            proxy,
+            Stream { link, marks: VecDeque::new(), heard: now, zone, calls_per_s, silent: false },
+        );
         self.tally.joins += 1;
         let fields = vec![
             ("proxy", number.to_string()),
@@ -511,15 +559,11 @@
     fn tell(
         &mut self,
         now: Moment,
-        link: Link,
         stand: Stand,
         own: usize,
         said: Said<'_>,
         out: &mut Outbox,
     ) -> Result<(), &'static str> {
-        if let Some(stream) = self.peers.streams.get_mut(&own) {
-            stream.heard = if stream.link == link { now } else { stream.heard };
-        }
         let event = match said {
             Said::Sums(sums) => {
                 let zone = self.zones.iter().position(|known| known == sums.zone);
@@ -534,7 +578,7 @@
                 Event::Sums { server, zone, tries, dropped, mean: sums.mean, over: sums.over, load }
             }
             Said::Arrivals { proxy: number, route, calls, dropped, over } => {
-                let proxy = self.proxies.find(&number).filter(|at| self.peers.streams.contains_key(at));
+                let proxy = self.proxies.find(&number).filter(|at| self.joined(*at));
                 let proxy = proxy.ok_or("the proxy has not joined")?;
                 if stand == Stand::Proxy && proxy != own {
                     return Err("the proxy is another");
@@ -561,6 +605,10 @@
         Ok(())
     }
 
+    fn joined(&self, proxy: usize) -> bool {
+        self.peers.streams.get(&proxy).is_some_and(|stream| !stream.silent)
+    }
+
     fn sweep(&mut self, now: Moment, out: &mut Outbox) {
         out.wake(timer::SWEEP, now + SWEEP);
         let late: Vec<Link> = self
@@ -572,6 +620,7 @@
         for link in late {
             self.turn_away(now, link, "no joining in time", out);
         }
+        self.silence(now, out);
         if now.since(self.tallied) >= TALLY {
             self.tallied = now;
             let mut tally = std::mem::take(&mut self.tally);
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -2,7 +2,7 @@
 
 use pewtergap_node::Link;
 use pewtergap_resp::{Bounds, Reader, Said};
-use pewtergap_time::Moment;
+use pewtergap_time::{Moment, Span};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Before it has joined, a connection may hold this much; afterwards a message may be as long as the platform has
@@ -99,6 +99,19 @@
     /// Marks sent and not answered, and when.
     pub marks: VecDeque<(u64, Moment)>,
     pub heard: Moment,
+    /// What it said when it joined.
+    pub zone: usize,
+    pub calls_per_s: f64,
+    /// Nothing came for so long that the module was told it had left.
+    pub silent: bool,
+}
+
+impl Stream {
+    /// A healthy one would have said something by now: a message waits for its answer, and nothing else came.
+    pub fn overdue(&self, now: Moment, deaf_after: Span) -> bool {
+        let unanswered = self.marks.front().is_some_and(|sent| now.since(sent.1) > deaf_after);
+        !self.silent && unanswered && now.since(self.heard) > deaf_after
+    }
 }
 
 /// All connections that came in at the door, and the streams among them.
--- a/crates/platform/tests/node.rs
+++ b/crates/platform/tests/node.rs
@@ -262,6 +262,35 @@
     assert!(hand.seen().contains(&format!("{}: CONFIG lines s-2:0", second.0)));
 }
 
+#[test]
+fn a_stream_that_goes_silent_counts_as_left_until_it_is_heard_again() {
+    // Unanswered, one message counts all that is ordered after it as waiting: the account would fill for good.
+    let mut hand = Hand::new(&settings(10, 256));
+    let (silent, alive) = (hand.joined(1), hand.joined(2));
+    hand.pass(200);
+    for _ in 0..10 {
+        hand.say(alive, "RATE sidecar 2 kind lookup n 1 bad 0 window 1000");
+        hand.pass(1_000);
+    }
+    hand.seen();
+    let before = hand.dial(85);
+    while hand.dial(85) == before {
+        hand.pass(10);
+    }
+    let list = hand.dial(85);
+    hand.give(Input::Opened { link: list });
+    hand.discovery(list, &format!(r#"{{"rev":5,"all":true,"targets":[{}]}}"#, row("s-1", "a", "Ready")));
+    hand.pass(300);
+    let seen = hand.seen();
+    assert!(seen.contains(&format!("{}: CONFIG lines s-2:0", alive.0)), "who answered is told: {seen}");
+    let told = |seen: &str| seen.lines().any(|line| line.starts_with(&format!("{}: ", silent.0)));
+    assert!(!told(&seen), "who is silent is neither told nor closed: {seen}");
+    hand.say(silent, "RATE sidecar 1 kind lookup n 1 bad 0 window 1000");
+    hand.pass(300);
+    let seen = hand.seen();
+    assert!(seen.contains(&format!("{}: CONFIG whole 1 lines s-1:", silent.0)), "handed it whole: {seen}");
+}
+
 #[test]
 fn room_is_kept_for_proxies_by_closing_the_oldest_strangers() {
     let mut hand = Hand::new(&settings(100, 128));
