--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -107,9 +107,10 @@
 }
 
 impl Stream {
-    /// A healthy one would have said something by now: a message waits for its answer, and nothing else came.
+    /// A healthy one would have said something by now: messages wait for their answers, and nothing else came. Two
+    /// of them: one answer may have come spoilt, and a proxy that is only idle must still be told of drains.
     pub fn overdue(&self, now: Moment, deaf_after: Span) -> bool {
-        let unanswered = self.marks.front().is_some_and(|sent| now.since(sent.1) > deaf_after);
+        let unanswered = self.marks.get(1).is_some_and(|sent| now.since(sent.1) > deaf_after);
         !self.silent && unanswered && now.since(self.heard) > deaf_after
     }
 }
--- a/crates/platform/tests/node.rs
+++ b/crates/platform/tests/node.rs
@@ -268,7 +268,14 @@
     let mut hand = Hand::new(&settings(10, 256));
     let (silent, alive) = (hand.joined(1), hand.joined(2));
     hand.pass(200);
-    for _ in 0..10 {
+    let list = hand.dial(85);
+    hand.give(Input::Opened { link: list });
+    let rows = [row("s-1", "a", "Ready"), row("s-2", "b", "Ready")].join(",");
+    hand.discovery(list, &format!(r#"{{"rev":5,"all":true,"targets":[{rows}]}}"#));
+    hand.pass(1_000);
+    let more = row("s-4", "a", "Ready");
+    hand.discovery(list, &format!(r#"{{"rev":6,"all":false,"targets":[{more}]}}"#));
+    for _ in 0..20 {
         hand.say(alive, "RATE sidecar 2 kind lookup n 1 bad 0 window 1000");
         hand.pass(1_000);
     }
@@ -279,7 +286,7 @@
     }
     let list = hand.dial(85);
     hand.give(Input::Opened { link: list });
-    hand.discovery(list, &format!(r#"{{"rev":5,"all":true,"targets":[{}]}}"#, row("s-1", "a", "Ready")));
+    hand.discovery(list, &format!(r#"{{"rev":7,"all":true,"targets":[{}]}}"#, row("s-1", "a", "Ready")));
     hand.pass(300);
     let seen = hand.seen();
     assert!(seen.contains(&format!("{}: CONFIG lines s-2:0", alive.0)), "who answered is told: {seen}");
