--- a/crates/reactor/tests/sockets.rs
+++ b/crates/reactor/tests/sockets.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Tells what it is given, and does what it is told by words.
@@ -15,6 +16,8 @@
     heard: Sender<String>,
     at: Option<SocketAddr>,
     links: Vec<Link>,
+    /// Who holds this holds up the whole reactor at the word.
+    held: Arc<Mutex<()>>,
 }
 
 const CEILING: Duration = Duration::from_secs(30);
@@ -48,6 +51,10 @@
                 self.links.iter().for_each(|link| (0..64).for_each(|_| out.send(*link, vec![7; 1 << 20])));
                 return;
             }
+            Input::Word("hold") => {
+                drop(self.held.lock());
+                return;
+            }
             Input::Word("finish") => {
                 self.links.iter().for_each(|link| {
                     out.send(*link, b"last words".to_vec());
@@ -91,17 +98,20 @@
     place: pewtergap_reactor::Place,
     heard: Receiver<String>,
     at: SocketAddr,
+    held: Arc<Mutex<()>>,
 }
 
 fn stage() -> Stage {
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let mut reactor = Reactor::new(Clock::default(), 4 << 20, dir).unwrap();
     let (sender, heard) = channel();
-    let place = reactor.add(Box::new(Parrot { heard: sender, at: None, links: Vec::new() }));
+    let held = Arc::new(Mutex::new(()));
+    let place =
+        reactor.add(Box::new(Parrot { heard: sender, at: None, links: Vec::new(), held: held.clone() }));
     let handle = reactor.handle();
     std::thread::spawn(move || reactor.run().unwrap());
     let at = heard.recv_timeout(CEILING).unwrap().parse().unwrap();
-    Stage { handle, place, heard, at }
+    Stage { handle, place, heard, at, held }
 }
 
 impl Stage {
@@ -169,3 +179,19 @@
     assert_eq!(stage.hear(), "kept: Ok(9)");
     assert!(!PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("kept.new").exists());
 }
+
+#[test]
+fn of_hundreds_that_come_at_once_the_first_are_heard_before_the_last_are_taken_in() {
+    // Taken in all at once, those that say nothing pushed out the ones whose first word was on its way.
+    let stage = stage();
+    let held = stage.held.lock().unwrap();
+    stage.tell("hold");
+    let mut peers: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(stage.at).unwrap()).collect();
+    peers.iter_mut().for_each(|peer| peer.write_all(b"hello").unwrap());
+    drop(held);
+    let told: Vec<String> = (0..400).map(|_| stage.hear()).collect();
+    let first_word = told.iter().position(|told| told == "5 bytes").unwrap();
+    let last_come = told.iter().rposition(|told| told == "accepted").unwrap();
+    assert_eq!(told.iter().filter(|told| *told == "accepted").count(), 200);
+    assert!(first_word < last_come, "heard after {first_word}, the last came at {last_come}");
+}
