--- a/crates/platform/tests/node.rs
+++ b/crates/platform/tests/node.rs
@@ -312,6 +312,24 @@
     }
 }
 
+#[test]
+fn four_hundred_that_join_at_once_are_all_handed_a_table() {
+    let mut hand = Hand::new(&settings(400, 1024));
+    let links: Vec<Link> = (0..400).map(|number| hand.joined(number)).collect();
+    let mut given = vec![false; links.len()];
+    for _ in 0..200 {
+        hand.pass(50);
+        for told in hand.seen().lines() {
+            let (link, text) = told.split_once(": ").unwrap_or(("", ""));
+            let number = links.iter().position(|known| known.0.to_string() == link);
+            let (Some(number), Some((_, mark))) = (number, text.split_once("ticket ")) else { continue };
+            given[number] |= text.starts_with("CONFIG whole 1 lines ");
+            hand.say(links[number], &format!("ACK sidecar {number} version {mark} lag_ms 1"));
+        }
+    }
+    assert_eq!(given.iter().filter(|given| **given).count(), 400);
+}
+
 #[test]
 fn a_new_configuration_moves_discovery_and_an_unreadable_one_changes_nothing() {
     let mut hand = Hand::new(&settings(10, 256));
