Places of gone servers are used again; a list that began anew and spoilt marks are settled

Need: door and module grew with every server ever listed; discovery that began anew at a lower version was never believed; a spoilt answer to a mark left it open until the next on that stream.

Change: Order::Forget, given two minutes after a gone server is named by no table, part, slice, question or message under way; door, probes and reports waiting give the place up, in both adapters and the service alike. A whole list of a lower version is believed after five in a row over 15 s, none older than the one before, and past the grace of every drain told; until then whole lists are asked for, a watch from the higher version would say nothing. A proxy from which something unreadable came while a mark has been open for the deaf stream's time is handed its table anew.

Measured: 100,000 replaced servers hold under 600 places.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -181,6 +181,9 @@
                     let inbox = std::mem::take(&mut instance.inbox);
                     for order in instance.planner.turn(now, &inbox) {
                         instance.write(*who, &order, &mut reply);
+                        if let Order::Forget { server } = order {
+                            instance.servers.forget(server);
+                        }
                     }
                 }
             }
@@ -391,6 +394,7 @@
             Order::Probe { server } => writeln!(reply, "probe\t{who}\t{}", self.servers.name(*server)),
             Order::Wake { at } => writeln!(reply, "timer\t{who}\t{}\t0", at.0),
             Order::Note { text } => writeln!(reply, "journal_line\t{who}\t{text}"),
+            Order::Forget { .. } => Ok(()),
             Order::Subscribe => writeln!(reply, "tail\t{who}\t1"),
         };
     }
--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -86,6 +86,13 @@
         self.lines.retain(|key, _| !gone(key));
     }
 
+    /// The server's place is given up: what was said of it must not be laid to the next that has the place.
+    pub fn forget_server(&mut self, server: usize) {
+        let gone = |key: &Key| matches!(key, Key::Sums { server: at, .. } if *at == server);
+        self.queue.retain(|key| !gone(key));
+        self.lines.retain(|key, _| !gone(key));
+    }
+
     /// What may be taken in by now.
     pub fn take(&mut self, now: Moment) -> Vec<Event> {
         let gone = self.last.map_or(SAVED, |last| now.since(last).seconds());
--- a/crates/control/src/probes.rs
+++ b/crates/control/src/probes.rs
@@ -54,6 +54,13 @@
         }
     }
 
+    /// The server's place is given up: its probe, if one is under way, ends untold.
+    pub fn forget(&mut self, server: usize) -> Option<Link> {
+        self.waiting.retain(|waiting| *waiting != server);
+        let link = *self.open.iter().find(|open| open.1.server == server)?.0;
+        self.open.remove(&link).map(|_| link)
+    }
+
     /// The server to ask next, if one waits and there is room.
     pub fn next_asked(&mut self) -> Option<usize> {
         (self.open.len() < self.asked.most_open).then(|| self.waiting.pop_front())?
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -300,6 +300,13 @@
                 Order::Probe { server } => self.probes.ask(*server),
                 Order::Wake { at } => out.wake(timer::WOKEN, *at),
                 Order::Note { text } => out.log(Level::Info, "planner", vec![("text", text.clone())]),
+                Order::Forget { server } => {
+                    if let Some(link) = self.probes.forget(*server) {
+                        out.cut(link);
+                    }
+                    self.intake.forget_server(*server);
+                    self.servers.forget(*server);
+                }
                 // The list is watched all the time; nothing has to be asked for.
                 Order::Subscribe
                 | Order::Line { .. }
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -67,6 +67,8 @@
 /// Coarse corrections to listed weights, for servers that stay far busier or idler than the rest.
 const CORRECTIONS: [f64; 7] = [0.3, 0.45, 0.6, 0.8, 1.0, 1.25, 1.5];
 const UNCORRECTED: i32 = 4;
+/// What was learned of a server that is gone is kept for so long, should it return.
+const FORGOTTEN: Span = Span::millis(120_000);
 /// Sums suggest trouble when at least so many tries, and such a part of them, were dropped.
 const BAD_TRIES: f64 = 3.0;
 const BAD_PART: f64 = 0.85;
@@ -124,6 +126,7 @@
             self.set_levels(now);
             if now.since(self.state.reviewed) >= REVIEW {
                 self.review(now);
+                self.forget(now, &mut orders);
             }
             // Planners that started together should not probe and push in step.
             self.state.woken = now + TICK.times(0.9 + 0.2 * self.rng.f64());
@@ -370,6 +373,16 @@
         self.state.halve();
     }
 
+    /// Gives up places of servers long gone: each deploy took new ones, for as long as the planner ran.
+    fn forget(&mut self, now: Moment, orders: &mut Vec<Order>) {
+        for (server, left) in self.state.bare(now) {
+            if now.since(left) >= FORGOTTEN {
+                self.state.servers[server] = Server::default();
+                orders.push(Order::Forget { server });
+            }
+        }
+    }
+
     /// Closes levels soon and opens them late: a jam costs more than a call refused too many.
     fn set_levels(&mut self, now: Moment) {
         let held: f64 = self.carried(now).iter().sum();
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -216,6 +216,10 @@
         at: Moment,
     },
     Subscribe,
+    /// Nothing names this place any more: its server's name is given up, the next new one may have the place.
+    Forget {
+        server: ServerIx,
+    },
     /// For the people on call.
     Note {
         text: String,
@@ -291,6 +295,9 @@
     /// Step of the correction to the listed weight, and how often a review asked for another.
     pub step: i32,
     pub asked: i32,
+    /// Somebody has it; and since when nothing but the place itself remembers the server.
+    pub taken: bool,
+    pub left: Option<Moment>,
 }
 
 impl Server {
@@ -432,7 +439,31 @@
         if self.servers.len() <= at {
             self.servers.resize(at + 1, Server::default());
         }
-        &mut self.servers[at]
+        let server = &mut self.servers[at];
+        // Whoever speaks of it begins its time anew: one that came and went between two looks was forgotten early.
+        (server.taken, server.left) = (true, None);
+        server
+    }
+
+    /// Places taken by servers that are gone and stand in no table, part, slice or question, since when. Those
+    /// that a message under way may name are none of them: it is older than the place is bare.
+    pub fn bare(&mut self, now: Moment) -> Vec<(ServerIx, Moment)> {
+        let mut named = vec![false; self.servers.len()];
+        let lines = self.tables.iter().map(|table| &table.lines).chain(&self.wanted);
+        let lines = lines.chain(self.slices.iter().map(|slice| &slice.lines)).flatten().map(|line| line.0);
+        let parts = self.parts.iter().flat_map(|part| part.servers.iter().copied());
+        lines.chain(parts).chain(self.ask.iter().copied()).for_each(|at| named[at] = true);
+        let under_way = self.proxies.iter().flat_map(|p| &p.unapplied).map(|sent| sent.2).min();
+        let mut bare = Vec::new();
+        for (at, server) in self.servers.iter_mut().enumerate() {
+            if named[at] || server.stand != Stand::Gone || !server.taken {
+                server.left = None;
+                continue;
+            }
+            let left = *server.left.get_or_insert(now);
+            bare.extend(under_way.is_none_or(|ordered| ordered > left).then_some((at, left)));
+        }
+        bare
     }
 
     /// Halves what was measured, so that it fades.
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -631,3 +631,56 @@
     stage.at(1_150, &[Event::Tick]);
     insta::assert_snapshot!(stage.trace);
 }
+
+#[test]
+fn a_place_is_given_up_once_nothing_names_it_and_what_returns_sooner_is_known() {
+    let mut stage = settled(terms());
+    stage.at(1000, &[change(entry(1, 0, Listed::Deleted, 1.0, None))]);
+    stage.pass(1500, 60_000);
+    stage.trace.clear();
+    stage.note("it returns within two minutes, and goes again");
+    stage.at(60_500, &[change(entry(1, 0, Listed::Running, 1.0, None))]);
+    stage.at(61_000, &[change(entry(1, 0, Listed::Deleted, 1.0, None))]);
+    stage.pass(61_500, 179_000);
+    assert!(!stage.trace.contains("Forget"), "{}", stage.trace);
+    stage.pass(179_500, 190_000);
+    let trace = stage.trace.lines().filter(|line| !line.contains("Probe")).collect::<Vec<_>>().join("\n");
+    insta::assert_snapshot!(trace);
+    // A message that may name it is under way to one of the proxies: as long as it is, the place is held.
+    let mut stage = settled(terms());
+    stage.confirming = 1;
+    stage.at(1000, &[change(entry(1, 0, Listed::Deleted, 1.0, None))]);
+    stage.pass(1500, 400_000);
+    assert!(!stage.trace.contains("Forget"), "held while proxy 1 has not confirmed");
+    stage.at(400_500, &[1, 2, 3].map(|proxy| Event::Left { proxy }));
+    stage.pass(401_000, 530_000);
+    assert!(stage.trace.contains("Forget { server: 1 }"), "given up after it left");
+}
+
+#[test]
+fn a_hundred_thousand_replaced_servers_take_no_more_room_than_a_thousand() {
+    use pewtergap_planner::door::Door;
+    let mut stage = Stage::new(terms());
+    let mut door: Door<u64> = Door::default();
+    stage.at(0, &[joined(0, 0, 10.0), joined(2, 1, 9.0)]);
+    stage.confirming = 3;
+    let mut peak = 0;
+    for step in 0..10_000u64 {
+        let news = (step * 10..step * 10 + 10).map(|name| (name, Listed::Running));
+        let gone = (step.saturating_sub(1) * 10..step * 10).map(|name| (name, Listed::Deleted));
+        let entries: Vec<Entry> = gone
+            .chain(news)
+            .map(|(name, state)| entry(door.admit(&name), name as usize % 2, state, 1.0, None))
+            .collect();
+        stage.at(step * 3_000, &[Event::List { kind: ListKind::Changes, entries }]);
+        for order in stage.trace.lines() {
+            if let Some(place) = order.split("Forget { server: ").nth(1) {
+                door.forget(place.trim_end_matches(" }").parse().expect("a place"));
+            }
+        }
+        stage.trace.clear();
+        peak = if step == 100 { door.count() } else { peak };
+        assert!(step <= 100 || door.count() <= peak, "step {step}: {} places for {peak}", door.count());
+    }
+    assert!(peak < 600, "{peak} places");
+}
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -120,6 +120,7 @@
         let empties = start.channel.most_waiting / start.channel.lines_per_s;
         let empties = if empties.is_finite() { Span::of_seconds(empties) } else { LONGEST_EMPTIES };
         let deaf_after = empties.min(LONGEST_EMPTIES).times(2.0) + start.channel.longest_way.times(2.0);
+        let drain_grace = start.pledge.drain_grace;
         let planner = start.planner(now, seed);
         let probing = Probing {
             path: "/metrics/load".into(),
@@ -140,7 +141,7 @@
             servers: Door::default(),
             proxies: Door::default(),
             endpoints: Vec::new(),
-            roll: Roll::kept(known.0, known.1),
+            roll: Roll::kept(now, known.0, known.1, drain_grace),
             discovery: Discovery::new(discovery),
             peers: Peers::default(),
             books: Books::default(),
@@ -209,14 +210,13 @@
         let Ok(answer) = Answer::read(&body) else {
             return self.discovery_failed(now, "an answer that is no list", out);
         };
-        self.discovery.went_well();
         for unread in answer.targets.iter().filter_map(|target| target.as_ref().err()) {
             let name = unread.name.clone().unwrap_or_default();
             let fields = vec![("server", name), ("why", unread.what.clone())];
             self.log(now, Level::Warn, "list_entry_refused", fields, out);
         }
         let version = answer.version;
-        match self.roll.take(answer) {
+        match self.roll.take(now, answer) {
             News::Nothing => {}
             News::Stale => {
                 let fields =
@@ -226,6 +226,11 @@
             News::Changes(changes) => self.tell_list(now, ListKind::Changes, &changes, out),
             News::Complete(all) => self.tell_list(now, ListKind::Complete, &all, out),
         }
+        // A watch from a version that discovery has not reached yet would say nothing.
+        if self.roll.doubts() {
+            return self.discovery_failed(now, "a whole list of a lower version", out);
+        }
+        self.discovery.went_well();
         self.discovery.watch(now, self.roll.version(), out);
         out.wake(timer::DISCOVERY, self.discovery.until());
     }
@@ -294,6 +299,13 @@
                 Order::Note { text } => {
                     self.log(now, Level::Info, "planner", vec![("text", text.clone())], out)
                 }
+                Order::Forget { server } => {
+                    if let Some(link) = self.probes.forget(*server) {
+                        out.cut(link);
+                    }
+                    self.tally.tries.remove(server);
+                    self.servers.forget(*server);
+                }
                 // Discovery is watched all the time; nothing has to be asked for.
                 Order::Subscribe
                 | Order::Line { .. }
@@ -476,6 +488,32 @@
         }
     }
 
+    /// What came spoilt may have been the answer to a mark: that would count as waiting until the next answer on the
+    /// stream. Whether the proxy has what it was sent cannot be known, so it is handed its table anew.
+    fn tell_anew(&mut self, now: Moment, out: &mut Outbox) {
+        let deaf_after = self.deaf_after;
+        let unsure = |stream: &Stream| !stream.silent && stream.unsure(now, deaf_after);
+        let unsure = self.peers.streams.iter().filter(|(_, stream)| unsure(stream));
+        let unsure: Vec<(usize, usize, f64)> =
+            unsure.map(|(proxy, stream)| (*proxy, stream.zone, stream.calls_per_s)).collect();
+        for (proxy, zone, calls_per_s) in unsure {
+            if let Some(stream) = self.peers.streams.get_mut(&proxy) {
+                stream.marks.clear();
+                stream.spoilt = None;
+            }
+            self.books.forget(proxy);
+            self.log(
+                now,
+                Level::Warn,
+                "told_anew",
+                vec![("proxy", self.proxies.name(proxy).to_string())],
+                out,
+            );
+            self.event(now, Event::Left { proxy }, out);
+            self.event(now, Event::Joined { proxy, zone, calls_per_s }, out);
+        }
+    }
+
     /// Reads what has come; an error ends the connection.
     fn listen_to(
         &mut self,
@@ -514,6 +552,10 @@
                 (_, Ok(_)) => Some("not from such a peer"),
             };
             if let Some(why) = omitted {
+                let own = self.peers.streams.get_mut(proxy).filter(|stream| stream.link == link);
+                if let Some(stream) = own.filter(|_| what == Kind::Spoilt) {
+                    stream.spoilt = Some(now);
+                }
                 *self.tally.omitted.entry(why).or_default() += 1;
             }
         }
@@ -540,7 +582,15 @@
         self.books.forget(proxy);
         self.peers.streams.insert(
             proxy,
-            Stream { link, marks: VecDeque::new(), heard: now, zone, calls_per_s, silent: false },
+            Stream {
+                link,
+                marks: VecDeque::new(),
+                heard: now,
+                zone,
+                calls_per_s,
+                silent: false,
+                spoilt: None,
+            },
         );
         self.tally.joins += 1;
         let fields = vec![
@@ -619,6 +669,7 @@
             self.turn_away(now, link, "no joining in time", out);
         }
         self.silence(now, out);
+        self.tell_anew(now, out);
         if now.since(self.tallied) >= TALLY {
             self.tallied = now;
             let mut tally = std::mem::take(&mut self.tally);
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -104,6 +104,8 @@
     pub calls_per_s: f64,
     /// Nothing came for so long that the module was told it had left.
     pub silent: bool,
+    /// When something that could not be read came last.
+    pub spoilt: Option<Moment>,
 }
 
 impl Stream {
@@ -113,6 +115,13 @@
         let unanswered = self.marks.get(1).is_some_and(|sent| now.since(sent.1) > deaf_after);
         !self.silent && unanswered && now.since(self.heard) > deaf_after
     }
+
+    /// A mark is open for long, and since it was sent something came that could not be read.
+    pub fn unsure(&self, now: Moment, deaf_after: Span) -> bool {
+        self.marks.front().is_some_and(|(_, sent)| {
+            now.since(*sent) > deaf_after && self.spoilt.is_some_and(|spoilt| spoilt >= *sent)
+        })
+    }
 }
 
 /// All connections that came in at the door, and the streams among them.
--- a/crates/platform/src/roll.rs
+++ b/crates/platform/src/roll.rs
@@ -1,7 +1,7 @@
 //! The servers as discovery lists them, and what of an answer is news.
 
 use pewtergap_planner::Listed;
-use pewtergap_time::Moment;
+use pewtergap_time::{Moment, Span};
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -105,18 +105,45 @@
     Complete(Vec<Target>),
 }
 
+/// Whole lists of a lower version in a row, each asked for anew, and over how long, that show discovery has begun
+/// anew. A few may be answers that were long on their way, or a replica behind: believed at once, servers that are
+/// gone would come back.
+const DOUBTED: (u32, Span) = (5, Span::millis(15_000));
+
 #[derive(Debug, Default)]
 pub struct Roll {
     version: u64,
     listed: BTreeMap<String, Target>,
     /// A whole list has come since the start.
     complete: bool,
+    /// The grace of drains, and when the last drain or end of a server was told.
+    grace: Span,
+    left: Option<Moment>,
+    /// The newest version of the whole lists that went back, how many there were in a row, and since when.
+    back: Option<(u64, u32, Moment)>,
 }
 
 impl Roll {
-    pub fn kept(version: u64, known: Vec<Target>) -> Roll {
+    /// As held before a start: what it says is told now.
+    pub fn kept(now: Moment, version: u64, known: Vec<Target>, grace: Span) -> Roll {
         let listed = known.into_iter().filter(|t| t.state != Listed::Deleted);
-        Roll { version, listed: listed.map(|t| (t.name.clone(), t)).collect(), complete: false }
+        let listed: BTreeMap<String, Target> = listed.map(|t| (t.name.clone(), t)).collect();
+        let left = listed.values().any(|target| target.state != Listed::Running).then_some(now);
+        Roll { version, listed, complete: false, grace, left, back: None }
+    }
+
+    /// The last whole list went back and is not believed: it has to be asked for again.
+    pub fn doubts(&self) -> bool {
+        self.back.is_some()
+    }
+
+    /// Whether a whole list of a lower version is believed: there were enough in a row, none older than the one
+    /// before, and the grace of each drain that was told has passed, so that none is undone within it.
+    fn began_anew(&mut self, now: Moment, version: u64) -> bool {
+        let row = self.back.filter(|back| version >= back.0).map_or((1, now), |back| (back.1 + 1, back.2));
+        self.back = Some((version, row.0.min(DOUBTED.0), row.1));
+        let shown = row.0 >= DOUBTED.0 && now.since(row.1) >= DOUBTED.1;
+        shown && self.left.is_none_or(|left| now.since(left) > self.grace)
     }
 
     pub fn version(&self) -> u64 {
@@ -129,10 +156,11 @@
 
     /// Takes an answer in. An older one never undoes what is known; an entry that cannot be read leaves what is
     /// known of that server in force; what is told again is no news.
-    pub fn take(&mut self, answer: Answer) -> News {
-        if answer.version < self.version {
+    pub fn take(&mut self, now: Moment, answer: Answer) -> News {
+        if answer.version < self.version && !(answer.whole && self.began_anew(now, answer.version)) {
             return News::Stale;
         }
+        self.back = None;
         if answer.version == self.version && !answer.whole {
             return News::Nothing;
         }
@@ -150,12 +178,18 @@
             for target in unread.iter().filter_map(|name| self.listed.get(name)) {
                 told.entry(target.name.clone()).or_insert(target.clone());
             }
+            let stays = |name: &String| told.get(name).is_some_and(|target| target.state == Listed::Running);
+            let ends =
+                self.listed.iter().any(|(name, target)| target.state == Listed::Running && !stays(name));
+            self.left = if ends { Some(now) } else { self.left };
             let same = self.complete && told == self.listed;
             self.complete = true;
             self.listed = told;
             return if same { News::Nothing } else { News::Complete(self.known().cloned().collect()) };
         }
         told.retain(|name, target| self.listed.get(name) != Some(target));
+        let ends = told.values().any(|target| target.state != Listed::Running);
+        self.left = if ends { Some(now) } else { self.left };
         for (name, target) in &told {
             match target.state {
                 Listed::Deleted => drop(self.listed.remove(name)),
--- a/crates/platform/tests/node.rs
+++ b/crates/platform/tests/node.rs
@@ -313,6 +313,85 @@
     assert!(seen.contains(&format!("{}: CONFIG whole 1 lines s-1:", silent.0)), "handed it whole: {seen}");
 }
 
+#[test]
+fn a_spoilt_answer_to_a_mark_leaves_it_open_for_no_longer_than_a_deaf_streams_time() {
+    // Open, it counted all lines ordered after it as waiting until that proxy happened to be told something else.
+    let mut hand = Hand::new(&settings(10, 256));
+    let proxy = hand.joined(1);
+    hand.pass(200);
+    let list = hand.dial(85);
+    hand.give(Input::Opened { link: list });
+    let rows = [row("s-1", "a", "Ready"), row("s-2", "b", "Ready")].join(",");
+    hand.discovery(list, &format!(r#"{{"rev":5,"all":true,"targets":[{rows}]}}"#));
+    hand.pass(300);
+    let seen = hand.seen();
+    assert!(seen.contains("CONFIG whole 1"), "handed its table: {seen}");
+    hand.say(proxy, "ACK sidecar 1 version x lag_ms 1");
+    for _ in 0..4 {
+        hand.say(proxy, "RATE sidecar 1 kind lookup n 5 bad 0 window 1000");
+        hand.pass(1_000);
+    }
+    assert!(!hand.seen().contains("CONFIG whole 1"), "a slow channel is not mistaken for it");
+    for _ in 0..4 {
+        hand.say(proxy, "RATE sidecar 1 kind lookup n 5 bad 0 window 1000");
+        hand.pass(1_000);
+    }
+    let seen = hand.seen();
+    assert!(seen.contains(&format!("{}: CONFIG whole 1", proxy.0)), "handed it anew: {seen}");
+    let mark = seen.split("ticket ").last().and_then(|rest| rest.split_whitespace().next()).expect("a mark");
+    hand.say(proxy, &format!("ACK sidecar 1 version {mark} lag_ms 1"));
+    for _ in 0..10 {
+        hand.say(proxy, "RATE sidecar 1 kind lookup n 5 bad 0 window 1000");
+        hand.pass(1_000);
+    }
+    assert!(!hand.seen().contains("CONFIG whole 1"), "and that is the end of it");
+}
+
+#[test]
+fn discovery_that_began_anew_at_a_lower_version_is_believed_late_and_undoes_no_drain() {
+    let mut hand = Hand::new(&settings(10, 256));
+    let proxy = hand.joined(1);
+    hand.pass(200);
+    let list = hand.dial(85);
+    hand.give(Input::Opened { link: list });
+    let rows = |second: &str, version: u64| {
+        let rows = [row("s-1", "a", "Ready"), row("s-2", "b", second)].join(",");
+        format!(r#"{{"rev":{version},"all":true,"targets":[{rows}]}}"#)
+    };
+    hand.discovery(list, &rows("Terminating", 900));
+    hand.pass(300);
+    hand.seen();
+    let lowered = hand.now;
+    // From here on every list is a whole one of a lower version, in which the drain has not been heard of.
+    let mut list = list;
+    hand.discovery(list, &rows("Ready", 3));
+    let mut back = None;
+    while back.is_none() && hand.now.since(lowered) < Span::millis(40_000) {
+        hand.pass(10);
+        if hand.dial(85) != list {
+            list = hand.dial(85);
+            hand.give(Input::Opened { link: list });
+            hand.discovery(list, &rows("Ready", 3));
+        }
+        hand.say(proxy, "RATE sidecar 1 kind lookup n 5 bad 0 window 1000");
+        back = hand.seen().contains("lines s-2:").then_some(hand.now.since(lowered));
+    }
+    let back = back.expect("believed in the end");
+    assert!(back >= Span::millis(15_000) && back < Span::millis(17_000), "after {back}");
+    // What follows on the new count is news; a list between that went on from the old count ends the doubts.
+    hand.discovery(list, &rows("Terminating", 4));
+    hand.pass(1_500);
+    assert!(hand.seen().contains("s-2:0"), "a drain of the new count binds");
+    hand.discovery(list, &rows("Ready", 2));
+    hand.pass(14_000);
+    let again = hand.dial(85);
+    hand.give(Input::Opened { link: again });
+    hand.discovery(again, &rows("Terminating", 4));
+    hand.discovery(again, &rows("Ready", 2));
+    hand.pass(3_000);
+    assert!(!hand.seen().contains("lines s-2:"), "one good list in between and the doubts begin anew");
+}
+
 #[test]
 fn room_is_kept_for_proxies_by_closing_the_oldest_strangers() {
     let mut hand = Hand::new(&settings(100, 128));
