--- /dev/null
+++ b/crates/record/src/commands.rs
@@ -0,0 +1,190 @@
+//! Commands as they stand in the log, and what is wrong with one before it gets there.
+
+use prost::{Message, Oneof};
+
+pub const MOST_NAME: usize = 256;
+pub const MOST_WHY: usize = 1024;
+
+/// One entry of the log. `id` is drawn by whoever gives it and stays when it is given again; `given` is when, in
+/// milliseconds of the calendar.
+#[derive(Clone, PartialEq, Message)]
+pub struct Command {
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    #[prost(uint64, tag = "2")]
+    pub given: u64,
+    #[prost(oneof = "What", tags = "3, 4, 5, 6")]
+    pub what: Option<What>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub enum What {
+    #[prost(message, tag = "3")]
+    Order(Order),
+    /// A planner starts and takes the next number; nobody else ever has it.
+    #[prost(message, tag = "4")]
+    TakeNumber(TakeNumber),
+    /// A drain was told to a planner for the first time.
+    #[prost(message, tag = "5")]
+    Drain(Drain),
+    /// Ends what has run out by this moment, and forgets ids given long before.
+    #[prost(message, tag = "6")]
+    Clean(Clean),
+}
+
+/// An operator's order. The newest on a subject is in force.
+#[derive(Clone, PartialEq, Message)]
+pub struct Order {
+    #[prost(string, tag = "1")]
+    pub who: String,
+    #[prost(string, tag = "2")]
+    pub why: String,
+    /// In milliseconds of the calendar; 0: until it is taken back.
+    #[prost(uint64, tag = "3")]
+    pub until: u64,
+    #[prost(oneof = "Wish", tags = "4, 5, 6, 7, 8, 9, 10, 11")]
+    pub wish: Option<Wish>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Wish {
+    /// A server takes no more calls, whatever the list says.
+    #[prost(string, tag = "4")]
+    Drain(String),
+    /// It goes by the list again.
+    #[prost(string, tag = "5")]
+    TakeBack(String),
+    #[prost(message, tag = "6")]
+    Weight(Weight),
+    #[prost(string, tag = "7")]
+    FreeWeight(String),
+    #[prost(message, tag = "8")]
+    Cap(Cap),
+    #[prost(string, tag = "9")]
+    Uncap(String),
+    /// No table changes but removals.
+    #[prost(message, tag = "10")]
+    HoldReleases(Clean),
+    #[prost(message, tag = "11")]
+    LetReleases(Clean),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Weight {
+    #[prost(string, tag = "1")]
+    pub server: String,
+    #[prost(double, tag = "2")]
+    pub weight: f64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Cap {
+    #[prost(string, tag = "1")]
+    pub route: String,
+    /// Part of the route's calls that are let in.
+    #[prost(double, tag = "2")]
+    pub level: f64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct TakeNumber {
+    #[prost(string, tag = "1")]
+    pub planner: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Drain {
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Which start of the server, as listed; a later one is another server.
+    #[prost(uint64, tag = "2")]
+    pub started: u64,
+    /// When it was told, in milliseconds of the calendar, and for how long the grace is.
+    #[prost(uint64, tag = "3")]
+    pub told: u64,
+    #[prost(uint64, tag = "4")]
+    pub grace: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Clean {
+    #[prost(uint64, tag = "1")]
+    pub now: u64,
+}
+
+/// What an order is about: two on one subject don't stand beside each other.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Subject {
+    Server(String),
+    Weight(String),
+    Route(String),
+    Releases,
+}
+
+impl Wish {
+    /// The subject, and whether the order leaves something in force there.
+    pub fn subject(&self) -> (Subject, bool) {
+        match self {
+            Wish::Drain(server) => (Subject::Server(server.clone()), true),
+            Wish::TakeBack(server) => (Subject::Server(server.clone()), false),
+            Wish::Weight(weight) => (Subject::Weight(weight.server.clone()), true),
+            Wish::FreeWeight(server) => (Subject::Weight(server.clone()), false),
+            Wish::Cap(cap) => (Subject::Route(cap.route.clone()), true),
+            Wish::Uncap(route) => (Subject::Route(route.clone()), false),
+            Wish::HoldReleases(_) => (Subject::Releases, true),
+            Wish::LetReleases(_) => (Subject::Releases, false),
+        }
+    }
+
+    pub fn words(&self) -> String {
+        match self {
+            Wish::Drain(server) => format!("drain {server}"),
+            Wish::TakeBack(server) => format!("take-back {server}"),
+            Wish::Weight(w) => format!("weight {} {}", w.server, w.weight),
+            Wish::FreeWeight(server) => format!("free-weight {server}"),
+            Wish::Cap(cap) => format!("cap {} {}", cap.route, cap.level),
+            Wish::Uncap(route) => format!("uncap {route}"),
+            Wish::HoldReleases(_) => "hold-releases".into(),
+            Wish::LetReleases(_) => "let-releases".into(),
+        }
+    }
+}
+
+impl Command {
+    /// What is wrong with it, naming the field; protobuf alone lets through what nobody may order.
+    pub fn check(&self) -> Result<(), String> {
+        let name = |field: &str, text: &str, most: usize| match text {
+            "" => Err(format!("{field} is missing")),
+            text if text.len() > most => Err(format!("{field} has {} bytes, {most} at most", text.len())),
+            text if text.chars().any(char::is_control) => Err(format!("{field} has control characters")),
+            _ => Ok(()),
+        };
+        if self.id == 0 {
+            return Err("id is missing".into());
+        }
+        match self.what.as_ref().ok_or("no command")? {
+            What::Order(order) => {
+                name("who", &order.who, MOST_NAME)?;
+                name("why", &order.why, MOST_WHY)?;
+                let wish = order.wish.as_ref().ok_or("no order is given")?;
+                match wish {
+                    Wish::Weight(w) if !(w.weight > 0.0 && w.weight <= 1e6) => {
+                        return Err(format!("weight {} is not above 0 and at most 1000000", w.weight));
+                    }
+                    Wish::Cap(cap) if !(0.0..=1.0).contains(&cap.level) => {
+                        return Err(format!("level {} is not a part between 0 and 1", cap.level));
+                    }
+                    _ => {}
+                }
+                match wish.subject().0 {
+                    Subject::Server(text) | Subject::Weight(text) => name("server", &text, MOST_NAME),
+                    Subject::Route(text) => name("route", &text, MOST_NAME),
+                    Subject::Releases => Ok(()),
+                }
+            }
+            What::TakeNumber(take) => name("planner", &take.planner, MOST_NAME),
+            What::Drain(drain) => name("server", &drain.server, MOST_NAME),
+            What::Clean(_) => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/record/tests/table.rs
@@ -0,0 +1,96 @@
+//! The table of the record, row by row.
+
+use pewtergap_record::*;
+use std::fmt::Write;
+
+fn order(id: u64, given: u64, until: u64, wish: Wish) -> Command {
+    let order = Order { who: "an operator".into(), why: "a test".into(), until, wish: Some(wish) };
+    Command { id, given, what: Some(What::Order(order)) }
+}
+
+fn drain(id: u64, started: u64, told: u64) -> Command {
+    let drain = Drain { server: "s1".into(), started, told, grace: 5_000 };
+    Command { id, given: told, what: Some(What::Drain(drain)) }
+}
+
+fn number(id: u64, given: u64) -> Command {
+    Command { id, given, what: Some(What::TakeNumber(TakeNumber { planner: "a".into() })) }
+}
+
+fn clean(now: u64) -> Command {
+    Command { id: 99, given: now, what: Some(What::Clean(Clean { now })) }
+}
+
+#[test]
+fn each_row_of_the_table() {
+    let mut record = Record::default();
+    let mut trace = String::new();
+    let hour = 3_600_000;
+    let steps = [
+        order(1, 1_000, 0, Wish::Drain("s1".into())),
+        order(1, 1_000, 0, Wish::Drain("s1".into())),
+        order(2, 1_001, 9_000, Wish::Weight(Weight { server: "s2".into(), weight: 0.5 })),
+        order(3, 1_002, 0, Wish::TakeBack("s1".into())),
+        order(4, 1_003, 0, Wish::Cap(Cap { route: "search".into(), level: 0.5 })),
+        order(5, 1_004, 0, Wish::Cap(Cap { route: "search".into(), level: 0.2 })),
+        number(6, 1_005),
+        number(7, 1_006),
+        number(6, 1_005),
+        drain(8, 100, 2_000),
+        drain(9, 100, 3_000),
+        drain(10, 200, 4_000),
+        clean(10_000),
+        clean(hour),
+        order(1, 1_000, 0, Wish::Drain("s1".into())),
+        number(11, hour),
+    ];
+    for (index, command) in (1..).zip(&steps) {
+        let answer = record.apply(index, command);
+        let orders: Vec<String> = record
+            .orders()
+            .map(|(_, s)| s.order.as_ref().and_then(|o| o.wish.as_ref()).map_or(String::new(), Wish::words))
+            .collect();
+        let drains: Vec<String> =
+            record.drains().map(|d| format!("{}@{} from {}", d.server, d.started, d.told)).collect();
+        let _ = writeln!(trace, "{index:>2} {answer:?} | {} | {}", orders.join(", "), drains.join(", "));
+        assert_eq!(Record::read(&record.write()).as_ref(), Ok(&record), "through a snapshot at {index}");
+    }
+    insta::assert_snapshot!(trace);
+}
+
+#[test]
+fn what_nobody_may_order_is_named() {
+    let long = "x".repeat(300);
+    let wishes = [
+        Wish::Drain(String::new()),
+        Wish::Drain("a\nb".into()),
+        Wish::Drain(long),
+        Wish::Weight(Weight { server: "s".into(), weight: f64::NAN }),
+        Wish::Weight(Weight { server: "s".into(), weight: 0.0 }),
+        Wish::Cap(Cap { route: "r".into(), level: 1.5 }),
+        Wish::Uncap(String::new()),
+    ];
+    let mut told: Vec<String> =
+        wishes.into_iter().map(|wish| format!("{:?}", order(1, 1, 0, wish).check())).collect();
+    told.push(format!("{:?}", order(0, 1, 0, Wish::Drain("s".into())).check()));
+    told.push(format!("{:?}", Command { id: 1, given: 1, what: None }.check()));
+    told.push(format!("{:?}", order(1, 1, 0, Wish::Drain("s".into())).check()));
+    insta::assert_snapshot!(told.join("\n"));
+}
+
+#[test]
+fn what_is_in_force_and_remembered_is_bounded() {
+    let mut record = Record::default();
+    for at in 0..MOST_ORDERS as u64 {
+        let wish = Wish::Drain(format!("s{at}"));
+        assert_eq!(record.apply(at + 1, &order(at + 1, 5, 0, wish)), Answer::Kept(at + 1));
+    }
+    let more = record.apply(1 << 20, &order(1 << 20, 5, 0, Wish::Drain("one more".into())));
+    assert!(matches!(more, Answer::Refused(_)), "{more:?}");
+    // On a subject that has one there is room, and taking back makes some.
+    assert_eq!(record.apply(2, &order(1 << 21, 5, 0, Wish::Drain("s7".into()))), Answer::Kept(2));
+    assert_eq!(record.apply(3, &order(1 << 22, 5, 0, Wish::TakeBack("s7".into()))), Answer::Kept(3));
+    assert_eq!(record.apply(4, &order(1 << 23, 5, 0, Wish::Drain("one more".into()))), Answer::Kept(4));
+    // What was refused stays refused under its id: its answer may be known somewhere already.
+    assert_eq!(record.apply(5, &order(1 << 20, 5, 0, Wish::Drain("one more".into()))), more);
+}
