--- a/crates/agree/src/leader.rs
+++ b/crates/agree/src/leader.rs
@@ -5,10 +5,10 @@
 use crate::{Body, Effect, Id, Index, Member, Members, Refusal, Role, Say, Term};
 use pewtergap_time::{Moment, Span};
 use std::collections::{BTreeMap, VecDeque};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// Bytes of entries in one message, messages under way to one member, bytes of a snapshot's piece.
-const MOST_BYTES: usize = 256 * 1024;
+const MOST_BYTES: usize = 64 * 1024;
 const MOST_UNDER_WAY: usize = 16;
 const PIECE: usize = 64 * 1024;
 /// Reads that wait to be confirmed; more are refused.
@@ -23,7 +23,7 @@
     Seeking,
     Streaming,
     /// It is given a snapshot, so many bytes so far.
-    Pieces(Rc<Snapshot>, u64),
+    Pieces(Arc<Snapshot>, u64),
 }
 
 #[derive(Clone, Debug)]
@@ -66,7 +66,7 @@
     /// Whoever belongs is fed, whoever belongs no more is not.
     fn meet(&mut self, now: Moment) {
         let last = self.log.last().1;
-        let ids: Vec<Id> = self.log.members.1 .0.iter().map(|member| member.id).collect();
+        let ids: Vec<Id> = self.log.members.1.list.iter().map(|member| member.id).collect();
         self.lead.members.retain(|id, _| ids.contains(id));
         for id in ids.into_iter().filter(|id| *id != self.id && *id != 0) {
             self.lead.members.entry(id).or_insert(Progress {
@@ -126,7 +126,7 @@
         let Some(member) = self.lead.members.get_mut(&id) else { return };
         if member.next <= base && !matches!(member.feeding, Feeding::Pieces(..)) {
             let Some(snapshot) = &self.log.snapshot else { return };
-            member.feeding = Feeding::Pieces(Rc::new(snapshot.clone()), 0);
+            member.feeding = Feeding::Pieces(Arc::new(snapshot.clone()), 0);
             member.under_way = 0;
         }
         let mut says = Vec::new();
@@ -373,6 +373,24 @@
         self.log.members.1.find(id)
     }
 
+    /// When this member last heard enough of the others to know what is committed: a leader a majority, others
+    /// the leader.
+    pub fn heard_at(&self, now: Moment) -> Option<Moment> {
+        if self.role != Role::Leader {
+            return self.heard;
+        }
+        let heard_of = |id: Id| {
+            if id == self.id {
+                now
+            } else {
+                self.lead.members.get(&id).map_or(Moment(0), |m| m.heard)
+            }
+        };
+        let mut heard: Vec<Moment> = self.log.members.1.voters().map(heard_of).collect();
+        heard.sort_unstable_by(|a, b| b.cmp(a));
+        heard.get(self.log.members.1.majority() - 1).copied()
+    }
+
     pub fn leads_since(&self) -> Option<(Moment, Term)> {
         (self.role == Role::Leader).then_some((self.lead.since, self.log.term))
     }
--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -32,7 +32,11 @@
 
 /// Who belongs, and where each is found. The names and addresses are for the caller's sake.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Members(pub Vec<Member>);
+pub struct Members {
+    pub list: Vec<Member>,
+    /// Ids that were replaced, oldest first: whoever comes under one of them is refused. The last few are kept.
+    pub retired: Vec<Id>,
+}
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -45,15 +49,15 @@
 
 impl Members {
     pub fn voters(&self) -> impl Iterator<Item = Id> + '_ {
-        self.0.iter().filter(|member| member.votes).map(|member| member.id)
+        self.list.iter().filter(|member| member.votes).map(|member| member.id)
     }
 
     pub fn find(&self, id: Id) -> Option<&Member> {
-        self.0.iter().find(|member| member.id == id && id != 0)
+        self.list.iter().find(|member| member.id == id && id != 0)
     }
 
     pub fn named(&self, name: &str) -> Option<&Member> {
-        self.0.iter().find(|member| member.name == name)
+        self.list.iter().find(|member| member.name == name)
     }
 
     pub fn votes(&self, id: Id) -> bool {
--- a/crates/agree/src/log.rs
+++ b/crates/agree/src/log.rs
@@ -148,7 +148,7 @@
         16 + match &self.body {
             Body::Empty => 0,
             Body::Command(bytes) => bytes.len(),
-            Body::Members(members) => members.0.iter().map(|m| 24 + m.name.len() + m.at.len()).sum(),
+            Body::Members(members) => members.list.iter().map(|m| 24 + m.name.len() + m.at.len()).sum(),
         }
     }
 }
--- a/crates/agree/src/machine.rs
+++ b/crates/agree/src/machine.rs
@@ -264,14 +264,14 @@
         match (step(self.role, what, age), message.say) {
             (Do::Adopt, say) => {
                 self.adopt(now, message.term);
-                return self.hear(now, from, Message { term: message.term, say });
+                self.hear(now, from, Message { term: message.term, say })
             }
             (Do::WeighNewer, say) => {
                 if !self.weighs(now, &say) {
                     return;
                 }
                 self.adopt(now, message.term);
-                return self.hear(now, from, Message { term: message.term, say });
+                self.hear(now, from, Message { term: message.term, say })
             }
             (Do::WeighTrial, Say::Trial { last }) => self.weigh_trial(now, from, message.term, last),
             (Do::CountTrial, Say::Trialled { granted }) => self.count_trial(now, from, message.term, granted),
--- a/crates/agree/tests/schedules.rs
+++ b/crates/agree/tests/schedules.rs
@@ -54,7 +54,7 @@
                 // A voter less, or the same one again as a learner and then as a voter.
                 stage.with(id, |agree, now| {
                     let mut members = agree.members().clone();
-                    if let Some(member) = members.0.iter_mut().find(|member| member.id == other) {
+                    if let Some(member) = members.list.iter_mut().find(|member| member.id == other) {
                         member.votes = !member.votes;
                     }
                     agree.change(now, members)
--- a/crates/agree/tests/stage/mod.rs
+++ b/crates/agree/tests/stage/mod.rs
@@ -49,9 +49,8 @@
 }
 
 pub fn founders(count: u64) -> Members {
-    Members(
-        (1..=count).map(|id| Member { id, name: format!("m{id}"), at: String::new(), votes: true }).collect(),
-    )
+    let member = |id| Member { id, name: format!("m{id}"), at: String::new(), votes: true };
+    Members { list: (1..=count).map(member).collect(), retired: Vec::new() }
 }
 
 impl Stage {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,6 @@
 pub mod watch;
 
 pub use probes::Probing;
-pub use service::{Charge, Doors, Service};
+pub use service::{Asked, Charge, Doors, DrainTold, Service, Standing};
 pub use streams::Reports;
 pub use watch::Source;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -15,7 +15,7 @@
 use pewtergap_protocol::{down, encode, up, Beat, Bye, Down, Hello, Nack, Sums, Update, Welcome, VERSION};
 use pewtergap_time::{Moment, Span};
 use std::any::Any;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 
 /// Who this planner is, and whom it serves.
@@ -79,6 +79,35 @@
     worst_ack: Span,
 }
 
+/// What operators' orders say, as it is in force.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Standing {
+    /// Servers that take no more calls, whatever the list says.
+    pub drained: BTreeSet<String>,
+    pub weights: BTreeMap<String, f64>,
+    pub caps: BTreeMap<String, f64>,
+    pub held: bool,
+}
+
+/// A request at the admin door that is not answered here.
+pub struct Asked {
+    pub link: Link,
+    pub method: String,
+    pub target: String,
+    pub body: Vec<u8>,
+}
+
+/// A drain that was told, which start of the server it is of, and when.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DrainTold {
+    pub server: String,
+    pub started: Moment,
+    pub told: Moment,
+}
+
+/// Drains told and not yet taken note of by whoever keeps them.
+const MOST_DRAINS: usize = 4_096;
+
 pub struct Service {
     charge: Charge,
     doors: Doors,
@@ -102,7 +131,12 @@
     intake: Intake,
     intake_set: bool,
     probes: Probes,
-    admin: BTreeMap<Link, Reader>,
+    admin: BTreeMap<Link, (Reader, Option<Asked>)>,
+    /// Prefixes of what is answered by others, and what waits for them.
+    pub elsewhere: &'static [&'static str],
+    pub asked: Vec<Asked>,
+    standing: Standing,
+    pub drains: Vec<DrainTold>,
     events: Vec<Event>,
     turn_set: bool,
     stopping: bool,
@@ -143,6 +177,10 @@
             intake_set: false,
             probes: Probes::new(probing),
             admin: BTreeMap::new(),
+            elsewhere: &[],
+            asked: Vec::new(),
+            standing: Standing::default(),
+            drains: Vec::new(),
             events: vec![Event::Tick],
             turn_set: false,
             stopping: false,
@@ -239,7 +277,17 @@
                 continue;
             };
             let server = self.servers.admit(at);
-            let (state, weight) = (endpoint.state, endpoint.weight);
+            let (mut state, mut weight) = (endpoint.state, endpoint.weight);
+            if state != Listed::Running && kind != ListKind::Kept && self.drains.len() < MOST_DRAINS {
+                let started = endpoint.started.unwrap_or_default();
+                self.drains.push(DrainTold { server: at.clone(), started, told: now });
+            }
+            if state == Listed::Running && self.standing.drained.contains(at) {
+                state = Listed::Stopping;
+            }
+            if let Some(held) = self.standing.weights.get(at) {
+                weight = *held;
+            }
             entries.push(Entry { server, zone, cell: 0, state, weight, last_start: endpoint.started });
             if kind == ListKind::Changes {
                 let fields = vec![
@@ -594,17 +642,19 @@
     // ---- health and metrics
 
     fn admin(&mut self, link: Link, bytes: &[u8], out: &mut Outbox) {
-        let Some(reader) = self.admin.get_mut(&link) else { return };
+        let Some((reader, open)) = self.admin.get_mut(&link) else { return };
         reader.push(bytes);
         let mut asked = Vec::new();
         loop {
             match reader.take() {
                 Ok(Some(Part::Head(head))) => {
-                    if let First::Request { target, .. } = &head.first {
-                        asked.push(target.clone());
+                    if let First::Request { method, target } = &head.first {
+                        let (method, target) = (method.clone(), target.clone());
+                        *open = Some(Asked { link, method, target, body: Vec::new() });
                     }
                 }
-                Ok(Some(_)) => {}
+                Ok(Some(Part::Data(data))) => open.iter_mut().for_each(|asked| asked.body.extend(&data)),
+                Ok(Some(Part::End)) => asked.extend(open.take()),
                 Ok(None) => break,
                 Err(wrong) => {
                     out.send(
@@ -616,8 +666,12 @@
                 }
             }
         }
-        for target in asked {
-            let (status, body) = match target.as_str() {
+        for asked in asked {
+            if self.elsewhere.iter().any(|prefix| asked.target.starts_with(prefix)) {
+                self.asked.push(asked);
+                continue;
+            }
+            let (status, body) = match asked.target.as_str() {
                 "/healthz" if self.listed => (200, "ok\n".to_string()),
                 "/healthz" => (503, "no list yet\n".to_string()),
                 "/metrics" => (200, self.metrics()),
@@ -630,6 +684,54 @@
         }
     }
 
+    /// The answer to what was asked elsewhere; who asked may have gone.
+    pub fn answer(&mut self, link: Link, status: u16, json: &str, out: &mut Outbox) {
+        if self.admin.contains_key(&link) {
+            out.send(link, answer(status, &[("content-type", "application/json")], Some(json.as_bytes())));
+        }
+    }
+
+    /// Whether the list names this very start of a server, or an earlier one.
+    pub fn knows_start(&self, at: &str, started_ms: u64) -> bool {
+        let listed = self.roll.known().get(at).map(|known| known.started.unwrap_or_default());
+        listed.is_some_and(|listed| listed.0 / 1_000_000 <= started_ms)
+    }
+
+    /// Which start of this planner it is; told before the start.
+    pub fn count_as(&mut self, epoch: u64) {
+        self.epoch = epoch;
+    }
+
+    /// Operators' orders reach the module as what the list and they together say.
+    pub fn stand_by(&mut self, now: Moment, standing: Standing, out: &mut Outbox) {
+        if standing == self.standing {
+            return;
+        }
+        let before = std::mem::replace(&mut self.standing, standing);
+        let drained = before.drained.symmetric_difference(&self.standing.drained);
+        let weighed = before.weights.keys().chain(self.standing.weights.keys());
+        let weighed = weighed.filter(|at| before.weights.get(*at) != self.standing.weights.get(*at));
+        let names: BTreeSet<&String> = drained.chain(weighed).collect();
+        let known = self.roll.known();
+        let changes: Vec<Change> = names
+            .into_iter()
+            .filter_map(|at| known.get(at).map(|known| (at.clone(), known.clone())))
+            .collect();
+        for (route, name) in self.charge.routes.clone().iter().enumerate() {
+            let cap = |standing: &Standing| standing.caps.get(name).copied().unwrap_or(1.0);
+            let level = cap(&self.standing);
+            if cap(&before) != level {
+                self.event(now, Event::Cap { route, level }, out);
+            }
+        }
+        if before.held != self.standing.held {
+            self.event(now, Event::Hold { on: self.standing.held }, out);
+        }
+        if !changes.is_empty() {
+            self.tell_list(now, ListKind::Changes, &changes, out);
+        }
+    }
+
     fn metrics(&self) -> String {
         let c = &self.counts;
         let (probing, probes_waiting) = self.probes.under_way();
@@ -730,7 +832,8 @@
                 out.cut(link);
                 return;
             }
-            self.admin.insert(link, Reader::new(Side::Requests, Bounds { head: 4096, body: 4096 }));
+            let reader = Reader::new(Side::Requests, Bounds { head: 4096, body: 16 * 1024 });
+            self.admin.insert(link, (reader, None));
             return;
         }
         if self.streams.by_link.len() >= self.reports.most_streams {
@@ -830,7 +933,11 @@
                 }
             }
             Input::Stop if !self.stopping => self.stop(now, out),
-            Input::Stop | Input::Word(_) | Input::Knocked | Input::HandedBack { .. } => {}
+            Input::Synced { .. }
+            | Input::Stop
+            | Input::Word(_)
+            | Input::Knocked
+            | Input::HandedBack { .. } => {}
         }
     }
 
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,14 @@
+//! One planner among others: links between members, its disk, the agreed record, and the service beside it.
+//!
+//! It decides nothing on calls, tables or health: orders that are kept reach the planner module as observations. With
+//! no other members named it is a cluster of one, the same code on its own disk.
+#![forbid(unsafe_code)]
+
+mod disk;
+mod member;
+mod peers;
+mod together;
+pub mod words;
+
+pub use member::{Member, Post, Reply, Request, SeatView, Told, MOST_MEMBERS};
+pub use together::Together;
--- /dev/null
+++ b/crates/member/src/member.rs
@@ -0,0 +1,997 @@
+//! One planner among others: its disk, its links, the machine that agrees, and the record that follows from it.
+//!
+//! What is asked of it is answered when it is known: `Kept` when this member has itself applied the command, so that a
+//! majority has it on disk. A command is given to the leader again and again until then; its id keeps it from being
+//! made twice. What ran out of time is `Unknown` if it was ever given to anybody, `NoMajority` if not.
+
+use crate::disk::{self, Disk, Kept};
+use crate::peers::{Heard, Lane, Peers};
+use crate::words::{self, word, Change, Hello, OnDisk, Place, ReadAt, Refuse, Seat, Word, FORMATS};
+use pewtergap_agree::{
+    Agree, Body, Effect as Does, Id, Index, Log, Member as Seated, Members, Refusal, Role,
+};
+use pewtergap_agree::{Snapshot, Times};
+use pewtergap_node::{Effect, Input, Level, Link, Outbox, NO_FILE};
+use pewtergap_protocol::encode;
+use pewtergap_record::{Answer, Clean, Command, Record, What};
+use pewtergap_store::Fault;
+use pewtergap_time::{Moment, Span};
+use prost::Message;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{IpAddr, SocketAddr};
+
+/// Doors and timers of a member lie beyond those of the service beside it.
+pub const DOOR: u32 = 16;
+const TICK: u64 = 1_000;
+const HOUSE: u64 = 1_001;
+pub const TIMERS: u64 = 1_000;
+
+const HOUSEKEEPING: Span = Span::millis(50);
+/// A command that is not yet kept is given to the leader again after this.
+const AGAIN: Span = Span::millis(200);
+/// Requests that wait for their answer; more are refused.
+const MOST_WAITING: usize = 1_024;
+/// Entries after which the log is put into a snapshot, and those kept for members just behind.
+const COMPACTED: (usize, u64) = (4_096, 1_024);
+/// Ids that were replaced, remembered.
+const MOST_RETIRED: usize = 64;
+/// Changes of members that an operator's command may make.
+pub const MOST_MEMBERS: usize = 7;
+
+/// Who this member is and whom it knows of.
+#[derive(Clone, Debug)]
+pub struct Post {
+    pub name: String,
+    /// Where other members come in; none for one that is alone.
+    pub listen: Option<SocketAddr>,
+    /// The founding members and where each is reached from here, this one among them.
+    pub members: Vec<(String, SocketAddr)>,
+    pub from: Option<IpAddr>,
+    pub times: Times,
+    /// Within this a request is answered, one way or another.
+    pub patience: Span,
+    pub seed: u64,
+}
+
+#[derive(Clone, Debug)]
+pub enum Request {
+    Command(Command),
+    Change(Change),
+    /// What the record holds now, or else what is known here.
+    Fresh,
+    Stale,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Kept(u64),
+    Refused(String),
+    NoMajority,
+    Unknown,
+    /// Read it now. Fresh: it holds all that was kept when it was asked for. Otherwise of so long ago.
+    Look {
+        fresh: bool,
+        age: Span,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    Reply {
+        token: u64,
+        reply: Reply,
+    },
+    /// The record is another than before.
+    Changed,
+}
+
+struct Waiting {
+    token: u64,
+    what: Request,
+    until: Moment,
+    /// When it was last given to somebody.
+    given: Option<Moment>,
+    /// A read's index, once it is confirmed.
+    read_at: Option<Index>,
+}
+
+enum Stage {
+    /// Its file is being read.
+    Opening,
+    /// Its file is being made.
+    Making,
+    /// Its disk is new: it waits for all founders, or to be let in.
+    New,
+    Member(Box<Agree>),
+    /// Its disk cannot be believed and there is nobody to learn from.
+    Ended,
+}
+
+pub struct Member {
+    home: Post,
+    rng: fastrand::Rng,
+    stage: Stage,
+    own: Hello,
+    found: Option<disk::Found>,
+    disk: Disk,
+    peers: Peers,
+    /// Starts of other members that were heard of, by name; on disk too.
+    seen: BTreeMap<String, Hello>,
+    /// The number of this planner's start.
+    number: u64,
+    /// Fresh disks that ask to be let in, by name: id and when they asked last.
+    knocking: BTreeMap<String, (Id, Moment)>,
+    pub record: Record,
+    waiting: VecDeque<Waiting>,
+    /// Reads of other members, by the token given to the machine.
+    reads: BTreeMap<u64, (Id, u64)>,
+    tokens: u64,
+    /// Commands of this leader's that are in the log and not yet committed.
+    proposed: BTreeMap<u64, Index>,
+    cleaned: Moment,
+    tick_set: Option<Moment>,
+    stopping: bool,
+    /// Its door is open and its timers run.
+    open: bool,
+    pub told: Vec<Told>,
+}
+
+impl Member {
+    pub fn new(home: Post) -> Member {
+        let rng = fastrand::Rng::with_seed(home.seed);
+        let own =
+            Hello { lowest: FORMATS.0, highest: FORMATS.1, name: home.name.clone(), ..Hello::default() };
+        Member {
+            peers: Peers::new(home.from),
+            disk: Disk::new(format!("{}.record", home.name)),
+            rng,
+            stage: Stage::Opening,
+            own,
+            found: None,
+            seen: BTreeMap::new(),
+            number: 0,
+            knocking: BTreeMap::new(),
+            record: Record::default(),
+            waiting: VecDeque::new(),
+            reads: BTreeMap::new(),
+            tokens: 0,
+            proposed: BTreeMap::new(),
+            cleaned: Moment(0),
+            tick_set: None,
+            stopping: false,
+            open: false,
+            told: Vec::new(),
+            home,
+        }
+    }
+
+    pub fn has(&self, link: Link) -> bool {
+        self.peers.has(link)
+    }
+
+    pub fn file(&self) -> String {
+        format!("{}.record", self.home.name)
+    }
+
+    pub fn agree(&self) -> Option<&Agree> {
+        match &self.stage {
+            Stage::Member(agree) => Some(agree),
+            _ => None,
+        }
+    }
+
+    pub fn id(&self) -> Id {
+        self.own.id
+    }
+
+    pub fn start_of_disk(&self) -> u64 {
+        self.own.start
+    }
+
+    pub fn last_number(&self) -> u64 {
+        self.number
+    }
+
+    fn alone(&self) -> bool {
+        self.home.members.iter().all(|member| member.0 == self.home.name)
+    }
+
+    // ---- the disk
+
+    fn opened(&mut self, now: Moment, bytes: Result<&[u8], String>, out: &mut Outbox) {
+        let bytes = match bytes {
+            Ok(bytes) => bytes,
+            Err(why) if why == NO_FILE => return self.make(now, out),
+            // Taken for a new disk, one that could not be read once would have forgotten all it promised.
+            Err(why) => return self.end(out, "record_unread", &why),
+        };
+        match disk::open(bytes) {
+            Ok(found) if found.identity.is_some() => self.resume(found, out),
+            Ok(_) => self.make(now, out),
+            Err(fault @ Fault::Damaged { .. }) if !self.alone() => {
+                let aside = format!("{}.damaged-{:08x}", self.file(), self.rng.u32(..));
+                let fields = vec![("why", fault.to_string()), ("kept_as", aside.clone())];
+                out.log(Level::Error, "record_damaged", fields);
+                out.push(Effect::Keep { name: aside, bytes: bytes.to_vec() });
+                self.make(now, out);
+            }
+            Err(fault) => self.end(out, "record_refused", &fault.to_string()),
+        }
+    }
+
+    fn end(&mut self, out: &mut Outbox, event: &'static str, why: &str) {
+        out.log(Level::Error, event, vec![("file", self.file()), ("why", why.into())]);
+        self.stage = Stage::Ended;
+        out.push(Effect::Exit { code: 4 });
+    }
+
+    /// A new disk has a new id: whoever had this name before is another member.
+    fn make(&mut self, now: Moment, out: &mut Outbox) {
+        (self.own.id, self.own.start, self.own.cluster) = (self.rng.u64(1..), 1, 0);
+        self.own.nonce = self.rng.u64(1..);
+        self.own.founders.clear();
+        self.record = Record::default();
+        self.seen.clear();
+        self.proposed.clear();
+        self.peers.hang_up(now, out);
+        self.stage = Stage::Making;
+        out.log(Level::Info, "record_made", vec![("id", format!("{:016x}", self.own.id))]);
+        self.disk.restart(0);
+        self.disk.anew(disk::head(&self.own, &self.seen, self.number), Kept::Opened, out);
+    }
+
+    fn resume(&mut self, found: disk::Found, out: &mut Outbox) {
+        if let Some(why) = &found.torn {
+            out.log(Level::Warn, "record_cut_back", vec![("why", why.clone())]);
+        }
+        let identity = found.identity.clone().unwrap_or_default();
+        (self.own.id, self.own.cluster) = (identity.id, identity.cluster);
+        (self.own.start, self.own.nonce) = (identity.start + 1, self.rng.u64(1..));
+        self.own.founders = identity.founders.clone();
+        (self.seen, self.number) = (found.seen.clone(), found.number);
+        self.disk.restart(found.whole);
+        self.stage = Stage::Making;
+        self.disk.add(vec![OnDisk::Identity(self.own.clone())], Kept::Opened, out);
+        let fields = vec![
+            ("id", format!("{:016x}", self.own.id)),
+            ("start", self.own.start.to_string()),
+            ("entries", found.log.last().1.to_string()),
+        ];
+        out.log(Level::Info, "record_opened", fields);
+        self.found = Some(found);
+    }
+
+    fn synced(&mut self, now: Moment, ticket: u64, result: Result<(), String>, out: &mut Outbox) {
+        let done = match self.disk.synced(ticket, result) {
+            Ok(done) => done,
+            // What the disk holds is not known any more, and asking it again would not tell: a start reads it.
+            Err(why) => return self.end(out, "record_not_synced", &why),
+        };
+        for kept in done {
+            match kept {
+                Kept::Opened if matches!(self.stage, Stage::Making) => self.speak(now, out),
+                Kept::Agreed(ticket) => {
+                    if let Stage::Member(agree) = &mut self.stage {
+                        agree.synced(now, ticket);
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.carry_out(now, out);
+    }
+
+    /// The file is there: from here on others may be spoken to.
+    fn speak(&mut self, now: Moment, out: &mut Outbox) {
+        let found = self.found.take().unwrap_or_default();
+        self.stage = Stage::New;
+        if self.own.cluster != 0 {
+            self.join(now, found.log, out);
+        } else if self.alone() {
+            self.establish(now, out);
+        }
+        self.know(now, out);
+        // It may have been another member before, on a disk that was an old copy.
+        if std::mem::replace(&mut self.open, true) {
+            return;
+        }
+        if let Some(at) = self.home.listen {
+            out.push(Effect::Listen { door: DOOR, at });
+        }
+        out.wake(HOUSE, now + HOUSEKEEPING);
+    }
+
+    /// The machine begins with what is on disk.
+    fn join(&mut self, now: Moment, log: Log, out: &mut Outbox) {
+        self.record = Record::default();
+        if let Some(snapshot) = log.snapshot.as_ref().filter(|snapshot| !snapshot.data.is_empty()) {
+            match Record::read(&snapshot.data) {
+                Ok(record) => self.record = record,
+                Err(why) => return self.end(out, "record_refused", &why),
+            }
+        }
+        let agree = Agree::new(now, self.own.id, self.home.times, self.rng.u64(..), log);
+        self.stage = Stage::Member(Box::new(agree));
+        self.told.push(Told::Changed);
+    }
+
+    /// All founders are known and none belongs to anything: each of them comes to the same cluster by itself.
+    fn establish(&mut self, now: Moment, out: &mut Outbox) {
+        if !self.alone() && !self.home.members.iter().any(|member| member.0 == self.home.name) {
+            return;
+        }
+        let mut founders = Vec::new();
+        let mut names: Vec<&String> = self.home.members.iter().map(|member| &member.0).collect();
+        names.sort();
+        for name in names {
+            let id = match *name == self.home.name {
+                true => self.own.id,
+                false => match self.peers.welcome(name) {
+                    Some(hello) if hello.cluster == 0 => hello.id,
+                    _ => return,
+                },
+            };
+            founders.push(Seat { id, name: name.clone(), at: String::new(), votes: true });
+        }
+        if founders.is_empty() {
+            founders.push(Seat {
+                id: self.own.id,
+                name: self.own.name.clone(),
+                at: String::new(),
+                votes: true,
+            });
+        }
+        self.belong(now, founders, out);
+    }
+
+    /// Belongs to the cluster of these founders from here on.
+    fn belong(&mut self, now: Moment, founders: Vec<Seat>, out: &mut Outbox) {
+        self.own.cluster = digest(&founders);
+        self.own.founders = founders.clone();
+        let members = words::members(words::Seats { list: founders, retired: Vec::new() });
+        let mut log = Log::default();
+        log.restore(Snapshot { members, ..Snapshot::default() });
+        let mut rows = disk::head(&self.own, &self.seen, self.number);
+        rows.extend(log.rows().iter().map(words::on_disk));
+        self.disk.anew(rows, Kept::Note, out);
+        out.log(Level::Info, "cluster", vec![("id", format!("{:016x}", self.own.cluster))]);
+        self.join(now, log, out);
+        self.carry_out(now, out);
+    }
+
+    // ---- links
+
+    /// Who is dialled: founders where the settings say, others where the operator said.
+    fn know(&mut self, now: Moment, out: &mut Outbox) {
+        let mut wanted: BTreeMap<String, Option<SocketAddr>> = BTreeMap::new();
+        match self.agree().filter(|agree| !agree.members().list.is_empty()) {
+            Some(agree) => {
+                for member in &agree.members().list {
+                    wanted.insert(member.name.clone(), member.at.parse().ok());
+                }
+            }
+            None => wanted.extend(self.home.members.iter().map(|member| (member.0.clone(), None))),
+        }
+        for (name, at) in &self.home.members {
+            if let Some(known) = wanted.get_mut(name) {
+                // Where the operator has said nothing newer, the settings tell.
+                *known = known.or(Some(*at));
+            }
+        }
+        wanted.remove(&self.home.name);
+        self.peers.know(now, &wanted, out);
+    }
+
+    fn refuse(&mut self, link: Link, reason: &str, old_copy: bool, out: &mut Outbox) {
+        let refuse = Refuse { reason: reason.into(), old_copy };
+        out.send(link, encode(&Word::of(word::Kind::Refuse(refuse))));
+        out.finish(link);
+        self.peers.came.remove(&link);
+        out.log(Level::Warn, "member_refused", vec![("why", reason.into())]);
+    }
+
+    /// A link's first word: who comes, and whether we speak with such a one.
+    fn hello(&mut self, now: Moment, link: Link, hello: Hello, out: &mut Outbox) {
+        if hello.lowest > FORMATS.1 || hello.highest < FORMATS.0 {
+            let why = format!(
+                "speaks formats {} to {}, we {} to {}",
+                hello.lowest, hello.highest, FORMATS.0, FORMATS.1
+            );
+            return self.refuse(link, &why, false, out);
+        }
+        if hello.cluster != 0 && self.own.cluster != 0 && hello.cluster != self.own.cluster {
+            return self.refuse(link, "of another cluster", false, out);
+        }
+        let members = self.agree().map(|agree| agree.members().clone()).unwrap_or_default();
+        let known = members.named(&hello.name).is_some()
+            || members.list.is_empty() && self.home.members.iter().any(|member| member.0 == hello.name);
+        if !known || hello.name == self.own.name {
+            return self.refuse(link, "a stranger: no member has this name", false, out);
+        }
+        if members.retired.contains(&hello.id) {
+            return self.refuse(
+                link,
+                "an older incarnation: its place was given to another disk",
+                false,
+                out,
+            );
+        }
+        if let Some(seen) = self.seen.get(&hello.name).filter(|seen| seen.id == hello.id) {
+            if (hello.start, hello.nonce) != (seen.start, seen.nonce) && hello.start <= seen.start {
+                return self.refuse(link, "its disk is an older copy of itself", true, out);
+            }
+        }
+        let new =
+            self.seen.get(&hello.name).is_none_or(|seen| (seen.id, seen.start) != (hello.id, hello.start));
+        if new {
+            let note = Hello { founders: Vec::new(), bulk: false, ..hello.clone() };
+            self.seen.insert(hello.name.clone(), note.clone());
+            self.disk.add(vec![OnDisk::Seen(note)], Kept::Note, out);
+        }
+        if members.find(hello.id).is_none() {
+            self.knocking.insert(hello.name.clone(), (hello.id, now));
+        }
+        let own = self.own.clone();
+        out.send(link, encode(&Word::of(word::Kind::Welcome(own))));
+        if let Some(came) = self.peers.came.get_mut(&link) {
+            came.hello = Some(hello);
+        }
+    }
+
+    fn heard(&mut self, now: Moment, link: Link, bytes: &[u8], out: &mut Outbox) {
+        match self.peers.heard(link, bytes) {
+            Heard::Words(words) => {
+                for word in words {
+                    self.word(now, link, word, out);
+                }
+            }
+            Heard::Welcome(name, hello) if hello.name != name => {
+                let fields = vec![("wanted", name), ("there", hello.name)];
+                out.log(Level::Warn, "member_elsewhere", fields);
+                out.cut(link);
+            }
+            Heard::Welcome(_, hello) => self.welcomed(now, &hello, out),
+            Heard::Refused(name, refuse) => {
+                let fields = vec![("by", name), ("why", refuse.reason)];
+                out.log(Level::Warn, "refused_by_member", fields);
+                if refuse.old_copy && !matches!(self.stage, Stage::Making | Stage::Ended) {
+                    // What it has acknowledged since is not on this disk: as its old self it must say nothing more.
+                    out.log(Level::Error, "record_is_an_old_copy", vec![("file", self.file())]);
+                    self.make(now, out);
+                }
+            }
+            Heard::Wrong(why) => {
+                out.log(Level::Warn, "member_closed", vec![("why", why)]);
+                out.cut(link);
+            }
+        }
+        self.carry_out(now, out);
+    }
+
+    fn welcomed(&mut self, now: Moment, hello: &Hello, out: &mut Outbox) {
+        if matches!(self.stage, Stage::New) {
+            if hello.cluster != 0 {
+                self.let_in(now, hello, out);
+            } else {
+                self.establish(now, out);
+            }
+        }
+    }
+
+    /// A member of a cluster that this new one is to belong to: a founder begins with the others, whoever comes later
+    /// has no vote by what the founders said, and learns the rest.
+    fn let_in(&mut self, now: Moment, hello: &Hello, out: &mut Outbox) {
+        if digest(&hello.founders) == hello.cluster {
+            self.belong(now, hello.founders.clone(), out);
+        }
+    }
+
+    fn word(&mut self, now: Moment, link: Link, word: Word, out: &mut Outbox) {
+        let Some(kind) = word.kind else { return };
+        let Some(from) = self.peers.came.get(&link).map(|came| came.hello.as_ref().map(|hello| hello.id))
+        else {
+            return;
+        };
+        let (from, kind) = match (from, kind) {
+            (None, word::Kind::Hello(hello)) => return self.hello(now, link, hello, out),
+            (None, _) => return self.refuse(link, "the first word is no hello", false, out),
+            (Some(from), kind) => (from, kind),
+        };
+        let Stage::Member(agree) = &mut self.stage else { return };
+        match kind {
+            word::Kind::Agree(agreeing) => {
+                if let Ok(message) = words::told(agreeing) {
+                    agree.hear(now, from, message);
+                }
+            }
+            word::Kind::Command(bytes) => {
+                if let Ok(command) = Command::decode(bytes.as_slice()) {
+                    self.propose(&command);
+                }
+            }
+            word::Kind::Change(change) => drop(self.change(now, &change)),
+            word::Kind::ReadAsk(token) => {
+                self.tokens += 1;
+                if self.reads.len() < MOST_WAITING && agree.read(now, self.tokens).is_ok() {
+                    self.reads.insert(self.tokens, (from, token));
+                }
+            }
+            word::Kind::ReadAt(read) => {
+                let waiting = self.waiting.iter_mut().find(|waiting| waiting.token == read.token);
+                if let Some(waiting) = waiting.filter(|waiting| matches!(waiting.what, Request::Fresh)) {
+                    waiting.read_at = Some(read.index);
+                }
+            }
+            word::Kind::Hello(_) | word::Kind::Welcome(_) | word::Kind::Refuse(_) => {}
+        }
+    }
+
+    // ---- what is asked
+
+    pub fn ask(&mut self, now: Moment, token: u64, what: Request, out: &mut Outbox) {
+        if let Request::Command(command) = &what {
+            if let Err(why) = command.check() {
+                return self.told.push(Told::Reply { token, reply: Reply::Refused(why) });
+            }
+        }
+        if let Request::Stale = what {
+            let reply = Reply::Look { fresh: false, age: self.age(now) };
+            return self.told.push(Told::Reply { token, reply });
+        }
+        if self.waiting.len() >= MOST_WAITING {
+            let reply = Reply::Refused(format!("{MOST_WAITING} requests wait, no more are taken"));
+            return self.told.push(Told::Reply { token, reply });
+        }
+        let until = now + self.home.patience;
+        self.waiting.push_back(Waiting { token, what, until, given: None, read_at: None });
+        self.give_all(now, out);
+        self.carry_out(now, out);
+    }
+
+    /// How old what is known here may be.
+    pub fn age(&self, now: Moment) -> Span {
+        let heard = self.agree().and_then(|agree| agree.heard_at(now));
+        heard.map_or(Span(u64::MAX / 4), |heard| now.since(heard))
+    }
+
+    fn propose(&mut self, command: &Command) -> bool {
+        let Stage::Member(agree) = &mut self.stage else { return false };
+        if agree.role() != Role::Leader || self.stopping || self.proposed.len() >= 4 * MOST_WAITING {
+            return false;
+        }
+        if self.proposed.contains_key(&command.id) {
+            return true;
+        }
+        match agree.propose(command.encode_to_vec()) {
+            Ok((_, index)) => {
+                self.proposed.insert(command.id, index);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Gives what waits to whoever leads.
+    fn give_all(&mut self, now: Moment, out: &mut Outbox) {
+        let Some((leads, leader)) = self.agree().map(|agree| (agree.role() == Role::Leader, agree.leader()))
+        else {
+            return;
+        };
+        for at in 0..self.waiting.len() {
+            let waiting = &self.waiting[at];
+            if waiting.given.is_some_and(|given| now.since(given) < AGAIN) || waiting.read_at.is_some() {
+                continue;
+            }
+            let (token, what) = (waiting.token, waiting.what.clone());
+            let given = match (what, leader) {
+                (Request::Command(command), _) if leads => self.propose(&command),
+                (Request::Change(change), _) if leads => self.change(now, &change).is_ok(),
+                (Request::Fresh, _) if leads => {
+                    let Stage::Member(agree) = &mut self.stage else { return };
+                    self.tokens += 1;
+                    let own = self.own.id;
+                    // Asked once: its answer comes, or that it cannot be had.
+                    let asked = waiting.given.is_none() && agree.read(now, self.tokens).is_ok();
+                    if asked {
+                        self.reads.insert(self.tokens, (own, token));
+                    }
+                    asked
+                }
+                (Request::Command(command), Some(leader)) => {
+                    let word = word::Kind::Command(command.encode_to_vec());
+                    self.peers.send(leader, Lane::Bulk, word, out)
+                }
+                (Request::Change(change), Some(leader)) => {
+                    self.peers.send(leader, Lane::Bulk, word::Kind::Change(change), out)
+                }
+                (Request::Fresh, Some(leader)) => {
+                    self.peers.send(leader, Lane::Urgent, word::Kind::ReadAsk(token), out)
+                }
+                _ => false,
+            };
+            if given {
+                self.waiting[at].given = Some(now);
+            }
+        }
+    }
+
+    /// An operator's change of members. What is so already is no change.
+    fn change(&mut self, now: Moment, change: &Change) -> Result<(), Refusal> {
+        let Stage::Member(agree) = &mut self.stage else { return Err(Refusal::NotLeader) };
+        let mut members = agree.members().clone();
+        if satisfied(&members, change) {
+            return Ok(());
+        }
+        let at = members.list.iter().position(|member| member.name == change.name);
+        match (at, change.at.is_empty()) {
+            (Some(at), true) => retire(&mut members, at, false),
+            (Some(at), false) => {
+                members.list[at].at = change.at.clone();
+                if change.old != 0 && members.list[at].id == change.old {
+                    retire(&mut members, at, true);
+                }
+            }
+            (None, true) => return Ok(()),
+            (None, false) if members.list.len() >= MOST_MEMBERS => return Err(Refusal::Full),
+            (None, false) => {
+                let (name, at) = (change.name.clone(), change.at.clone());
+                members.list.push(Seated { id: 0, name, at, votes: false });
+            }
+        }
+        agree.change(now, members).map(drop)
+    }
+
+    // ---- time
+
+    /// A leader lets in who knocks, gives votes to who has caught up, and cleans.
+    fn lead(&mut self, now: Moment, out: &mut Outbox) {
+        self.knocking.retain(|_, knock| now.since(knock.1) < Span::millis(3_000));
+        let Stage::Member(agree) = &mut self.stage else { return };
+        let Some((since, _)) = agree.leads_since() else { return };
+        let lost = self.home.times.election.times(2.0);
+        let mut members = agree.members().clone();
+        let mut wants = None;
+        for (name, (id, _)) in &self.knocking {
+            let Some(at) = members.list.iter().position(|member| member.name == *name) else { continue };
+            let held = members.list[at].id;
+            // One that is still heard keeps its place; whoever comes under its name waits.
+            let alive = agree.progress(held).is_some_and(|(_, heard)| now.since(heard.max(since)) < lost);
+            if held == *id || held != 0 && alive || members.retired.contains(id) {
+                continue;
+            }
+            retire(&mut members, at, true);
+            members.list[at].id = *id;
+            wants = Some(("member_let_in", name.clone()));
+            break;
+        }
+        if wants.is_none() {
+            let ready = members.list.iter().position(|m| !m.votes && m.id != 0 && agree.caught_up(m.id));
+            if let Some(at) = ready {
+                members.list[at].votes = true;
+                wants = Some(("member_votes", members.list[at].name.clone()));
+            }
+        }
+        if let Some((event, name)) = wants {
+            if agree.change(now, members).is_ok() {
+                out.log(Level::Info, event, vec![("member", name)]);
+            }
+        }
+        let ms = now.0 / 1_000_000;
+        if now.since(self.cleaned) >= Span::millis(1_000) && self.record.has_run_out(ms) {
+            self.cleaned = now;
+            let id = self.rng.u64(1..);
+            let clean = Command { id, given: ms, what: Some(What::Clean(Clean { now: ms })) };
+            self.propose(&clean);
+        }
+    }
+
+    fn house(&mut self, now: Moment, out: &mut Outbox) {
+        out.wake(HOUSE, now + HOUSEKEEPING);
+        self.know(now, out);
+        self.peers.dial(now, out);
+        self.lead(now, out);
+        let id = self.own.id;
+        if let Stage::Member(agree) = &self.stage {
+            let members = agree.settled_members();
+            if members.retired.contains(&id) && !self.stopping {
+                self.stopping = true;
+                out.log(
+                    Level::Error,
+                    "record_given_up",
+                    vec![("why", "its place was given to another disk".into())],
+                );
+            }
+        }
+        self.give_all(now, out);
+        self.carry_out(now, out);
+        self.answer(now, now);
+    }
+
+    /// Answers what can be answered, and what can no longer wait.
+    fn answer(&mut self, now: Moment, until: Moment) {
+        let applied = self.agree().map_or(0, Agree::applied);
+        let members = self.agree().map(|agree| (agree.settled_members(), agree.commit()));
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.retain(|waiting| {
+            let known = match &waiting.what {
+                Request::Command(command) => self.record.answered(command.id).map(|answer| match answer {
+                    Answer::Kept(number) => Reply::Kept(number),
+                    Answer::Refused(why) => Reply::Refused(why),
+                    Answer::Unknown => Reply::Unknown,
+                }),
+                Request::Change(change) => {
+                    members.as_ref().filter(|m| satisfied(&m.0, change)).map(|m| Reply::Kept(m.1))
+                }
+                Request::Fresh => waiting
+                    .read_at
+                    .filter(|at| *at <= applied)
+                    .map(|_| Reply::Look { fresh: true, age: Span(0) }),
+                Request::Stale => None,
+            };
+            let late = until >= waiting.until;
+            let reply = known.or_else(|| {
+                late.then(|| match (&waiting.what, waiting.given) {
+                    (Request::Fresh | Request::Stale, _) => Reply::Look { fresh: false, age: self.age(now) },
+                    (_, Some(_)) => Reply::Unknown,
+                    (_, None) => Reply::NoMajority,
+                })
+            });
+            let Some(reply) = reply else { return true };
+            self.told.push(Told::Reply { token: waiting.token, reply });
+            false
+        });
+        self.waiting = waiting;
+    }
+
+    /// Carries out what the machine wants.
+    fn carry_out(&mut self, now: Moment, out: &mut Outbox) {
+        let mut changed = false;
+        loop {
+            let Stage::Member(agree) = &mut self.stage else { return };
+            let effects = agree.take(now);
+            if effects.is_empty() {
+                break;
+            }
+            for effect in effects {
+                match effect {
+                    Does::Send { to, message } => {
+                        let entries = match &message.say {
+                            pewtergap_agree::Say::Append { entries, .. } => !entries.is_empty(),
+                            say => matches!(say, pewtergap_agree::Say::Piece { .. }),
+                        };
+                        let lane = if entries { Lane::Bulk } else { Lane::Urgent };
+                        let word = word::Kind::Agree(words::agreeing(&message));
+                        self.peers.send(to, lane, word, out);
+                    }
+                    Does::Save { ticket, rows, anew } => {
+                        let rows = rows.iter().map(words::on_disk);
+                        if anew {
+                            let mut all = disk::head(&self.own, &self.seen, self.number);
+                            all.extend(rows);
+                            self.disk.anew(all, Kept::Agreed(ticket), out);
+                        } else {
+                            self.disk.add(rows.collect(), Kept::Agreed(ticket), out);
+                        }
+                    }
+                    Does::Commit { index, entry } => {
+                        if let Body::Command(bytes) = entry.body {
+                            if let Ok(command) = Command::decode(bytes.as_slice()) {
+                                self.record.apply(index, &command);
+                                self.proposed.remove(&command.id);
+                                changed = true;
+                            }
+                        }
+                    }
+                    Does::Restore(snapshot) => match Record::read(&snapshot.data) {
+                        Ok(record) => (self.record, changed) = (record, true),
+                        Err(why) => return self.end(out, "record_refused", &why),
+                    },
+                    Does::Readable { token, index } => match self.reads.remove(&token) {
+                        Some((from, token)) if from == self.own.id => {
+                            let waiting = self.waiting.iter_mut().find(|waiting| waiting.token == token);
+                            waiting.into_iter().for_each(|waiting| waiting.read_at = Some(index));
+                        }
+                        Some((from, token)) => {
+                            let word = word::Kind::ReadAt(ReadAt { token, index });
+                            self.peers.send(from, Lane::Urgent, word, out);
+                        }
+                        None => {}
+                    },
+                    Does::Unreadable { token } => {
+                        let own = self.reads.remove(&token).filter(|read| read.0 == self.own.id);
+                        let waiting =
+                            self.waiting.iter_mut().find(|w| own.is_some_and(|own| w.token == own.1));
+                        waiting.into_iter().for_each(|waiting| waiting.given = None);
+                    }
+                    Does::WentBack { id } => self.went_back(id, out),
+                    Does::Turned => self.turned(out),
+                }
+            }
+        }
+        self.proposed_by_no_leader();
+        self.compact(out);
+        self.answer(now, Moment(0));
+        if changed {
+            self.told.push(Told::Changed);
+        }
+        self.set_tick(now, out);
+    }
+
+    fn proposed_by_no_leader(&mut self) {
+        let leads = self.agree().is_some_and(|agree| agree.role() == Role::Leader);
+        if !leads {
+            self.proposed.clear();
+        }
+    }
+
+    fn compact(&mut self, out: &mut Outbox) {
+        let Stage::Member(agree) = &mut self.stage else { return };
+        if agree.held_entries() < COMPACTED.0 + COMPACTED.1 as usize {
+            return;
+        }
+        let (index, data) = (agree.applied(), self.record.write());
+        let fields = vec![("index", index.to_string()), ("bytes", data.len().to_string())];
+        agree.compact(index, data, COMPACTED.1);
+        out.log(Level::Debug, "record_compacted", fields);
+    }
+
+    /// A member has less on its disk than it acknowledged to this leader.
+    fn went_back(&mut self, id: Id, out: &mut Outbox) {
+        let links: Vec<Link> = self
+            .peers
+            .came
+            .iter()
+            .filter(|came| came.1.hello.as_ref().is_some_and(|hello| hello.id == id))
+            .map(|came| *came.0)
+            .collect();
+        for link in links {
+            self.refuse(link, "its disk lacks what it acknowledged", true, out);
+        }
+        if let Some(seen) = self.seen.values_mut().find(|seen| seen.id == id) {
+            // Whatever start it comes with: this disk is an older copy.
+            seen.start = u64::MAX;
+            seen.nonce = 0;
+        }
+    }
+
+    fn turned(&mut self, out: &mut Outbox) {
+        let Stage::Member(agree) = &self.stage else { return };
+        let leader = agree.leader().and_then(|id| agree.member(id)).map_or("nobody", |m| m.name.as_str());
+        let fields = vec![
+            ("role", format!("{:?}", agree.role())),
+            ("term", agree.term().to_string()),
+            ("leader", leader.to_string()),
+        ];
+        out.log(Level::Info, "leads", fields);
+    }
+
+    fn set_tick(&mut self, now: Moment, out: &mut Outbox) {
+        let Stage::Member(agree) = &self.stage else { return };
+        let due = agree.due().max(now);
+        if self.tick_set.is_none_or(|set| set > due || set <= now) {
+            self.tick_set = Some(due);
+            out.wake(TICK, due);
+        }
+    }
+
+    /// The number of a start, used from here on: on disk before anybody hears it.
+    pub fn use_number(&mut self, number: u64, out: &mut Outbox) {
+        self.number = number;
+        self.disk.add(vec![OnDisk::Number(Place { term: 0, index: number })], Kept::Note, out);
+    }
+
+    /// Leadership goes to another one, if there is one.
+    pub fn stop(&mut self, now: Moment, out: &mut Outbox) {
+        self.stopping = true;
+        if let Stage::Member(agree) = &mut self.stage {
+            if agree.hand_over(now) {
+                out.log(Level::Info, "leadership_handed_over", Vec::new());
+            }
+        }
+        self.carry_out(now, out);
+    }
+
+    pub fn draw(&mut self) -> u64 {
+        self.rng.u64(1..)
+    }
+
+    /// Who belongs, and what is known of each here.
+    pub fn seats(&self, now: Moment) -> Vec<SeatView> {
+        let Some(agree) = self.agree() else { return Vec::new() };
+        let view = |member: &Seated| {
+            let progress = agree.progress(member.id);
+            let here = member.id == self.own.id;
+            SeatView {
+                name: member.name.clone(),
+                id: format!("{:016x}", member.id),
+                votes: member.votes,
+                leads: agree.leader() == Some(member.id),
+                here,
+                linked: here || self.peers.welcome(&member.name).is_some_and(|hello| hello.id == member.id),
+                matched: if here { Some(agree.last().1) } else { progress.map(|progress| progress.0) },
+                heard_ms: progress.map(|progress| now.since(progress.1).0 / 1_000_000),
+                refused: self.peers.refused(&member.name).map(str::to_string),
+            }
+        };
+        agree.members().list.iter().map(view).collect()
+    }
+
+    /// Its inputs; the service beside it has all others.
+    pub fn handle(&mut self, now: Moment, input: Input<'_>, out: &mut Outbox) {
+        if matches!(self.stage, Stage::Ended) {
+            return;
+        }
+        match input {
+            Input::Start => out.push(Effect::Fetch { name: self.file() }),
+            Input::File { bytes, .. } => self.opened(now, bytes, out),
+            Input::Synced { ticket, result } => self.synced(now, ticket, result, out),
+            Input::Listening { at, .. } => {
+                out.log(Level::Info, "listening", vec![("door", "members".into()), ("at", at.to_string())]);
+            }
+            Input::NotListening { why, .. } => self.end(out, "not_listening", &why),
+            Input::Accepted { link, .. } => self.peers.accepted(now, link, out),
+            Input::Opened { link } => {
+                let own = self.own.clone();
+                self.peers.opened(link, &own, out);
+            }
+            Input::Bytes { link, bytes } => self.heard(now, link, bytes, out),
+            Input::Closed { link, .. } => {
+                let lost = self.peers.closed(now, link);
+                if let (Some(id), Stage::Member(agree)) = (lost, &mut self.stage) {
+                    agree.lost(id);
+                }
+            }
+            Input::Due { timer: TICK } => {
+                if let Stage::Member(agree) = &mut self.stage {
+                    agree.tick(now);
+                }
+                self.carry_out(now, out);
+            }
+            Input::Due { timer: HOUSE } => self.house(now, out),
+            _ => {}
+        }
+    }
+}
+
+/// A member as operators see it.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct SeatView {
+    pub name: String,
+    pub id: String,
+    pub votes: bool,
+    pub leads: bool,
+    pub here: bool,
+    pub linked: bool,
+    pub matched: Option<Index>,
+    pub heard_ms: Option<u64>,
+    pub refused: Option<String>,
+}
+
+/// Takes a member's id out; `stays`: its name waits for another disk.
+fn retire(members: &mut Members, at: usize, stays: bool) {
+    let id = members.list[at].id;
+    if id != 0 {
+        members.retired.push(id);
+        let over = members.retired.len().saturating_sub(MOST_RETIRED);
+        members.retired.drain(..over);
+    }
+    if stays {
+        (members.list[at].id, members.list[at].votes) = (0, false);
+    } else {
+        members.list.remove(at);
+    }
+}
+
+fn satisfied(members: &Members, change: &Change) -> bool {
+    match (members.named(&change.name), change.at.is_empty()) {
+        (member, true) => member.is_none(),
+        (Some(member), false) => member.at == change.at && (change.old == 0 || member.id != change.old),
+        (None, false) => false,
+    }
+}
+
+/// A cluster's number, from who founded it: whoever has other founders is of another.
+fn digest(founders: &[Seat]) -> u64 {
+    let bytes: Vec<u8> = founders.iter().flat_map(|seat| seat.encode_length_delimited_to_vec()).collect();
+    xxhash_rust::xxh3::xxh3_64(&bytes).max(1)
+}
--- /dev/null
+++ b/crates/member/src/together.rs
@@ -0,0 +1,367 @@
+//! The service and the member beside it, one node of one process.
+//!
+//! The service never waits for the member, but once: before its first word to any proxy it takes the number of its
+//! start from the record. Where none comes in time it counts on from its own last number and the calendar.
+
+use crate::member::{Member, Post, Reply, Request, Told, DOOR, TIMERS};
+use crate::words::Change;
+use pewtergap_control::{Asked, Service, Standing};
+use pewtergap_node::{Effect, Input, Level, Link, Node, Outbox};
+use pewtergap_record::{Cap, Clean, Command, Drain, Order, Subject, TakeNumber, Weight, What, Wish};
+use pewtergap_time::{Moment, Span};
+use serde::Deserialize;
+use serde_json::json;
+use std::any::Any;
+use std::collections::BTreeMap;
+
+const NUMBERED: u64 = TIMERS + 100;
+const GONE: u64 = TIMERS + 101;
+/// A start waits so long for its number.
+const NUMBER: Span = Span::millis(2_000);
+/// At the end, for leadership to be taken over.
+const HANDED: Span = Span::millis(400);
+const ELSEWHERE: &[&str] = &["/orders", "/record", "/members"];
+
+#[derive(Clone, Debug)]
+enum Purpose {
+    /// Answered to whoever asked at the admin door.
+    Answer(Link),
+    Look(Link),
+    Number,
+    Drain,
+}
+
+/// An order as it is given at the admin door.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Given {
+    /// 16 hexadecimal digits, drawn by who gives it and the same when it is given again.
+    id: String,
+    /// When it was given first, milliseconds of the calendar.
+    given: u64,
+    who: String,
+    why: String,
+    #[serde(default)]
+    until: u64,
+    order: String,
+    #[serde(default)]
+    server: String,
+    #[serde(default)]
+    route: String,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    level: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Changed {
+    name: String,
+    #[serde(default)]
+    at: String,
+    /// Another disk may come under the name.
+    #[serde(default)]
+    replace: bool,
+}
+
+impl Given {
+    fn command(self) -> Result<Command, String> {
+        let id = u64::from_str_radix(&self.id, 16)
+            .map_err(|_| format!("id: '{}' is not 16 hexadecimal digits", self.id))?;
+        let nothing = Clean { now: 0 };
+        let wish = match self.order.as_str() {
+            "drain" => Wish::Drain(self.server),
+            "take-back" => Wish::TakeBack(self.server),
+            "weight" => Wish::Weight(Weight { server: self.server, weight: self.weight }),
+            "free-weight" => Wish::FreeWeight(self.server),
+            "cap" => Wish::Cap(Cap { route: self.route, level: self.level }),
+            "uncap" => Wish::Uncap(self.route),
+            "hold-releases" => Wish::HoldReleases(nothing),
+            "let-releases" => Wish::LetReleases(nothing),
+            other => return Err(format!("order: '{other}' is none")),
+        };
+        let order = Order { who: self.who, why: self.why, until: self.until, wish: Some(wish) };
+        Ok(Command { id, given: self.given, what: Some(What::Order(order)) })
+    }
+}
+
+pub struct Together {
+    service: Service,
+    member: Member,
+    name: String,
+    drain_grace: Span,
+    started: bool,
+    stopping: bool,
+    tokens: u64,
+    purposes: BTreeMap<u64, Purpose>,
+    /// Drains that are not yet known to be kept, and the id under which each is given.
+    drains: Vec<Command>,
+}
+
+impl Together {
+    pub fn new(mut service: Service, home: Post, drain_grace: Span) -> Together {
+        service.elsewhere = ELSEWHERE;
+        Together {
+            service,
+            name: home.name.clone(),
+            member: Member::new(home),
+            drain_grace,
+            started: false,
+            stopping: false,
+            tokens: 0,
+            purposes: BTreeMap::new(),
+            drains: Vec::new(),
+        }
+    }
+
+    fn ask(&mut self, now: Moment, purpose: Purpose, what: Request, out: &mut Outbox) {
+        self.tokens += 1;
+        self.purposes.insert(self.tokens, purpose);
+        self.member.ask(now, self.tokens, what, out);
+    }
+
+    /// The service begins, under a number that no start of any planner had.
+    fn begin(&mut self, now: Moment, number: Option<u64>, out: &mut Outbox) {
+        if std::mem::replace(&mut self.started, true) {
+            return;
+        }
+        let alone = now.0.max(self.member.last_number() + 1);
+        let fields = vec![
+            ("number", number.unwrap_or(alone).to_string()),
+            ("from", if number.is_some() { "the record" } else { "its own disk" }.to_string()),
+        ];
+        out.log(Level::Info, "start_number", fields);
+        let number = number.unwrap_or(alone);
+        self.member.use_number(number, out);
+        self.service.count_as(number);
+        self.service.handle(now, Input::Start, out);
+        self.stand_by(now, out);
+    }
+
+    /// What the record says, told to the service.
+    fn stand_by(&mut self, now: Moment, out: &mut Outbox) {
+        if !self.started {
+            return;
+        }
+        let mut standing = Standing::default();
+        let ms = now.0 / 1_000_000;
+        for (subject, kept) in self.member.record.orders() {
+            let order = kept.order.as_ref().filter(|order| order.until == 0 || order.until > ms);
+            let Some(wish) = order.and_then(|order| order.wish.as_ref()) else { continue };
+            match (subject, wish) {
+                (Subject::Server(server), _) => drop(standing.drained.insert(server.clone())),
+                (Subject::Weight(server), Wish::Weight(w)) => {
+                    standing.weights.insert(server.clone(), w.weight);
+                }
+                (Subject::Route(route), Wish::Cap(cap)) => {
+                    standing.caps.insert(route.clone(), cap.level);
+                }
+                (Subject::Releases, _) => standing.held = true,
+                _ => {}
+            }
+        }
+        // A grace that another planner began runs on here, also where this one's list is behind.
+        for drain in self.member.record.drains().filter(|drain| drain.told + drain.grace > ms) {
+            if self.service.knows_start(&drain.server, drain.started) {
+                standing.drained.insert(drain.server.clone());
+            }
+        }
+        self.service.stand_by(now, standing, out);
+    }
+
+    fn asked(&mut self, now: Moment, asked: Asked, out: &mut Outbox) {
+        let Asked { link, method, target, body } = asked;
+        let refuse = |why: String| json!({ "refused": why }).to_string();
+        match (method.as_str(), target.as_str()) {
+            ("POST", "/orders") => {
+                let given = serde_json::from_slice::<Given>(&body).map_err(|e| e.to_string());
+                match given.and_then(Given::command) {
+                    Ok(command) => self.ask(now, Purpose::Answer(link), Request::Command(command), out),
+                    Err(why) => self.service.answer(link, 400, &refuse(why), out),
+                }
+            }
+            ("POST", "/members") => match serde_json::from_slice::<Changed>(&body) {
+                Ok(changed) => {
+                    let seats = self.member.seats(now);
+                    let seat = seats.iter().find(|seat| seat.name == changed.name);
+                    let old = seat.filter(|_| changed.replace).map(|seat| u64::from_str_radix(&seat.id, 16));
+                    let change = Change {
+                        name: changed.name,
+                        at: changed.at,
+                        old: old.and_then(Result::ok).unwrap_or(0),
+                    };
+                    self.ask(now, Purpose::Answer(link), Request::Change(change), out)
+                }
+                Err(e) => self.service.answer(link, 400, &refuse(e.to_string()), out),
+            },
+            ("GET", "/record?stale") => self.ask(now, Purpose::Look(link), Request::Stale, out),
+            ("GET", "/record") => self.ask(now, Purpose::Look(link), Request::Fresh, out),
+            ("GET", "/members") => {
+                let view = json!({ "name": self.name, "members": self.member.seats(now) }).to_string();
+                self.service.answer(link, 200, &view, out);
+            }
+            _ => {
+                let why =
+                    "there are POST /orders, POST /members, GET /members, GET /record and /record?stale";
+                self.service.answer(link, 404, &refuse(why.into()), out);
+            }
+        }
+    }
+
+    fn replied(&mut self, now: Moment, token: u64, reply: Reply, out: &mut Outbox) {
+        match (self.purposes.remove(&token), reply) {
+            (Some(Purpose::Number), reply) => {
+                let number = if let Reply::Kept(number) = reply { Some(number) } else { None };
+                self.begin(now, number, out);
+            }
+            (Some(Purpose::Answer(link)), reply) => {
+                let (status, body) = match reply {
+                    Reply::Kept(number) => (200, json!({ "answer": "kept", "number": number })),
+                    Reply::Refused(why) => (409, json!({ "answer": "refused", "why": why })),
+                    Reply::NoMajority => (503, json!({ "answer": "no majority" })),
+                    Reply::Unknown | Reply::Look { .. } => (504, json!({ "answer": "unknown" })),
+                };
+                self.service.answer(link, status, &body.to_string(), out);
+            }
+            (Some(Purpose::Look(link)), Reply::Look { fresh, age }) => {
+                let view = self.view(fresh, age);
+                self.service.answer(link, 200, &view, out);
+            }
+            (Some(Purpose::Look(link)), _) => {
+                self.service.answer(link, 503, &json!({ "answer": "too much waits" }).to_string(), out);
+            }
+            (Some(Purpose::Drain) | None, _) => {}
+        }
+    }
+
+    fn view(&self, fresh: bool, age: Span) -> String {
+        let record = &self.member.record;
+        let orders: Vec<serde_json::Value> = record
+            .orders()
+            .filter_map(|(_, kept)| {
+                let order = kept.order.as_ref()?;
+                let words = order.wish.as_ref()?.words();
+                Some(json!({ "number": kept.number, "order": words, "who": order.who, "why": order.why,
+                    "until": order.until, "given": kept.given }))
+            })
+            .collect();
+        let drains: Vec<serde_json::Value> = record
+            .drains()
+            .map(|d| json!({ "server": d.server, "started": d.started, "told": d.told, "grace": d.grace }))
+            .collect();
+        let age = age.0 / 1_000_000;
+        let (applied, term) = self.member.agree().map_or((0, 0), |agree| (agree.applied(), agree.term()));
+        json!({ "fresh": fresh, "age_ms": age, "index": applied, "term": term, "number": record.number(),
+            "orders": orders, "drains": drains, "start": self.member.start_of_disk(),
+            "id": format!("{:016x}", self.member.id()) })
+        .to_string()
+    }
+
+    /// Drains that the list told are kept, in the background: tables have changed already.
+    fn keep_drains(&mut self, now: Moment, out: &mut Outbox) {
+        let told = std::mem::take(&mut self.service.drains);
+        let grace = self.drain_grace.0 / 1_000_000;
+        for told in told {
+            let (started, server) = (told.started.0 / 1_000_000, told.server);
+            let known = self.member.record.drains().any(|d| d.server == server && d.started >= started);
+            if known || self.drains.len() >= 1_024 {
+                continue;
+            }
+            let given = told.told.0 / 1_000_000;
+            let drain = Drain { server, started, told: given, grace };
+            let id = self.member.draw();
+            self.drains.push(Command { id, given, what: Some(What::Drain(drain)) });
+        }
+        let ms = now.0 / 1_000_000;
+        let record = &self.member.record;
+        self.drains.retain(|command| {
+            let Some(What::Drain(drain)) = &command.what else { return false };
+            let kept = record.drains().any(|d| d.server == drain.server && d.started >= drain.started);
+            !kept && drain.told + drain.grace > ms
+        });
+        let asked: Vec<Command> = self.drains.clone();
+        let under_way = self.purposes.values().filter(|purpose| matches!(purpose, Purpose::Drain)).count();
+        if under_way == 0 {
+            for command in asked.into_iter().take(64) {
+                self.ask(now, Purpose::Drain, Request::Command(command), out);
+            }
+        }
+    }
+
+    fn take_number(&mut self, now: Moment, out: &mut Outbox) {
+        let least = now.0.max(self.member.last_number() + 1);
+        let take = TakeNumber { planner: self.name.clone(), least };
+        let command =
+            Command { id: self.member.draw(), given: now.0 / 1_000_000, what: Some(What::TakeNumber(take)) };
+        self.ask(now, Purpose::Number, Request::Command(command), out);
+    }
+
+    /// What each has left for the other.
+    fn settle(&mut self, now: Moment, out: &mut Outbox) {
+        loop {
+            let (asked, told) =
+                (std::mem::take(&mut self.service.asked), std::mem::take(&mut self.member.told));
+            if asked.is_empty() && told.is_empty() {
+                break;
+            }
+            for asked in asked {
+                self.asked(now, asked, out);
+            }
+            for told in told {
+                match told {
+                    Told::Reply { token, reply } => self.replied(now, token, reply, out),
+                    Told::Changed => self.stand_by(now, out),
+                }
+            }
+        }
+        self.keep_drains(now, out);
+    }
+}
+
+impl Node for Together {
+    fn handle(&mut self, now: Moment, input: Input<'_>, out: &mut Outbox) {
+        let over = matches!(input, Input::Due { timer: GONE });
+        match input {
+            Input::Start => {
+                self.member.handle(now, Input::Start, out);
+                self.take_number(now, out);
+                out.wake(NUMBERED, now + NUMBER);
+            }
+            Input::Due { timer: NUMBERED } => {
+                // The time of orders that end is looked at now and then.
+                self.begin(now, None, out);
+                self.stand_by(now, out);
+                out.wake(NUMBERED, now + Span::millis(1_000));
+            }
+            Input::Due { timer: GONE } => out.push(Effect::Exit { code: 0 }),
+            Input::File { name, .. } if name == self.member.file() => self.member.handle(now, input, out),
+            Input::Synced { .. } => self.member.handle(now, input, out),
+            Input::Listening { door: DOOR, .. }
+            | Input::NotListening { door: DOOR, .. }
+            | Input::Accepted { door: DOOR, .. } => self.member.handle(now, input, out),
+            Input::Opened { link } | Input::Bytes { link, .. } | Input::Closed { link, .. }
+                if self.member.has(link) =>
+            {
+                self.member.handle(now, input, out)
+            }
+            Input::Due { timer } if timer >= TIMERS => self.member.handle(now, input, out),
+            Input::Stop if !self.stopping => {
+                self.stopping = true;
+                self.member.stop(now, out);
+                out.wake(GONE, now + HANDED);
+                self.service.handle(now, Input::Stop, out);
+            }
+            input => self.service.handle(now, input, out),
+        }
+        self.settle(now, out);
+        // The service would end sooner; the member's last words need their time.
+        if self.stopping && !over {
+            out.effects.retain(|effect| !matches!(effect, Effect::Exit { code: 0 }));
+        }
+    }
+
+    fn into_any(self: Box<Self>) -> Box<dyn Any> {
+        self
+    }
+}
--- /dev/null
+++ b/crates/member/src/words.rs
@@ -0,0 +1,412 @@
+//! What members say to each other and what a member writes on its disk, as protobuf, and the way to and from the
+//! machine's own types.
+
+use pewtergap_agree::{Body, Entry, Id, Index, Member, Members, Message as Told, Row, Say, Snapshot, Term};
+use pewtergap_protocol::Checked;
+use prost::{Message, Oneof};
+
+/// What this build speaks and understands; between two members the lower of both highest counts.
+pub const FORMATS: (u32, u32) = (1, 1);
+const MOST_NAME: usize = 256;
+const MOST_MEMBERS: usize = 64;
+/// A message: entries or a piece, and their heads.
+const MOST_WORD: usize = 4 * 1024 * 1024;
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Word {
+    #[prost(oneof = "word::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    pub kind: Option<word::Kind>,
+}
+
+pub mod word {
+    #[derive(Clone, PartialEq, super::Oneof)]
+    pub enum Kind {
+        /// First on each link, from who dialled.
+        #[prost(message, tag = "1")]
+        Hello(super::Hello),
+        /// The answer to it, and all that is said on the link in this direction.
+        #[prost(message, tag = "2")]
+        Welcome(super::Hello),
+        #[prost(message, tag = "3")]
+        Refuse(super::Refuse),
+        #[prost(message, tag = "4")]
+        Agree(super::Agreeing),
+        /// A command for the leader; said again until its answer is seen in the record.
+        #[prost(bytes, tag = "5")]
+        Command(Vec<u8>),
+        #[prost(message, tag = "6")]
+        Change(super::Change),
+        #[prost(uint64, tag = "7")]
+        ReadAsk(u64),
+        #[prost(message, tag = "8")]
+        ReadAt(super::ReadAt),
+    }
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    #[prost(uint32, tag = "1")]
+    pub lowest: u32,
+    #[prost(uint32, tag = "2")]
+    pub highest: u32,
+    /// 0: belongs to none yet.
+    #[prost(fixed64, tag = "3")]
+    pub cluster: u64,
+    #[prost(string, tag = "4")]
+    pub name: String,
+    /// Drawn when its disk was made.
+    #[prost(fixed64, tag = "5")]
+    pub id: Id,
+    /// Starts from this disk, and a number drawn for this one.
+    #[prost(uint64, tag = "6")]
+    pub start: u64,
+    #[prost(fixed64, tag = "7")]
+    pub nonce: u64,
+    /// Who founded the cluster.
+    #[prost(message, repeated, tag = "8")]
+    pub founders: Vec<Seat>,
+    /// On the link for all that is long.
+    #[prost(bool, tag = "9")]
+    pub bulk: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Refuse {
+    #[prost(string, tag = "1")]
+    pub reason: String,
+    /// The disk is an older copy of what others have heard from.
+    #[prost(bool, tag = "2")]
+    pub old_copy: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Seat {
+    #[prost(fixed64, tag = "1")]
+    pub id: Id,
+    #[prost(string, tag = "2")]
+    pub name: String,
+    #[prost(string, tag = "3")]
+    pub at: String,
+    #[prost(bool, tag = "4")]
+    pub votes: bool,
+}
+
+/// Who belongs.
+#[derive(Clone, PartialEq, Message)]
+pub struct Seats {
+    #[prost(message, repeated, tag = "1")]
+    pub list: Vec<Seat>,
+    #[prost(fixed64, repeated, tag = "2")]
+    pub retired: Vec<Id>,
+}
+
+/// An operator's change of members, for the leader.
+#[derive(Clone, PartialEq, Message)]
+pub struct Change {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Empty: remove it.
+    #[prost(string, tag = "2")]
+    pub at: String,
+    /// The disk that is given up: another one may come under the name. 0: none is.
+    #[prost(fixed64, tag = "3")]
+    pub old: Id,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct ReadAt {
+    #[prost(uint64, tag = "1")]
+    pub token: u64,
+    #[prost(uint64, tag = "2")]
+    pub index: Index,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Agreeing {
+    #[prost(uint64, tag = "1")]
+    pub term: Term,
+    #[prost(oneof = "Saying", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    pub say: Option<Saying>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Saying {
+    #[prost(message, tag = "2")]
+    Trial(Place),
+    #[prost(bool, tag = "3")]
+    Trialled(bool),
+    #[prost(message, tag = "4")]
+    Ask(Ask),
+    #[prost(bool, tag = "5")]
+    Vote(bool),
+    #[prost(message, tag = "6")]
+    Append(Append),
+    #[prost(message, tag = "7")]
+    Took(Took),
+    #[prost(message, tag = "8")]
+    Piece(Piece),
+    #[prost(message, tag = "9")]
+    Got(Place),
+    #[prost(bool, tag = "10")]
+    Stand(bool),
+}
+
+/// A term and an index; for `Got` bytes and the snapshot's index.
+#[derive(Clone, PartialEq, Message)]
+pub struct Place {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(uint64, tag = "2")]
+    pub index: Index,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Ask {
+    #[prost(message, required, tag = "1")]
+    pub last: Place,
+    #[prost(bool, tag = "2")]
+    pub handed: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Append {
+    #[prost(message, required, tag = "1")]
+    pub prev: Place,
+    #[prost(message, repeated, tag = "2")]
+    pub entries: Vec<Kept>,
+    #[prost(uint64, tag = "3")]
+    pub commit: Index,
+    #[prost(uint64, tag = "4")]
+    pub round: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Took {
+    #[prost(bool, tag = "1")]
+    pub refused: bool,
+    #[prost(uint64, tag = "2")]
+    pub matched: Index,
+    #[prost(uint64, tag = "3")]
+    pub round: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Piece {
+    #[prost(message, required, tag = "1")]
+    pub snapshot: Image,
+    #[prost(uint64, tag = "2")]
+    pub at: u64,
+    #[prost(uint64, tag = "3")]
+    pub total: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Image {
+    #[prost(uint64, tag = "1")]
+    pub index: Index,
+    #[prost(uint64, tag = "2")]
+    pub term: Term,
+    #[prost(message, required, tag = "3")]
+    pub members: Seats,
+    #[prost(bytes, tag = "4")]
+    pub data: Vec<u8>,
+}
+
+/// An entry of the log.
+#[derive(Clone, PartialEq, Message)]
+pub struct Kept {
+    #[prost(uint64, tag = "1")]
+    pub term: Term,
+    #[prost(oneof = "Holds", tags = "2, 3, 4")]
+    pub body: Option<Holds>,
+    /// On disk; on links the place tells.
+    #[prost(uint64, tag = "5")]
+    pub index: Index,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Holds {
+    #[prost(bool, tag = "2")]
+    Empty(bool),
+    #[prost(bytes, tag = "3")]
+    Command(Vec<u8>),
+    #[prost(message, tag = "4")]
+    Members(Seats),
+}
+
+// ---- on disk
+
+#[derive(Clone, PartialEq, Message)]
+pub struct DiskRow {
+    #[prost(oneof = "OnDisk", tags = "1, 2, 3, 4, 5, 6")]
+    pub row: Option<OnDisk>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub enum OnDisk {
+    /// Who this is; the last one counts.
+    #[prost(message, tag = "1")]
+    Identity(Hello),
+    #[prost(message, tag = "2")]
+    Hard(Place),
+    #[prost(message, tag = "3")]
+    Entry(Kept),
+    #[prost(message, tag = "4")]
+    Snapshot(Image),
+    /// What was heard of another member's starts.
+    #[prost(message, tag = "5")]
+    Seen(Hello),
+    /// The highest number of a start that this planner was given, and the one it has used.
+    #[prost(message, tag = "6")]
+    Number(Place),
+}
+
+impl Checked for Word {
+    const MOST: usize = MOST_WORD;
+    fn check(&self) -> Result<(), String> {
+        let named = |name: &str| match name.len() {
+            0 => Err("name: is missing".to_string()),
+            n if n > MOST_NAME => Err(format!("name: {n} bytes, {MOST_NAME} at most")),
+            _ => Ok(()),
+        };
+        match self.kind.as_ref().ok_or("no word of this format")? {
+            word::Kind::Hello(hello) | word::Kind::Welcome(hello) => {
+                named(&hello.name)?;
+                if hello.founders.len() > MOST_MEMBERS {
+                    return Err(format!("founders: {}, {MOST_MEMBERS} at most", hello.founders.len()));
+                }
+                if hello.id == 0 {
+                    return Err("id: is missing".into());
+                }
+                Ok(())
+            }
+            word::Kind::Change(change) => {
+                named(&change.name)?;
+                if change.at.len() > MOST_NAME {
+                    return Err(format!("at: {} bytes, {MOST_NAME} at most", change.at.len()));
+                }
+                Ok(())
+            }
+            word::Kind::Agree(agreeing) => told(agreeing.clone()).map(drop),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Word {
+    pub fn of(kind: word::Kind) -> Word {
+        Word { kind: Some(kind) }
+    }
+}
+
+pub fn seats(members: &Members) -> Seats {
+    let seat = |m: &Member| Seat { id: m.id, name: m.name.clone(), at: m.at.clone(), votes: m.votes };
+    Seats { list: members.list.iter().map(seat).collect(), retired: members.retired.clone() }
+}
+
+pub fn members(seats: Seats) -> Members {
+    let member = |s: Seat| Member { id: s.id, name: s.name, at: s.at, votes: s.votes };
+    Members { list: seats.list.into_iter().map(member).collect(), retired: seats.retired }
+}
+
+fn place((term, index): (Term, Index)) -> Place {
+    Place { term, index }
+}
+
+pub fn kept(index: Index, entry: &Entry) -> Kept {
+    let body = match &entry.body {
+        Body::Empty => Holds::Empty(true),
+        Body::Command(bytes) => Holds::Command(bytes.clone()),
+        Body::Members(members) => Holds::Members(seats(members)),
+    };
+    Kept { term: entry.term, body: Some(body), index }
+}
+
+fn entry(kept: Kept) -> Result<Entry, String> {
+    let body = match kept.body.ok_or("an entry holds nothing of this format")? {
+        Holds::Empty(_) => Body::Empty,
+        Holds::Command(bytes) => Body::Command(bytes),
+        Holds::Members(seats) => Body::Members(members(seats)),
+    };
+    Ok(Entry { term: kept.term, body })
+}
+
+pub fn image(snapshot: &Snapshot) -> Image {
+    let (index, term, data) = (snapshot.index, snapshot.term, snapshot.data.clone());
+    Image { index, term, members: seats(&snapshot.members), data }
+}
+
+fn snapshot(image: Image) -> Snapshot {
+    Snapshot { index: image.index, term: image.term, members: members(image.members), data: image.data }
+}
+
+pub fn agreeing(message: &Told) -> Agreeing {
+    let say = match &message.say {
+        Say::Trial { last } => Saying::Trial(place(*last)),
+        Say::Trialled { granted } => Saying::Trialled(*granted),
+        Say::Ask { last, handed } => Saying::Ask(Ask { last: place(*last), handed: *handed }),
+        Say::Vote { granted } => Saying::Vote(*granted),
+        Say::Append { prev, entries, commit, round } => {
+            let entries = entries.iter().map(|entry| kept(0, entry)).collect();
+            Saying::Append(Append { prev: place(*prev), entries, commit: *commit, round: *round })
+        }
+        Say::Took { refused, matched, round } => {
+            Saying::Took(Took { refused: *refused, matched: *matched, round: *round })
+        }
+        Say::Piece { snapshot, at, total } => {
+            Saying::Piece(Piece { snapshot: image(snapshot), at: *at, total: *total })
+        }
+        Say::Got { index, bytes } => Saying::Got(place((*bytes, *index))),
+        Say::Stand => Saying::Stand(true),
+    };
+    Agreeing { term: message.term, say: Some(say) }
+}
+
+pub fn told(agreeing: Agreeing) -> Result<Told, String> {
+    let say = match agreeing.say.ok_or("nothing of this format is said")? {
+        Saying::Trial(last) => Say::Trial { last: (last.term, last.index) },
+        Saying::Trialled(granted) => Say::Trialled { granted },
+        Saying::Ask(ask) => Say::Ask { last: (ask.last.term, ask.last.index), handed: ask.handed },
+        Saying::Vote(granted) => Say::Vote { granted },
+        Saying::Append(append) => Say::Append {
+            prev: (append.prev.term, append.prev.index),
+            entries: append.entries.into_iter().map(entry).collect::<Result<_, _>>()?,
+            commit: append.commit,
+            round: append.round,
+        },
+        Saying::Took(took) => Say::Took { refused: took.refused, matched: took.matched, round: took.round },
+        Saying::Piece(piece) => {
+            Say::Piece { snapshot: snapshot(piece.snapshot), at: piece.at, total: piece.total }
+        }
+        Saying::Got(got) => Say::Got { index: got.index, bytes: got.term },
+        Saying::Stand(_) => Say::Stand,
+    };
+    Ok(Told { term: agreeing.term, say })
+}
+
+pub fn on_disk(row: &Row) -> OnDisk {
+    match row {
+        Row::Hard { term, vote } => OnDisk::Hard(place((*term, *vote))),
+        Row::Entry { index, entry } => OnDisk::Entry(kept(*index, entry)),
+        Row::Snapshot(snapshot) => OnDisk::Snapshot(image(snapshot)),
+    }
+}
+
+/// A row of the log, if it is one.
+pub fn row(row: OnDisk) -> Result<Option<Row>, String> {
+    Ok(Some(match row {
+        OnDisk::Hard(hard) => Row::Hard { term: hard.term, vote: hard.index },
+        OnDisk::Entry(kept) => Row::Entry { index: kept.index, entry: entry(kept)? },
+        OnDisk::Snapshot(image) => Row::Snapshot(snapshot(image)),
+        OnDisk::Identity(_) | OnDisk::Seen(_) | OnDisk::Number(_) => return Ok(None),
+    }))
+}
+
+pub fn write(row: OnDisk) -> Vec<u8> {
+    DiskRow { row: Some(row) }.encode_to_vec()
+}
+
+pub fn read(bytes: &[u8]) -> Result<OnDisk, String> {
+    let row = DiskRow::decode(bytes).map_err(|e| e.to_string())?;
+    row.row.ok_or_else(|| "a row of a newer format".into())
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,8 @@
 //!   on their way from one driver to another are bounded.
 //! - A link ends with exactly one `Closed`, also where the node itself closed it; nothing follows for it.
 //! - `Due` may come late, never early. A timer cannot be withdrawn: a node must bear one it no longer needs.
+//! - Writes of a file are carried out in order, each ends with one `Synced`. After an error the file's state is not
+//!   known: a sync that failed is never tried again and believed.
 //! - What a node sends on a link is written in order. If more than the driver's limit waits on a link, the
 //!   link is closed with `Ended::Overflow`: a peer that does not read is never buffered for without end.
 #![forbid(unsafe_code)]
@@ -16,6 +18,9 @@
 use std::any::Any;
 use std::net::{IpAddr, SocketAddr};
 
+/// Why a file could not be read where there is none; any other reason says nothing of what was kept.
+pub const NO_FILE: &str = "there is no such file";
+
 /// A connection, of one driver.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Link(pub u64);
@@ -80,6 +85,11 @@
         name: &'a str,
         bytes: Result<&'a [u8], String>,
     },
+    /// A write is on disk, or why that is not known.
+    Synced {
+        ticket: u64,
+        result: Result<(), String>,
+    },
     /// A link that was to be handed stays here: the other node's driver has no room, or has ended.
     HandedBack {
         link: Link,
@@ -169,6 +179,19 @@
         name: String,
         bytes: Vec<u8>,
     },
+    /// Write at this place of a file, cut what lies behind it, sync, and say so by `Synced`.
+    Append {
+        name: String,
+        at: u64,
+        bytes: Vec<u8>,
+        ticket: u64,
+    },
+    /// Keep a file as by `Keep`, and say so by `Synced`.
+    Replace {
+        name: String,
+        bytes: Vec<u8>,
+        ticket: u64,
+    },
     Log(Line),
     Exit {
         code: i32,
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -1,6 +1,6 @@
 //! The fronts by scripts and the rehearsal kit.
 
-use crate::{drive, rehearse, Ended};
+use crate::{drive, operator, rehearse, Ended};
 use clap::Subcommand;
 use pewtergap_reactor::Clock;
 use pewtergap_settings::{proxy_file, run, service_file, Faults, Script};
@@ -23,6 +23,15 @@
         #[arg(long)]
         announce: bool,
     },
+    /// Give an order to all planners, through any of them; done when it is kept by a majority.
+    Order(operator::OrderLine),
+    /// Who keeps the record together.
+    Members {
+        #[command(subcommand)]
+        what: operator::MembersLine,
+    },
+    /// What the record holds.
+    Record(operator::RecordLine),
     /// Play a day against stand-ins on loopback and judge the five rules.
     Rehearse(rehearse::Wanted),
     /// Measure, with figures as ratios within one run.
@@ -59,6 +68,9 @@
         Front::Check { file } => check(&file),
         Front::Run { file, announce } => planner(&file, announce),
         Front::Proxy { file, announce } => proxy(&file, announce),
+        Front::Order(line) => operator::order(line),
+        Front::Members { what } => operator::members(what),
+        Front::Record(line) => operator::record(line),
         Front::Rehearse(wanted) => rehearse::rehearse(wanted),
         Front::Measure { what: Measured::Order { proxies, rounds, json } } => order(&proxies, rounds, json),
         Front::Audit { recording, json } => rehearse::audit(&recording, json),
@@ -69,7 +81,13 @@
     let file = service_file(&load(file)?).map_err(wrong)?;
     let dir = file.dir.clone();
     let clock = Clock::default();
-    drive(clock, Box::new(file.service(clock.now(), clock.now().0)), dir, announce, MOST_UNWRITTEN)
+    drive(
+        clock,
+        Box::new(file.planner(clock.now(), clock.now().0 ^ u64::from(std::process::id()) << 40)),
+        dir,
+        announce,
+        MOST_UNWRITTEN,
+    )
 }
 
 fn proxy(file: &Path, announce: bool) -> Ended {
--- a/crates/pewtergap/src/main.rs
+++ b/crates/pewtergap/src/main.rs
@@ -6,6 +6,8 @@
 
 #[cfg(feature = "fronts")]
 mod fronts;
+#[cfg(feature = "fronts")]
+mod operator;
 mod platform;
 #[cfg(feature = "fronts")]
 mod rehearse;
--- /dev/null
+++ b/crates/pewtergap/src/operator.rs
@@ -0,0 +1,223 @@
+//! What an operator types: orders, members, the record. Each is one call to a planner's admin door.
+
+use crate::Ended;
+use clap::{Args, Subcommand};
+use pewtergap_http::{request, Bounds, First, Part, Reader, Side};
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant, SystemTime};
+
+/// An answer takes no longer than this: a planner answers within its own patience.
+const ANSWER: Duration = Duration::from_secs(10);
+
+#[derive(Args)]
+pub struct At {
+    /// Admin addresses of planners, tried in turn.
+    #[arg(long, value_delimiter = ',', required = true)]
+    at: Vec<SocketAddr>,
+}
+
+#[derive(Args)]
+pub struct OrderLine {
+    #[command(flatten)]
+    at: At,
+    /// Who gives the order.
+    #[arg(long)]
+    by: String,
+    #[arg(long)]
+    why: String,
+    /// For so long, like 90s, 10m or 2h; without it until taken back.
+    #[arg(long = "for")]
+    lasts: Option<String>,
+    /// Of an order that was given before and whose answer is not known: 16 hexadecimal digits.
+    #[arg(long)]
+    id: Option<String>,
+    #[command(subcommand)]
+    order: Wish,
+}
+
+#[derive(Subcommand)]
+enum Wish {
+    /// A server takes no more calls, whatever the list says.
+    Drain {
+        server: String,
+    },
+    /// It goes by the list again.
+    TakeBack {
+        server: String,
+    },
+    /// A server's weight, whatever the list says.
+    Weight {
+        server: String,
+        weight: f64,
+    },
+    FreeWeight {
+        server: String,
+    },
+    /// Let in no more than this part of a route's calls.
+    Cap {
+        route: String,
+        level: f64,
+    },
+    Uncap {
+        route: String,
+    },
+    /// No table changes but removals.
+    HoldReleases,
+    LetReleases,
+}
+
+#[derive(Subcommand)]
+pub enum MembersLine {
+    /// Who belongs, and what is known of each.
+    List {
+        #[command(flatten)]
+        at: At,
+    },
+    /// Another planner may join; it learns first and votes once it has caught up.
+    Add {
+        name: String,
+        address: SocketAddr,
+        #[command(flatten)]
+        at: At,
+    },
+    Remove {
+        name: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// A planner's disk is given up: another one may come under its name.
+    Replace {
+        name: String,
+        address: SocketAddr,
+        #[command(flatten)]
+        at: At,
+    },
+}
+
+#[derive(Args)]
+pub struct RecordLine {
+    #[command(flatten)]
+    at: At,
+    /// What this planner knows, without asking the others; its age is told.
+    #[arg(long)]
+    stale: bool,
+}
+
+/// One call; an error says whether anything was sent.
+pub fn call(
+    at: SocketAddr,
+    method: &str,
+    target: &str,
+    body: Option<&str>,
+) -> Result<(u16, String), (bool, String)> {
+    let unsent = |e: std::io::Error| (false, format!("{at}: {e}"));
+    let mut stream = TcpStream::connect_timeout(&at, Duration::from_secs(2)).map_err(unsent)?;
+    let end = Instant::now() + ANSWER;
+    let sent = |e: std::io::Error| (true, format!("{at}: {e}"));
+    let host = at.to_string();
+    let bytes = request(method, target, &[("host", &host)], body.map(str::as_bytes));
+    stream.write_all(&bytes).map_err(sent)?;
+    let mut reader = Reader::new(Side::Answers, Bounds { head: 4096, body: 64 * 1024 * 1024 });
+    let (mut status, mut text, mut buffer) = (0, Vec::new(), vec![0; 64 * 1024]);
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err((true, format!("{at}: no answer within {} s", ANSWER.as_secs())));
+        }
+        stream.set_read_timeout(Some(left)).map_err(sent)?;
+        let count = stream.read(&mut buffer).map_err(sent)?;
+        if count == 0 {
+            return Err((true, format!("{at}: closed without an answer")));
+        }
+        reader.push(&buffer[..count]);
+        while let Some(part) = reader.take().map_err(|e| (true, format!("{at}: {e}")))? {
+            match part {
+                Part::Head(head) => {
+                    if let First::Answer { status: told } = head.first {
+                        status = told;
+                    }
+                }
+                Part::Data(data) => text.extend(data),
+                Part::End => return Ok((status, String::from_utf8_lossy(&text).into_owned())),
+            }
+        }
+    }
+}
+
+/// Tries the planners in turn. What one may have taken in is given to the next under the same id.
+fn ask(at: &At, method: &str, target: &str, body: Option<&str>) -> Ended {
+    let (mut last, mut sent) = (String::new(), false);
+    for address in &at.at {
+        match call(*address, method, target, body) {
+            Ok((200, text)) => {
+                println!("{}", text.trim_end());
+                return Ok(0);
+            }
+            Ok((status @ (503 | 504), text)) => {
+                sent |= status == 504;
+                last = format!("{address}: {text}");
+            }
+            Ok((_, text)) => return Err((1, text)),
+            Err((was_sent, why)) => {
+                sent |= was_sent;
+                last = why;
+            }
+        }
+    }
+    let meaning = if sent { "unknown: it may be kept; give it again with the same --id" } else { "not kept" };
+    Err((if sent { 4 } else { 3 }, format!("{last}\n{meaning}")))
+}
+
+fn lasting(text: &str) -> Result<u64, (u8, String)> {
+    let wrong = || (2, format!("--for {text}: a time like 90s, 10m or 2h was expected"));
+    let at = text.find(|c: char| !c.is_ascii_digit()).ok_or_else(wrong)?;
+    let number: u64 = text[..at].parse().map_err(|_| wrong())?;
+    let unit = [("s", 1_000), ("m", 60_000), ("h", 3_600_000)].into_iter().find(|unit| unit.0 == &text[at..]);
+    number.checked_mul(unit.ok_or_else(wrong)?.1).ok_or_else(wrong)
+}
+
+pub fn order(line: OrderLine) -> Ended {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let given = now.as_millis() as u64;
+    let id = match &line.id {
+        Some(id) => id.clone(),
+        None => format!("{:016x}", fastrand::u64(1..)),
+    };
+    let until = line.lasts.as_deref().map(lasting).transpose()?.map_or(0, |span| given + span);
+    let mut body = json!({ "id": id, "given": given, "who": line.by, "why": line.why, "until": until });
+    let more = match line.order {
+        Wish::Drain { server } => json!({ "order": "drain", "server": server }),
+        Wish::TakeBack { server } => json!({ "order": "take-back", "server": server }),
+        Wish::Weight { server, weight } => json!({ "order": "weight", "server": server, "weight": weight }),
+        Wish::FreeWeight { server } => json!({ "order": "free-weight", "server": server }),
+        Wish::Cap { route, level } => json!({ "order": "cap", "route": route, "level": level }),
+        Wish::Uncap { route } => json!({ "order": "uncap", "route": route }),
+        Wish::HoldReleases => json!({ "order": "hold-releases" }),
+        Wish::LetReleases => json!({ "order": "let-releases" }),
+    };
+    if let (Value::Object(body), Value::Object(more)) = (&mut body, more) {
+        body.extend(more);
+    }
+    eprintln!("order {id}");
+    ask(&line.at, "POST", "/orders", Some(&body.to_string()))
+}
+
+pub fn members(line: MembersLine) -> Ended {
+    let change = |name: String, address: Option<SocketAddr>, replace: bool| {
+        let at = address.map_or(String::new(), |address| address.to_string());
+        json!({ "name": name, "at": at, "replace": replace }).to_string()
+    };
+    let (at, body) = match line {
+        MembersLine::List { at } => return ask(&at, "GET", "/members", None),
+        MembersLine::Add { name, address, at } => (at, change(name, Some(address), false)),
+        MembersLine::Remove { name, at } => (at, change(name, None, false)),
+        MembersLine::Replace { name, address, at } => (at, change(name, Some(address), true)),
+    };
+    ask(&at, "POST", "/members", Some(&body))
+}
+
+pub fn record(line: RecordLine) -> Ended {
+    ask(&line.at, "GET", if line.stale { "/record?stale" } else { "/record" }, None)
+}
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -407,7 +407,8 @@
 
     /// Part of a route's calls let in at a step: the least important routes give way first.
     fn level(&self, route: usize, step: usize) -> f64 {
-        LEVELS[step][usize::from(!gives_way(&self.routes, route))]
+        let cap = self.state.caps.get(route).copied().unwrap_or(1.0);
+        LEVELS[step][usize::from(!gives_way(&self.routes, route))].min(cap)
     }
 
     fn admitted(&self, step: usize) -> f64 {
@@ -724,7 +725,9 @@
             let removed = |at: ServerIx| changes.iter().any(|change| change.0 == at && change.1 <= 0.0);
             let warm = |line: &Share| self.warmth(now, line.0) == RAMP.len() - 1;
             let stays = self.state.tables[table].lines.iter().any(|line| warm(line) && !removed(line.0));
-            let crowded = fits < changes.len() || queued > claims[0];
+            // An operator's hold: removals go on, and what a table without a warm line needs (rule 1).
+            let held = self.state.held && stays;
+            let crowded = fits < changes.len() || queued > claims[0] || held;
             if haste == 2 && crowded {
                 // Drains go alone: they were seen to wait for seconds behind the lines of cold servers. Where
                 // only cold lines would be left, one took all calls and was pushed over: some go along.
@@ -732,7 +735,9 @@
                 let along: BTreeSet<ServerIx> = few.map(|change| change.0).collect();
                 changes.retain(|change| change.1 <= 0.0 || along.contains(&change.0));
             }
-            if haste < 2 && fits < changes.len() {
+            if haste < 2 && held {
+                changes.clear();
+            } else if haste < 2 && fits < changes.len() {
                 // What is cut off waits: a cold server's line ahead of warm ones had a quarter of a table.
                 let grows = |(at, weight): &Share| *weight > self.state.tables[table].weight(*at);
                 changes.sort_by_key(|change| grows(change) && !warm(change));
@@ -809,7 +814,7 @@
         // Rule 2 by construction; and what one full server turns away only fills the next.
         let set = |routes, level| Order::Gate { table, routes, level, resend: Resend::Never };
         match (self.reach.throttle, step) {
-            (Throttle::Fraction, 1..) => {
+            (Throttle::Fraction, step) if step > 0 || !self.state.caps.is_empty() => {
                 orders.extend((0..self.routes.len()).map(|at| set(1 << at, self.level(at, step))))
             }
             _ => orders.push(set(0, UNLIMITED)),
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -168,15 +168,61 @@
 
 #[derive(Clone, Debug)]
 pub enum Event {
-    List { kind: ListKind, entries: Vec<Entry> },
-    Joined { proxy: ProxyIx, zone: ZoneIx, calls_per_s: f64 },
-    Left { proxy: ProxyIx },
-    Sums { server: ServerIx, zone: ZoneIx, tries: f64, dropped: f64, mean: Span, over: Span, load: Load },
-    Arrivals { proxy: ProxyIx, route: usize, calls: f64, dropped: f64, over: Span },
-    Probed { server: ServerIx, end: ProbeEnd, load: Load },
-    Applied { proxy: ProxyIx, mark: u64 },
-    SliceGiven { slice: TableNo, given: bool },
-    SliceLine { slice: TableNo, server: ServerIx, weight: f64 },
+    List {
+        kind: ListKind,
+        entries: Vec<Entry>,
+    },
+    Joined {
+        proxy: ProxyIx,
+        zone: ZoneIx,
+        calls_per_s: f64,
+    },
+    Left {
+        proxy: ProxyIx,
+    },
+    Sums {
+        server: ServerIx,
+        zone: ZoneIx,
+        tries: f64,
+        dropped: f64,
+        mean: Span,
+        over: Span,
+        load: Load,
+    },
+    Arrivals {
+        proxy: ProxyIx,
+        route: usize,
+        calls: f64,
+        dropped: f64,
+        over: Span,
+    },
+    Probed {
+        server: ServerIx,
+        end: ProbeEnd,
+        load: Load,
+    },
+    Applied {
+        proxy: ProxyIx,
+        mark: u64,
+    },
+    SliceGiven {
+        slice: TableNo,
+        given: bool,
+    },
+    /// An operator lets in no more than this part of a route's calls; 1 takes that back.
+    Cap {
+        route: usize,
+        level: f64,
+    },
+    /// An operator holds all changes of tables but removals, or lets them go on.
+    Hold {
+        on: bool,
+    },
+    SliceLine {
+        slice: TableNo,
+        server: ServerIx,
+        weight: f64,
+    },
     Tick,
 }
 
@@ -419,6 +465,9 @@
     pub pace: Option<f64>,
     /// Lines for proxies that have left, and until when they count as waiting: nobody will confirm them.
     pub departed: Vec<(Moment, f64)>,
+    /// What operators let in of each route at most, and whether they hold changes of tables.
+    pub caps: Vec<f64>,
+    pub held: bool,
     /// Servers to probe in this turn.
     pub ask: Vec<ServerIx>,
     pub notes: Vec<String>,
@@ -600,6 +649,8 @@
             Event::Joined { proxy, zone, calls_per_s } => self.join(*proxy, *zone, *calls_per_s),
             Event::Left { proxy } => *self.proxy(*proxy) = Proxy::default(),
             Event::Arrivals { proxy, route, calls, over, .. } => self.arrive(*proxy, *route, *calls, *over),
+            Event::Cap { route, level } => self.cap(*route, *level),
+            Event::Hold { on } => self.held = *on,
             Event::SliceGiven { slice, given } => self.give_slice(*slice, *given),
             Event::SliceLine { slice, server, weight } => self.slice_line(*slice, *server, *weight),
             _ => {}
@@ -614,6 +665,13 @@
         self.stirred = true;
     }
 
+    /// A cap changes: all tables are to be told their levels anew.
+    pub fn cap(&mut self, route: usize, level: f64) {
+        self.caps.resize(self.caps.len().max(route + 1), 1.0);
+        self.caps[route] = level;
+        self.tables.iter_mut().for_each(|table| table.gates = table.gates.map(|_| usize::MAX));
+    }
+
     /// Every route tells of the same period; the first stands for all.
     pub fn arrive(&mut self, proxy: ProxyIx, route: usize, calls: f64, over: Span) {
         self.by_route.resize(self.by_route.len().max(route + 1), 0.0);
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -781,7 +781,11 @@
                 out.log(Level::Info, "stopped", vec![]);
                 out.push(Effect::Exit { code: 0 });
             }
-            Input::Due { .. } | Input::HandedBack { .. } | Input::Knocked | Input::Word(_) => {}
+            Input::Due { .. }
+            | Input::Synced { .. }
+            | Input::HandedBack { .. }
+            | Input::Knocked
+            | Input::Word(_) => {}
         }
     }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,5 +7,5 @@
 pub mod load_report;
 mod messages;
 
-pub use frames::{encode, Frames, Wrong, HEAD};
+pub use frames::{encode, Checked, Frames, Wrong, HEAD};
 pub use messages::*;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -118,7 +118,7 @@
                 out.wake(timer::STOP, now + wait);
             }
             Input::Stop | Input::Reload | Input::Word(_) | Input::File { .. } => {}
-            Input::Knocked | Input::HandedBack { .. } => {}
+            Input::Synced { .. } | Input::Knocked | Input::HandedBack { .. } => {}
         }
         if self.stopping && self.worker.idle() {
             out.push(Effect::Exit { code: 0 });
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -5,10 +5,11 @@
 //! words from outside (a bounded queue; the teller waits).
 #![forbid(unsafe_code)]
 
+mod disk;
 mod sockets;
 
 use mio::{Events, Interest, Poll, Token, Waker};
-use pewtergap_node::{Effect, Ended, Input, Level, Line, Link, Node, Outbox, Seat};
+use pewtergap_node::{Effect, Ended, Input, Level, Line, Link, Node, Outbox, Seat, NO_FILE};
 use pewtergap_time::{Moment, Span};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
@@ -57,6 +58,7 @@
 
 enum Told {
     Word(Place, String),
+    Synced(Place, u64, Result<(), String>),
     /// A connection from another reactor of the house, and the door it came in at.
     Link(Place, std::net::TcpStream, u32),
     End,
@@ -136,6 +138,7 @@
     Listening(u32, SocketAddr),
     NotListening(u32, String),
     File(String, Result<Vec<u8>, String>),
+    Synced(u64, Result<(), String>),
     HandedBack(Link, Seat),
     Start,
     Stop,
@@ -162,8 +165,9 @@
     /// Doors with more to take in, and when to look again.
     waiting: Vec<(usize, u32, Moment)>,
     most_unwritten: usize,
-    /// Where kept files lie.
+    /// Where kept files lie, and who writes what is synced there; made with the first write.
     dir: PathBuf,
+    disk: Option<disk::Disk>,
     announces: bool,
     exit: Option<i32>,
     buffer: Vec<u8>,
@@ -192,6 +196,7 @@
             waiting: Vec::new(),
             most_unwritten,
             dir,
+            disk: None,
             announces: false,
             exit: None,
             buffer: vec![0; 64 * 1024],
@@ -319,6 +324,10 @@
                     self.give(place.0, Input::Accepted { link, door, from });
                     self.settle();
                 }
+                Told::Synced(place, ticket, result) => {
+                    self.give(place.0, Input::Synced { ticket, result });
+                    self.settle();
+                }
                 Told::Word(place, word) => {
                     self.give(place.0, Input::Word(&word));
                     self.settle();
@@ -357,6 +366,7 @@
                     let bytes = bytes.as_deref().map_err(|why| why.clone());
                     self.give(place, Input::File { name: &name, bytes });
                 }
+                Pending::Synced(ticket, result) => self.give(place, Input::Synced { ticket, result }),
                 Pending::HandedBack(link, to) => self.give(place, Input::HandedBack { link, to }),
                 Pending::Start => self.give(place, Input::Start),
                 Pending::Stop => self.give(place, Input::Stop),
@@ -430,7 +440,11 @@
                 self.alarms.push(Alarm(std::cmp::Reverse((at, self.alarms_set)), place, timer));
             }
             Effect::Fetch { name } => {
-                let bytes = std::fs::read(self.dir.join(&name)).map_err(|e| e.to_string());
+                let told = |e: io::Error| match e.kind() {
+                    io::ErrorKind::NotFound => NO_FILE.to_string(),
+                    _ => e.to_string(),
+                };
+                let bytes = std::fs::read(self.dir.join(&name)).map_err(told);
                 self.pending.push_back((place, Pending::File(name, bytes)));
             }
             Effect::Keep { name, bytes } => {
@@ -438,6 +452,12 @@
                     tracing::error!(file = %name, error = %e, "not_kept");
                 }
             }
+            Effect::Append { name, at, bytes, ticket } => {
+                self.write(place, ticket, disk::Job { name, at: Some(at), bytes });
+            }
+            Effect::Replace { name, bytes, ticket } => {
+                self.write(place, ticket, disk::Job { name, at: None, bytes });
+            }
             Effect::Log(line) => {
                 if self.announces && line.event == "listening" {
                     let fields: Vec<&str> = line.fields.iter().map(|field| field.1.as_str()).collect();
@@ -450,6 +470,15 @@
         }
     }
 
+    /// A sync takes milliseconds: on this thread, all links would wait for it.
+    fn write(&mut self, place: usize, ticket: u64, job: disk::Job) {
+        let (dir, handle) = (&self.dir, &self.handle);
+        let disk = self.disk.get_or_insert_with(|| disk::Disk::new(dir.clone(), handle.clone()));
+        if let Err(why) = disk.write(Place(place), ticket, job) {
+            self.pending.push_back((place, Pending::Synced(ticket, Err(why))));
+        }
+    }
+
     fn listen(&mut self, place: usize, door: u32, at: SocketAddr) {
         let token = self.token();
         let opened = Door::open(at).and_then(|mut open| {
--- a/crates/record/src/commands.rs
+++ b/crates/record/src/commands.rs
@@ -90,6 +90,9 @@
 pub struct TakeNumber {
     #[prost(string, tag = "1")]
     pub planner: String,
+    /// Above what it has counted without the record.
+    #[prost(uint64, tag = "2")]
+    pub least: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -43,9 +43,6 @@
     Unknown,
 }
 
-/// Numbers of starts begin here: smaller ones are left to whoever counts without a record.
-const FIRST_NUMBER: u64 = 1;
-
 #[derive(Clone, PartialEq, Message)]
 pub struct Standing {
     #[prost(uint64, tag = "1")]
@@ -107,8 +104,8 @@
         }
         let answer = match &command.what {
             Some(What::Order(order)) => self.order(index, command.given, order),
-            Some(What::TakeNumber(_)) => {
-                self.number = self.number.max(FIRST_NUMBER - 1) + 1;
+            Some(What::TakeNumber(take)) => {
+                self.number = (self.number + 1).max(take.least);
                 Answer::Kept(self.number)
             }
             Some(What::Drain(drain)) => self.drain(index, drain),
--- a/crates/record/tests/table.rs
+++ b/crates/record/tests/table.rs
@@ -14,7 +14,14 @@
 }
 
 fn number(id: u64, given: u64) -> Command {
-    Command { id, given, what: Some(What::TakeNumber(TakeNumber { planner: "a".into() })) }
+    Command {
+        id,
+        given,
+        what: Some(What::TakeNumber(TakeNumber {
+            planner: "a".into(),
+            least: if id == 11 { 40 } else { 0 },
+        })),
+    }
 }
 
 fn clean(now: u64) -> Command {
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -2,8 +2,10 @@
 
 use crate::read::{Faults, Section, Share};
 use crate::script::Script;
+use pewtergap_agree::Times;
 use pewtergap_control::channel::Channel as Queue;
 use pewtergap_control::{Charge, Doors, Probing, Reports, Service, Source};
+use pewtergap_member::{Post, Together, MOST_MEMBERS};
 use pewtergap_planner::{
     Channel, Fleet, KeyScope, Planner, Pledge, Reach, Repeats, Route, Slicing, Throttle,
 };
@@ -25,6 +27,8 @@
     pub slicing: Slicing,
     pub reports: Reports,
     pub probing: Probing,
+    /// Who agrees with this planner on what it holds for others; alone unless others are named.
+    pub post: Post,
     pub seed: Option<u64>,
     pub dir: PathBuf,
 }
@@ -144,6 +148,30 @@
     }
 }
 
+/// Whoever agrees with this planner. Left out, it is alone.
+fn cluster(part: &Section) -> Post {
+    let members = part.parts("members", "member", |part| {
+        let name: String = part.need("name");
+        (name, part.need("address"))
+    });
+    for (at, member) in members.iter().enumerate() {
+        if members[..at].iter().any(|other| other.0 == member.0) {
+            part.fault("members", format!("member \"{}\" is there twice", member.0));
+        }
+    }
+    if members.len() > MOST_MEMBERS || !members.is_empty() && members.len().is_multiple_of(2) {
+        part.fault("members", format!("{} members: 1, 3, 5 or 7 were expected", members.len()));
+    }
+    let times =
+        Times { beat: part.or("beat", Span::millis(50)), election: part.or("election", Span::millis(500)) };
+    if times.beat.times(4.0) > times.election {
+        part.clash("election", format!("{} is less than four beats of {}", times.election, times.beat));
+    }
+    let patience = part.or("patience", Span::millis(3_000));
+    let listen = part.maybe("listen");
+    Post { name: String::new(), listen, members, from: None, times, patience, seed: 0 }
+}
+
 pub fn service_file(script: &Script) -> Result<ServiceFile, Faults> {
     script.as_kind("service", |part| {
         let name: String = part.need("name");
@@ -210,10 +238,14 @@
             admin: part.maybe("admin"),
             from: part.maybe("source_address"),
         };
+        let post = part.within("cluster", "cluster", cluster);
+        if !post.members.is_empty() && post.listen.is_none() {
+            part.fault("cluster", "listen is missing: where do the other members come in?");
+        }
         let deaf_after = Span(pledge.drain_grace.0.saturating_mul(4).max(Span::millis(5_000).0));
         ServiceFile {
             charge: Charge {
-                name,
+                name: name.clone(),
                 zones,
                 routes: routes.iter().map(|r| r.name.clone()).collect(),
                 deaf_after,
@@ -230,6 +262,7 @@
             slicing: Slicing { slices: 0, exclusive: false, keeps_writing: Span(0), lingers: Span(0) },
             reports,
             probing: probing.2,
+            post: Post { name: name.clone(), from: doors.from, ..post },
             seed: part.maybe("seed"),
             dir: part.or("state_dir", ".".to_string()).into(),
         }
@@ -269,6 +302,12 @@
 }
 
 impl ServiceFile {
+    /// The planner that this file describes: the service and the member beside it.
+    pub fn planner(self, now: Moment, seed: u64) -> Together {
+        let (grace, post) = (self.pledge.drain_grace, Post { seed, ..self.post.clone() });
+        Together::new(self.service(now, seed), post, grace)
+    }
+
     /// The service that this file describes.
     pub fn service(self, now: Moment, seed: u64) -> Service {
         let seed = self.seed.unwrap_or(seed);
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -22,6 +22,8 @@
     "rules",
     "probes",
     "reports",
+    "cluster",
+    "member",
     "shunning",
     "servers",
     "calls",
