--- /dev/null
+++ b/crates/lab/src/cluster/mod.rs
@@ -0,0 +1,641 @@
+//! The cluster day: several planners as processes of the program, their links through a relay, faults by seed, and
+//! operators that give orders and read all the time.
+
+pub mod judge;
+pub mod links;
+
+use crate::ask;
+use crate::bell::{Bell, Rung};
+use judge::{judge, Breach, Done, Op};
+use links::{Links, Sightings};
+use pewtergap_reactor::{Clock, Handle, Place, Reactor};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::Receiver;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const CEILING: Duration = Duration::from_secs(60);
+const KEYS: usize = 6;
+const OPERATORS: usize = 3;
+/// Between two calls of an operator.
+const PAUSE: u64 = 40;
+
+/// What the audit has to find: wrong answers put into the recording where the program would have given right ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// An order that was answered as kept is not there afterwards.
+    LostOrder,
+    /// A fresh read tells what was so before.
+    StaleRead,
+    /// Two orders have one number.
+    NumberTwice,
+    /// A member whose disk was lost votes again as its old self.
+    VoteAfterWipe,
+}
+
+pub const PLANTED: &[(&str, Planted)] = &[
+    ("lost-order", Planted::LostOrder),
+    ("stale-read", Planted::StaleRead),
+    ("number-twice", Planted::NumberTwice),
+    ("vote-after-wipe", Planted::VoteAfterWipe),
+];
+
+/// What strikes. Each day has some of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Trouble {
+    Kill,
+    Terminate,
+    Stop,
+    Isolate,
+    /// One direction of one pair.
+    OneWay,
+    /// A member is heard by none, or hears none.
+    Mute,
+    Deaf,
+    /// Only neighbours hear each other.
+    Chain,
+    Slow,
+    Reset,
+    Wipe,
+    OldCopy,
+    Damage,
+}
+
+use Trouble::*;
+const ALL: [Trouble; 13] =
+    [Kill, Terminate, Stop, Isolate, OneWay, Mute, Deaf, Chain, Slow, Reset, Wipe, OldCopy, Damage];
+
+pub struct ClusterDay<'a> {
+    pub program: &'a Path,
+    pub dir: PathBuf,
+    pub members: usize,
+    pub seed: u64,
+    pub strikes: usize,
+    /// Only these, where any are named.
+    pub only: Vec<Trouble>,
+    pub planted: Option<Planted>,
+}
+
+#[derive(Debug)]
+pub struct Came {
+    pub breaches: Vec<Breach>,
+    pub troubles: Vec<String>,
+    pub kept: usize,
+    pub refused: usize,
+    pub unknown: usize,
+    pub fresh: usize,
+    pub not_fresh: usize,
+    pub sightings: usize,
+    /// From a kill of the leader to the next kept order, in milliseconds.
+    pub handed_ms: Vec<u64>,
+}
+
+struct Running {
+    child: Child,
+    stopped: bool,
+}
+
+struct Shared {
+    admin: Mutex<Vec<Option<SocketAddr>>>,
+    members: Mutex<Vec<Option<SocketAddr>>>,
+    ops: Mutex<Vec<Op>>,
+    over: AtomicBool,
+    values: AtomicU64,
+}
+
+struct Director<'a> {
+    day: &'a ClusterDay<'a>,
+    shared: Arc<Shared>,
+    clock: Clock,
+    relay: (Handle, Place),
+    rungs: Receiver<Rung>,
+    bell: Bell,
+    listens: HashMap<String, SocketAddr>,
+    running: Vec<Option<Running>>,
+    rng: fastrand::Rng,
+    troubles: Vec<String>,
+    copies: BTreeMap<usize, Vec<u8>>,
+}
+
+fn name(at: usize) -> String {
+    format!("m{}", at + 1)
+}
+
+fn record_file(dir: &Path, at: usize) -> PathBuf {
+    dir.join(name(at)).join(format!("{}.record", name(at)))
+}
+
+/// Plays a day; an error says why it could not be played.
+pub fn play(day: &ClusterDay) -> Result<Came, String> {
+    let told = |e: std::io::Error| e.to_string();
+    let _ = std::fs::remove_dir_all(&day.dir);
+    std::fs::create_dir_all(&day.dir).map_err(told)?;
+    let clock = Clock::default();
+    let (bell, rungs) = Bell::new();
+    let sightings: Sightings = Arc::default();
+    let mut reactor = Reactor::new(clock, 16 * 1024 * 1024, day.dir.clone()).map_err(told)?;
+    let relay = reactor.add(Box::new(Links::new(day.members, bell.clone(), sightings.clone())));
+    let handle = reactor.handle();
+    let thread = std::thread::spawn(move || reactor.run().map(drop));
+    let shared = Arc::new(Shared {
+        admin: Mutex::new(vec![None; day.members]),
+        members: Mutex::new(vec![None; day.members]),
+        ops: Mutex::default(),
+        over: AtomicBool::new(false),
+        values: AtomicU64::new(0),
+    });
+    let mut director = Director {
+        day,
+        shared: shared.clone(),
+        clock,
+        relay: (handle.clone(), relay),
+        rungs,
+        bell,
+        listens: HashMap::new(),
+        running: (0..day.members).map(|_| None).collect(),
+        rng: fastrand::Rng::with_seed(day.seed),
+        troubles: Vec::new(),
+        copies: BTreeMap::new(),
+    };
+    let played = director.run();
+    shared.over.store(true, Ordering::SeqCst);
+    let troubles = std::mem::take(&mut director.troubles);
+    drop(director);
+    handle.end();
+    let _ = thread.join();
+    let handed_ms = played?;
+    let mut ops = shared.ops.lock().map_err(|_| "an operator failed")?.clone();
+    let mut seen = sightings.lock().map_err(|_| "the relay failed")?.clone();
+    plant(day.planted, &mut ops, &mut seen);
+    let breaches = judge(&ops, &seen);
+    let count = |fits: fn(&Op) -> bool| ops.iter().filter(|op| fits(op)).count();
+    Ok(Came {
+        breaches,
+        troubles,
+        kept: count(|op| matches!(op.done, Done::Kept(_))),
+        refused: count(|op| op.order.is_some() && op.done == Done::Not),
+        unknown: count(|op| op.done == Done::Unknown),
+        fresh: count(|op| matches!(op.done, Done::Found(_))),
+        not_fresh: count(|op| op.done == Done::Nothing),
+        sightings: seen.len(),
+        handed_ms,
+    })
+}
+
+/// What a wrong program would have left in the recording.
+fn plant(planted: Option<Planted>, ops: &mut [Op], seen: &mut Vec<(pewtergap_time::Moment, links::Seen)>) {
+    use links::Seen;
+    match planted {
+        None => {}
+        Some(Planted::LostOrder) => {
+            // The last order on a key, and all reads from then on do without it.
+            let last = ops.iter().filter(|op| matches!(op.done, Done::Kept(_))).max_by_key(|op| op.called);
+            let Some((key, value)) = last.and_then(|op| op.order) else { return };
+            for op in ops.iter_mut() {
+                if let Done::Found(found) = &mut op.done {
+                    if found.get(&key) == Some(&value) {
+                        found.remove(&key);
+                    }
+                }
+            }
+        }
+        Some(Planted::StaleRead) => {
+            let mut reads: Vec<&mut Op> =
+                ops.iter_mut().filter(|op| matches!(op.done, Done::Found(_))).collect();
+            reads.sort_by_key(|op| op.called);
+            let old = reads[reads.len() / 4].done.clone();
+            if let Some(last) = reads.last_mut() {
+                last.done = old;
+            }
+        }
+        Some(Planted::NumberTwice) => {
+            let number = ops.iter().find_map(|op| if let Done::Kept(n) = op.done { Some(n) } else { None });
+            let other = ops.iter_mut().rev().find(|op| matches!(op.done, Done::Kept(_)));
+            if let (Some(other), Some(number)) = (other, number) {
+                other.done = Done::Kept(number);
+            }
+        }
+        Some(Planted::VoteAfterWipe) => {
+            let hello = seen.iter().rev().find_map(|seen| match &seen.1 {
+                Seen::Hello { id, start, .. } if *start > 1 => Some((seen.0, *id)),
+                _ => None,
+            });
+            if let Some((at, by)) = hello {
+                seen.push((at, Seen::Vote { by, start: 1, term: u64::MAX, to: 1 }));
+            }
+        }
+    }
+}
+
+impl Director<'_> {
+    fn run(&mut self) -> Result<Vec<u64>, String> {
+        let count = self.day.members;
+        for from in 0..count {
+            for to in 0..count {
+                self.wait(&Links::door_name(from, to))?;
+            }
+        }
+        (0..count).try_for_each(|at| self.start(at))?;
+        (0..count).try_for_each(|at| self.wait_up(at))?;
+        self.wait_all_fresh()?;
+        let operators: Vec<_> = (0..OPERATORS)
+            .map(|at| {
+                let (shared, clock) = (self.shared.clone(), self.clock);
+                let rng = fastrand::Rng::with_seed(self.day.seed * 31 + at as u64);
+                std::thread::spawn(move || operate(&shared, clock, rng))
+            })
+            .collect();
+        let some: Vec<Trouble> = match self.day.only.is_empty() {
+            true => ALL.into_iter().filter(|_| self.rng.bool()).collect(),
+            false => self.day.only.clone(),
+        };
+        let some = if some.is_empty() { vec![Kill] } else { some };
+        let mut handed = Vec::new();
+        for _ in 0..self.day.strikes {
+            self.rest(100, 500);
+            let trouble = some[self.rng.usize(0..some.len())];
+            handed.extend(self.strike(trouble)?);
+        }
+        self.tell("open-all".into());
+        for at in 0..count {
+            self.go_on(at);
+            if self.running[at].is_none() {
+                self.start(at)?;
+                self.wait_up(at)?;
+            }
+        }
+        self.wait_all_fresh()?;
+        self.shared.over.store(true, Ordering::SeqCst);
+        for operator in operators {
+            operator.join().map_err(|_| "an operator failed")?;
+        }
+        // Read once more at each: what was kept is there.
+        for at in 0..count {
+            let op = read(&self.shared, self.clock, at);
+            self.shared.ops.lock().map_err(|_| "an operator failed")?.push(op);
+        }
+        Ok(handed)
+    }
+
+    fn tell(&self, word: String) {
+        self.relay.0.tell(self.relay.1, word);
+    }
+
+    fn rest(&mut self, least: u64, most: u64) {
+        std::thread::sleep(Duration::from_millis(self.rng.u64(least..most)));
+    }
+
+    fn wait(&mut self, what: &str) -> Result<SocketAddr, String> {
+        let end = Instant::now() + CEILING;
+        loop {
+            if let Some(at) = self.listens.get(what) {
+                return Ok(*at);
+            }
+            match self.rungs.recv_timeout(end.saturating_duration_since(Instant::now())) {
+                Ok(Rung::Listens(name, at)) => drop(self.listens.insert(name, at)),
+                Ok(Rung::Failed(why)) => return Err(why),
+                Ok(_) => {}
+                Err(_) => return Err(format!("waited {} s for {what}", CEILING.as_secs())),
+            }
+        }
+    }
+
+    fn text(&self, at: usize) -> String {
+        let links = (0..self.day.members).map(|to| {
+            let door = self.listens[&Links::door_name(at, to)];
+            format!("        member(\"{}\", address = \"{door}\"),\n", name(to))
+        });
+        format!(
+            "service(\n    name = \"{}\", zones = [\"z\"], listen = \"127.0.0.1:0\", admin = \"127.0.0.1:0\",\n    \
+             list = list_file(\"servers.json\"), state_dir = \"{}\",\n    \
+             routes = [route(\"r\", slo_time = \"400ms\", time_limit = \"2s\", repeats = \"repeatable\")],\n    \
+             fleet = fleet(proxies = 4, planners = {}),\n    \
+             channel = channel(lines_per_s = 2000, most_waiting = 4000),\n    \
+             rules = rules(drain_grace = \"5s\", cold_for = \"20s\"),\n    \
+             cluster = cluster(listen = \"127.0.0.1:0\", election = \"300ms\", patience = \"2s\", members = [\n{}    ]),\n)\n",
+            name(at),
+            self.day.dir.join(name(at)).display(),
+            self.day.members,
+            links.collect::<String>()
+        )
+    }
+
+    fn start(&mut self, at: usize) -> Result<(), String> {
+        let told = |e: std::io::Error| e.to_string();
+        let home = self.day.dir.join(name(at));
+        std::fs::create_dir_all(&home).map_err(told)?;
+        std::fs::write(home.join("servers.json"), "").map_err(told)?;
+        let settings = self.day.dir.join(format!("{}.star", name(at)));
+        std::fs::write(&settings, self.text(at)).map_err(told)?;
+        let log = File::options()
+            .append(true)
+            .create(true)
+            .open(self.day.dir.join(format!("{}.log", name(at))))
+            .map_err(told)?;
+        let mut child = Command::new(self.day.program)
+            .arg("run")
+            .arg(&settings)
+            .arg("--announce")
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .map_err(told)?;
+        let (bell, me) = (self.bell.clone(), name(at));
+        self.listens.remove(&format!("{me} admin"));
+        self.listens.remove(&format!("{me} members"));
+        let (shared, relay) = (self.shared.clone(), self.relay.clone());
+        if let Some(out) = child.stdout.take() {
+            std::thread::spawn(move || {
+                for line in BufReader::new(out).lines().map_while(Result::ok) {
+                    let words: Vec<&str> = line.split_whitespace().collect();
+                    let ["listening", door @ ("members" | "admin"), heard] = words.as_slice() else {
+                        continue;
+                    };
+                    let Ok(heard) = heard.parse::<SocketAddr>() else { continue };
+                    let known = if *door == "admin" { &shared.admin } else { &shared.members };
+                    known.lock().into_iter().for_each(|mut known| known[at] = Some(heard));
+                    if *door == "members" {
+                        relay.0.tell(relay.1, format!("target {at} {heard}"));
+                    }
+                    bell.listens(&format!("{me} {door}"), heard);
+                }
+            });
+        }
+        self.running[at] = Some(Running { child, stopped: false });
+        Ok(())
+    }
+
+    fn wait_up(&mut self, at: usize) -> Result<(), String> {
+        self.wait(&format!("{} admin", name(at))).map(drop)
+    }
+
+    /// Every member gives a fresh read, and everybody who belongs has a vote.
+    fn wait_all_fresh(&mut self) -> Result<(), String> {
+        let end = Instant::now() + CEILING;
+        for at in 0..self.day.members {
+            loop {
+                let whole = self.admin(at).and_then(|admin| ask::call(admin, "GET", "/members", None).ok());
+                let votes = |view: &Value| {
+                    let list = view["members"].as_array().cloned().unwrap_or_default();
+                    list.len() == self.day.members && list.iter().all(|m| m["votes"] == json!(true))
+                };
+                let whole = whole.and_then(|(_, text)| serde_json::from_str::<Value>(&text).ok());
+                let fresh = matches!(read(&self.shared, self.clock, at).done, Done::Found(_));
+                if fresh && whole.as_ref().is_some_and(votes) {
+                    break;
+                }
+                if Instant::now() > end {
+                    return Err(format!("{} is not whole again: {whole:?}", name(at)));
+                }
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        }
+        Ok(())
+    }
+
+    fn admin(&self, at: usize) -> Option<SocketAddr> {
+        self.shared.admin.lock().ok()?[at]
+    }
+
+    fn signal(&mut self, at: usize, signal: Signal) {
+        if let Some(running) = &mut self.running[at] {
+            let _ = kill_process(Pid::from_child(&running.child), signal);
+            running.stopped = signal == Signal::STOP;
+        }
+    }
+
+    fn go_on(&mut self, at: usize) {
+        if self.running[at].as_ref().is_some_and(|running| running.stopped) {
+            self.signal(at, Signal::CONT);
+        }
+    }
+
+    fn end(&mut self, at: usize, signal: Signal) {
+        self.go_on(at);
+        self.signal(at, signal);
+        if let Some(mut running) = self.running[at].take() {
+            let _ = running.child.wait();
+        }
+        self.shared.admin.lock().into_iter().for_each(|mut admin| admin[at] = None);
+    }
+
+    fn leader(&self) -> Option<usize> {
+        let leads = |at: &usize| {
+            let view = self.admin(*at).and_then(|admin| ask::call(admin, "GET", "/members", None).ok());
+            let view = view.and_then(|(_, text)| serde_json::from_str::<Value>(&text).ok());
+            let seats = view.and_then(|view| view["members"].as_array().cloned()).unwrap_or_default();
+            seats.iter().any(|seat| seat["leads"] == json!(true) && seat["here"] == json!(true))
+        };
+        (0..self.day.members).filter(|at| self.running[*at].as_ref().is_some_and(|r| !r.stopped)).find(leads)
+    }
+
+    /// From now until an order that is given afterwards is kept.
+    fn until_kept(&mut self) -> Result<u64, String> {
+        let (begin, end) = (Instant::now(), Instant::now() + CEILING);
+        loop {
+            for at in 0..self.day.members {
+                if self.running[at].as_ref().is_some_and(|running| !running.stopped)
+                    && self.admin(at).is_some()
+                {
+                    let op = order(&self.shared, self.clock, at, self.rng.usize(0..KEYS));
+                    let kept = matches!(op.done, Done::Kept(_));
+                    self.shared.ops.lock().map_err(|_| "an operator failed")?.push(op);
+                    if kept {
+                        return Ok(begin.elapsed().as_millis() as u64);
+                    }
+                }
+            }
+            if Instant::now() > end {
+                return Err("no order was kept any more".into());
+            }
+        }
+    }
+
+    fn strike(&mut self, trouble: Trouble) -> Result<Option<u64>, String> {
+        let count = self.day.members;
+        let leader = self.leader();
+        let one = match (self.rng.bool(), leader) {
+            (true, Some(leader)) => leader,
+            _ => self.rng.usize(0..count),
+        };
+        let other = (one + self.rng.usize(1..count.max(2))) % count;
+        self.troubles.push(format!(
+            "{trouble:?} {}{}",
+            name(one),
+            if leader == Some(one) { " (leader)" } else { "" }
+        ));
+        let others: Vec<usize> = (0..count).filter(|at| *at != one).collect();
+        match trouble {
+            Kill => {
+                self.end(one, Signal::KILL);
+                let handed = if leader == Some(one) { Some(self.until_kept()?) } else { None };
+                self.rest(50, 900);
+                self.start(one)?;
+                self.wait_up(one)?;
+                return Ok(handed);
+            }
+            Terminate => {
+                self.end(one, Signal::TERM);
+                self.rest(10, 300);
+                self.start(one)?;
+                self.wait_up(one)?;
+            }
+            Stop => {
+                self.signal(one, Signal::STOP);
+                self.rest(100, 2_000);
+                self.signal(one, Signal::CONT);
+            }
+            Isolate | Mute | Deaf => {
+                for other in others {
+                    if trouble != Deaf {
+                        self.tell(format!("cut {one} {other}"));
+                    }
+                    if trouble != Mute {
+                        self.tell(format!("cut {other} {one}"));
+                    }
+                }
+                self.rest(300, 1_800);
+                self.tell("open-all".into());
+            }
+            OneWay => {
+                self.tell(format!("cut {one} {other}"));
+                self.rest(300, 1_500);
+                self.tell(format!("open {one} {other}"));
+            }
+            Chain => {
+                for from in 0..count {
+                    for to in (0..count).filter(|to| from.abs_diff(*to) > 1) {
+                        self.tell(format!("cut {from} {to}"));
+                    }
+                }
+                self.rest(500, 2_000);
+                self.tell("open-all".into());
+            }
+            Slow => {
+                for other in others {
+                    let delay = self.rng.u64(5..80);
+                    self.tell(format!("slow {one} {other} {delay}"));
+                }
+            }
+            Reset => {
+                for other in others {
+                    self.tell(format!("reset {one} {other}"));
+                    self.tell(format!("reset {other} {one}"));
+                }
+            }
+            Wipe | OldCopy | Damage => return self.lose_disk(trouble, one).map(|()| None),
+        }
+        Ok(None)
+    }
+
+    /// A disk is lost, put back from an older copy, or damaged: no more of them at a time than a majority bears.
+    fn lose_disk(&mut self, trouble: Trouble, one: usize) -> Result<(), String> {
+        self.tell("open-all".into());
+        for at in 0..self.day.members {
+            self.go_on(at);
+        }
+        self.wait_all_fresh()?;
+        let path = record_file(&self.day.dir, one);
+        let told = |e: std::io::Error| format!("{}: {e}", path.display());
+        if trouble == OldCopy {
+            let bytes = std::fs::read(&path).map_err(told)?;
+            self.copies.insert(one, bytes);
+            self.until_kept()?;
+        }
+        self.end(one, Signal::KILL);
+        match (trouble, self.copies.remove(&one)) {
+            (Wipe, _) => std::fs::remove_file(&path).map_err(told)?,
+            (OldCopy, Some(bytes)) => std::fs::write(&path, bytes).map_err(told)?,
+            _ => {
+                let mut bytes = std::fs::read(&path).map_err(told)?;
+                let at = self.rng.usize(8..bytes.len().max(9));
+                if let Some(byte) = bytes.get_mut(at) {
+                    *byte ^= 1 << self.rng.u32(0..8);
+                }
+                std::fs::write(&path, bytes).map_err(told)?;
+            }
+        }
+        self.rest(50, 500);
+        self.start(one)?;
+        self.wait_up(one)?;
+        self.wait_all_fresh()
+    }
+}
+
+impl Drop for Director<'_> {
+    fn drop(&mut self) {
+        for at in 0..self.running.len() {
+            self.end(at, Signal::KILL);
+        }
+    }
+}
+
+/// One operator: orders and reads at whichever planner, one after the other, until all is over.
+fn operate(shared: &Shared, clock: Clock, mut rng: fastrand::Rng) {
+    while !shared.over.load(Ordering::SeqCst) {
+        let count = shared.admin.lock().map_or(1, |admin| admin.len());
+        let at = rng.usize(0..count);
+        let op = match rng.u8(0..3) {
+            0 => read(shared, clock, at),
+            _ => order(shared, clock, at, rng.usize(0..KEYS)),
+        };
+        if let Ok(mut ops) = shared.ops.lock() {
+            ops.push(op);
+        }
+        std::thread::sleep(Duration::from_millis(rng.u64(PAUSE / 2..PAUSE * 2)));
+    }
+}
+
+fn order(shared: &Shared, clock: Clock, at: usize, key: usize) -> Op {
+    let value = shared.values.fetch_add(1, Ordering::SeqCst) + 1;
+    let called = clock.now();
+    let id = format!("{:016x}", fastrand::u64(1..));
+    let body = json!({ "id": id, "given": called.0 / 1_000_000, "who": "lab", "why": "a cluster day",
+        "order": "weight", "server": format!("s{key}"), "weight": value });
+    let done = match shared.admin.lock().ok().and_then(|admin| admin[at]) {
+        None => Done::Not,
+        Some(admin) => match ask::call(admin, "POST", "/orders", Some(&body.to_string())) {
+            Ok((200, text)) => {
+                let view: Value = serde_json::from_str(&text).unwrap_or_default();
+                view["number"].as_u64().map_or(Done::Unknown, Done::Kept)
+            }
+            Ok((409 | 503, _)) | Err((false, _)) => Done::Not,
+            Ok(_) | Err((true, _)) => Done::Unknown,
+        },
+    };
+    Op { called, returned: clock.now(), at, order: Some((key, value)), done }
+}
+
+fn read(shared: &Shared, clock: Clock, at: usize) -> Op {
+    let called = clock.now();
+    let answer = shared.admin.lock().ok().and_then(|admin| admin[at]);
+    let answer = answer.and_then(|admin| ask::call(admin, "GET", "/record", None).ok());
+    let view: Value = answer.and_then(|(_, text)| serde_json::from_str(&text).ok()).unwrap_or_default();
+    let mut found = BTreeMap::new();
+    for order in view["orders"].as_array().into_iter().flatten() {
+        let words: Vec<&str> = order["order"].as_str().unwrap_or_default().split(' ').collect();
+        if let ["weight", server, weight] = words.as_slice() {
+            let key = server.trim_start_matches('s').parse::<usize>();
+            let value = weight.parse::<f64>().map(|weight| weight as u64);
+            if let (Ok(key), Ok(value)) = (key, value) {
+                found.insert(key, value);
+            }
+        }
+    }
+    let done = if view["fresh"] == json!(true) { Done::Found(found) } else { Done::Nothing };
+    Op { called, returned: clock.now(), at, order: None, done }
+}
+
+/// Kinds that were met, for a summary.
+pub fn kinds(troubles: &[String]) -> BTreeSet<&str> {
+    troubles.iter().filter_map(|trouble| trouble.split(' ').next()).collect()
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,9 +1,11 @@
 //! The rehearsal kit: stand-ins, a relay through which every stream runs, a recording, the rule audit, days.
 #![forbid(unsafe_code)]
 
+pub mod ask;
 pub mod audit;
 mod bell;
 mod clients;
+pub mod cluster;
 pub mod day;
 pub mod days;
 mod list;
--- /dev/null
+++ b/crates/pewtergap/src/cluster.rs
@@ -0,0 +1,113 @@
+//! `pewtergap rehearse cluster`: days of planners that agree, with faults by seed.
+
+use crate::Ended;
+use clap::Args;
+use pewtergap_lab::cluster::{play, Came, ClusterDay, Planted, PLANTED};
+use serde_json::json;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+#[derive(Args)]
+pub struct ClusterLine {
+    /// Planners of a cluster day.
+    #[arg(long, default_value_t = 3)]
+    members: usize,
+    /// Troubles of a cluster day.
+    #[arg(long, default_value_t = 6)]
+    strikes: usize,
+    /// Cluster days of so many seeds, from --seed on.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Cluster days at the same time.
+    #[arg(long, default_value_t = 1)]
+    jobs: usize,
+    /// Plant a break in a cluster day that the audit must find: lost-order, stale-read, number-twice, vote-after-wipe.
+    #[arg(long, value_parser = planted)]
+    cluster_plant: Option<Planted>,
+}
+
+fn planted(name: &str) -> Result<Planted, String> {
+    let names: Vec<&str> = PLANTED.iter().map(|planted| planted.0).collect();
+    let planted = PLANTED.iter().find(|planted| planted.0 == name).map(|planted| planted.1);
+    planted.ok_or(format!("one of {}", names.join(", ")))
+}
+
+fn tell(seed: u64, line: &ClusterLine, came: &Came, as_json: bool) {
+    if as_json {
+        let breaches: Vec<_> =
+            came.breaches.iter().map(|b| json!({ "rule": b.rule, "what": b.what })).collect();
+        let view = json!({ "seed": seed, "members": line.members, "troubles": came.troubles, "kept": came.kept,
+            "not_kept": came.refused, "unknown": came.unknown, "fresh": came.fresh, "not_fresh": came.not_fresh,
+            "sightings": came.sightings, "handed_ms": came.handed_ms, "breaches": breaches });
+        println!("{view}");
+        return;
+    }
+    println!(
+        "seed {seed}: {} orders kept, {} not, {} unknown; {} fresh reads, {} not fresh; {}",
+        came.kept,
+        came.refused,
+        came.unknown,
+        came.fresh,
+        came.not_fresh,
+        came.troubles.join(", ")
+    );
+    for breach in &came.breaches {
+        println!("  {}: {}", breach.rule, breach.what);
+        println!(
+            "  again: pewtergap rehearse cluster --seed {seed} --members {} --strikes {}",
+            line.members, line.strikes
+        );
+    }
+}
+
+pub fn days(line: &ClusterLine, seed: u64, out: Option<&Path>, as_json: bool) -> Ended {
+    let program = std::env::current_exe().map_err(|e| (3, e.to_string()))?;
+    let base: PathBuf = match out {
+        Some(out) => out.to_path_buf(),
+        None => std::env::temp_dir().join(format!("pewtergap-cluster-{}", std::process::id())),
+    };
+    if line.members == 0 || line.members > 7 || line.members.is_multiple_of(2) {
+        return Err((2, "--members: 1, 3, 5 or 7 were expected".into()));
+    }
+    let next = AtomicU64::new(seed);
+    let worst: Mutex<(u8, String)> = Mutex::new((0, String::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..line.jobs.max(1) {
+            scope.spawn(|| loop {
+                let mine = next.fetch_add(1, Ordering::SeqCst);
+                if mine >= seed + line.seeds {
+                    return;
+                }
+                let day = ClusterDay {
+                    program: &program,
+                    dir: base.join(format!("seed-{mine}")),
+                    members: line.members,
+                    seed: mine,
+                    strikes: line.strikes,
+                    only: Vec::new(),
+                    planted: line.cluster_plant,
+                };
+                let ended = match play(&day) {
+                    Ok(came) => {
+                        tell(mine, line, &came, as_json);
+                        (u8::from(!came.breaches.is_empty()), String::new())
+                    }
+                    Err(why) => (3, format!("seed {mine}: {why}")),
+                };
+                if ended.0 == 0 && out.is_none() {
+                    let _ = std::fs::remove_dir_all(&day.dir);
+                }
+                if let Ok(mut worst) = worst.lock() {
+                    if ended.0 > worst.0 {
+                        *worst = ended;
+                    }
+                }
+            });
+        }
+    });
+    match worst.into_inner().unwrap_or((3, "a day failed".into())) {
+        (3, why) => Err((3, format!("{why} (in {})", base.display()))),
+        (code, _) => Ok(code),
+    }
+}
--- a/crates/pewtergap/src/rehearse.rs
+++ b/crates/pewtergap/src/rehearse.rs
@@ -1,5 +1,6 @@
 //! `pewtergap rehearse` and `pewtergap audit`.
 
+use crate::cluster::{self, ClusterLine};
 use crate::Ended;
 use clap::Args;
 use pewtergap_lab::audit::{Audit, Breach};
@@ -34,6 +35,8 @@
     /// Name the built-in days and end.
     #[arg(long)]
     list: bool,
+    #[command(flatten)]
+    cluster: ClusterLine,
 }
 
 fn plant(name: &str) -> Result<Plant, String> {
@@ -62,6 +65,9 @@
 }
 
 pub fn rehearse(wanted: Wanted) -> Ended {
+    if wanted.day.as_deref() == Some("cluster") {
+        return cluster::days(&wanted.cluster, wanted.seed, wanted.out.as_deref(), wanted.json);
+    }
     if wanted.list {
         println!("bad\nplanted");
         days::SHORT.iter().for_each(|day| println!("{}", day.0));
--- /dev/null
+++ b/crates/pewtergap/tests/cluster.rs
@@ -0,0 +1,132 @@
+//! Several planners as processes, their links cut, their disks lost, while operators give orders.
+
+use pewtergap_lab::ask::call;
+use pewtergap_lab::cluster::{play, ClusterDay, Planted, Trouble};
+use std::path::Path;
+
+fn day(name: &str, seed: u64) -> ClusterDay<'static> {
+    let dir = std::env::temp_dir().join(format!("pewtergap-cluster-{}-{name}", std::process::id()));
+    let program = Path::new(env!("CARGO_BIN_EXE_pewtergap"));
+    ClusterDay { program, dir, members: 3, seed, strikes: 3, only: Vec::new(), planted: None }
+}
+
+fn kept(day: &ClusterDay) {
+    let came = play(day).expect("the day is played");
+    assert_eq!(came.breaches, [], "after {:?}", came.troubles);
+    assert!(came.kept > 5 && came.fresh > 3 && came.sightings > 10, "{came:?}");
+    let _ = std::fs::remove_dir_all(&day.dir);
+}
+
+#[test]
+fn what_was_kept_stays_through_lost_and_old_and_damaged_disks() {
+    use Trouble::*;
+    for (seed, trouble) in (1..).zip([Wipe, OldCopy, Damage]) {
+        kept(&ClusterDay { only: vec![trouble], strikes: 2, ..day(&format!("{trouble:?}"), seed) });
+    }
+}
+
+#[test]
+fn what_was_kept_stays_through_kills_stops_and_cuts_in_every_direction() {
+    use Trouble::*;
+    kept(&ClusterDay { only: vec![Kill, Stop, Terminate, Reset], strikes: 5, ..day("processes", 4) });
+    kept(&ClusterDay { only: vec![Isolate, Mute, Deaf, OneWay, Chain, Slow], strikes: 5, ..day("links", 5) });
+    kept(&ClusterDay { members: 5, strikes: 5, ..day("five", 6) });
+}
+
+#[test]
+fn each_break_that_is_planted_is_found_with_its_rule() {
+    let planted = [
+        (Planted::LostOrder, "one order"),
+        (Planted::StaleRead, "one order"),
+        (Planted::NumberTwice, "a number twice"),
+        (Planted::VoteAfterWipe, "a vote from an old disk"),
+    ];
+    for (planted, rule) in planted {
+        let day = ClusterDay {
+            planted: Some(planted),
+            only: vec![Trouble::Terminate],
+            strikes: 2,
+            ..day(&format!("{planted:?}"), 7)
+        };
+        let came = play(&day).expect("the day is played");
+        assert!(came.breaches.iter().any(|breach| breach.rule == rule), "{planted:?}: {:?}", came.breaches);
+        let _ = std::fs::remove_dir_all(&day.dir);
+    }
+}
+
+/// A planner alone, told apart by its folder; its admin address.
+fn alone(dir: &Path) -> (std::process::Child, std::net::SocketAddr) {
+    use std::io::BufRead;
+    std::fs::create_dir_all(dir).expect("a folder");
+    std::fs::write(dir.join("servers.json"), "").expect("a list");
+    let text = format!(
+        "service(name = \"a\", zones = [\"z\"], listen = \"127.0.0.1:0\", admin = \"127.0.0.1:0\",\n\
+         list = list_file(\"servers.json\"), state_dir = \"{}\",\n\
+         routes = [route(\"r\", slo_time = \"400ms\", time_limit = \"2s\", repeats = \"repeatable\")],\n\
+         fleet = fleet(proxies = 4), channel = channel(lines_per_s = 2000, most_waiting = 4000),\n\
+         rules = rules(drain_grace = \"5s\", cold_for = \"20s\"))\n",
+        dir.display()
+    );
+    let file = dir.join("a.star");
+    std::fs::write(&file, text).expect("settings");
+    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_pewtergap"))
+        .args(["--log", "error", "run", "--announce"])
+        .arg(&file)
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .expect("a planner");
+    let lines = std::io::BufReader::new(child.stdout.take().expect("its output")).lines();
+    let admin =
+        lines.map_while(Result::ok).find_map(|line| line.strip_prefix("listening admin ")?.parse().ok());
+    (child, admin.expect("its admin address"))
+}
+
+#[test]
+fn an_order_is_kept_alone_through_kills_at_any_moment_and_never_made_twice() {
+    let dir = std::env::temp_dir().join(format!("pewtergap-alone-{}", std::process::id()));
+    let body = |id: u64| {
+        format!(
+            r#"{{"id":"{id:016x}","given":{},"who":"a test","why":"it","order":"drain","server":"s{id}"}}"#,
+            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a time").as_millis()
+        )
+    };
+    let mut numbers = Vec::new();
+    for start in 0..4u64 {
+        let (mut child, admin) = alone(&dir);
+        let again = numbers.first().copied();
+        let (status, text) = call(admin, "POST", "/orders", Some(&body(1))).expect("an answer");
+        assert_eq!(status, 200, "{text}");
+        let view: serde_json::Value = serde_json::from_str(&text).expect("an answer");
+        let number = view["number"].as_u64().expect("a number");
+        assert_eq!(again.unwrap_or(number), number, "the same order has the same number");
+        numbers.push(number);
+        call(admin, "POST", "/orders", Some(&body(10 + start))).expect("an answer");
+        child.kill().expect("killed");
+        child.wait().expect("ended");
+    }
+    let (mut child, admin) = alone(&dir);
+    let (_, text) = call(admin, "GET", "/record", None).expect("an answer");
+    let view: serde_json::Value = serde_json::from_str(&text).expect("a record");
+    assert_eq!(view["orders"].as_array().map(Vec::len), Some(5), "{text}");
+    assert_eq!(view["start"], 5);
+    let refused = call(admin, "POST", "/orders", Some(r#"{"id":"1","who":"x"}"#)).expect("an answer");
+    assert_eq!(refused.0, 400, "{}", refused.1);
+    child.kill().expect("killed");
+    child.wait().expect("ended");
+    // Damage in what was kept, with nobody to learn from: named, and no start that forgets it.
+    let file = dir.join("a.record");
+    let mut bytes = std::fs::read(&file).expect("a record");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    std::fs::write(&file, &bytes).expect("damaged");
+    let ended = std::process::Command::new(env!("CARGO_BIN_EXE_pewtergap"))
+        .arg("run")
+        .arg(dir.join("a.star"))
+        .output()
+        .expect("a planner");
+    let told = String::from_utf8_lossy(&ended.stderr);
+    assert_eq!(ended.status.code(), Some(4), "{told}");
+    assert!(told.contains("does not fit its checksum"), "{told}");
+    assert_eq!(std::fs::read(&file).expect("a record"), bytes, "and left as it was");
+    let _ = std::fs::remove_dir_all(&dir);
+}
