Members join while the leader dies; one that lost the others goes on alone when told

Seen by tests with processes, and mended: a joiner knew the founders only and refused the leader, who had joined later, for ever (hello now says who belongs); a planner that came back without a majority went by no order, since what is committed was not on its disk (written every 50 ms).

--- a/crates/agree/src/machine.rs
+++ b/crates/agree/src/machine.rs
@@ -135,7 +135,8 @@
 }
 
 impl Agree {
-    pub fn new(now: Moment, id: Id, times: Times, seed: u64, log: Log) -> Agree {
+    /// `committed`: as far as it was known at an earlier time, or 0.
+    pub fn new(now: Moment, id: Id, times: Times, seed: u64, log: Log, committed: Index) -> Agree {
         let applied = log.snapshot.as_ref().map_or(log.base(), |snapshot| snapshot.index);
         let mut agree = Agree {
             id,
@@ -143,7 +144,7 @@
             rng: fastrand::Rng::with_seed(seed),
             role: Follower,
             leader: None,
-            commit: applied,
+            commit: applied.max(committed.min(log.last().1)),
             applied,
             saved: 0,
             synced: 0,
--- a/crates/agree/tests/stage/mod.rs
+++ b/crates/agree/tests/stage/mod.rs
@@ -94,7 +94,7 @@
         match Log::read(place.disk.iter().cloned()) {
             Ok(log) => {
                 place.applied.clear();
-                place.agree = Some(Agree::new(now, id, TIMES, id * 1000 + place.starts, log));
+                place.agree = Some(Agree::new(now, id, TIMES, id * 1000 + place.starts, log, 0));
             }
             Err(why) => self.wrong = Some(format!("member {id} cannot read its disk: {why}")),
         }
--- a/crates/lab/src/ask.rs
+++ b/crates/lab/src/ask.rs
@@ -1,4 +1,4 @@
-//! One call to a planner's admin door, as an operator or a script makes it: it waits.
+//! Calls to a planner's admin door, as an operator or a script makes them: each waits for its answer.
 
 use pewtergap_http::{request, Bounds, First, Part, Reader, Side};
 use std::io::{Read, Write};
@@ -7,47 +7,68 @@
 
 /// An answer takes no longer than this: a planner answers within its own patience.
 const ANSWER: Duration = Duration::from_secs(10);
+const DIAL: Duration = Duration::from_secs(2);
+const BOUNDS: Bounds = Bounds { head: 4096, body: 64 * 1024 * 1024 };
 
 /// Status and body, or whether anything was sent and why there is no answer.
 pub type Asked = Result<(u16, String), (bool, String)>;
 
-/// One call; an error says whether anything was sent.
-pub fn call(
+/// Calls one after the other, on one connection as long as it stands.
+pub struct Client {
     at: SocketAddr,
-    method: &str,
-    target: &str,
-    body: Option<&str>,
-) -> Result<(u16, String), (bool, String)> {
-    let unsent = |e: std::io::Error| (false, format!("{at}: {e}"));
-    let mut stream = TcpStream::connect_timeout(&at, Duration::from_secs(2)).map_err(unsent)?;
-    let end = Instant::now() + ANSWER;
-    let sent = |e: std::io::Error| (true, format!("{at}: {e}"));
-    let host = at.to_string();
-    let bytes = request(method, target, &[("host", &host)], body.map(str::as_bytes));
-    stream.write_all(&bytes).map_err(sent)?;
-    let mut reader = Reader::new(Side::Answers, Bounds { head: 4096, body: 64 * 1024 * 1024 });
-    let (mut status, mut text, mut buffer) = (0, Vec::new(), vec![0; 64 * 1024]);
-    loop {
-        let left = end.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err((true, format!("{at}: no answer within {} s", ANSWER.as_secs())));
-        }
-        stream.set_read_timeout(Some(left)).map_err(sent)?;
-        let count = stream.read(&mut buffer).map_err(sent)?;
-        if count == 0 {
-            return Err((true, format!("{at}: closed without an answer")));
-        }
-        reader.push(&buffer[..count]);
-        while let Some(part) = reader.take().map_err(|e| (true, format!("{at}: {e}")))? {
-            match part {
-                Part::Head(head) => {
-                    if let First::Answer { status: told } = head.first {
-                        status = told;
+    stream: Option<(TcpStream, Reader)>,
+}
+
+impl Client {
+    pub fn new(at: SocketAddr) -> Client {
+        Client { at, stream: None }
+    }
+
+    pub fn call(&mut self, method: &str, target: &str, body: Option<&str>) -> Asked {
+        let at = self.at;
+        let told = |sent: bool| move |e: std::io::Error| (sent, format!("{at}: {e}"));
+        let (mut stream, mut reader) = match self.stream.take() {
+            Some(open) => open,
+            None => {
+                let stream = TcpStream::connect_timeout(&at, DIAL).map_err(told(false))?;
+                stream.set_nodelay(true).map_err(told(false))?;
+                (stream, Reader::new(Side::Answers, BOUNDS))
+            }
+        };
+        let end = Instant::now() + ANSWER;
+        let bytes = request(method, target, &[("host", &at.to_string())], body.map(str::as_bytes));
+        stream.write_all(&bytes).map_err(told(true))?;
+        let (mut status, mut text, mut buffer) = (0, Vec::new(), vec![0; 16 * 1024]);
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err((true, format!("{at}: no answer within {} s", ANSWER.as_secs())));
+            }
+            stream.set_read_timeout(Some(left)).map_err(told(true))?;
+            let count = stream.read(&mut buffer).map_err(told(true))?;
+            if count == 0 {
+                return Err((true, format!("{at}: closed without an answer")));
+            }
+            reader.push(&buffer[..count]);
+            while let Some(part) = reader.take().map_err(|e| (true, format!("{at}: {e}")))? {
+                match part {
+                    Part::Head(head) => {
+                        if let First::Answer { status: told } = head.first {
+                            status = told;
+                        }
+                    }
+                    Part::Data(data) => text.extend(data),
+                    Part::End => {
+                        self.stream = Some((stream, reader));
+                        return Ok((status, String::from_utf8_lossy(&text).into_owned()));
                     }
                 }
-                Part::Data(data) => text.extend(data),
-                Part::End => return Ok((status, String::from_utf8_lossy(&text).into_owned())),
             }
         }
     }
 }
+
+/// One call.
+pub fn call(at: SocketAddr, method: &str, target: &str, body: Option<&str>) -> Asked {
+    Client::new(at).call(method, target, body)
+}
--- a/crates/lab/src/cluster/judge.rs
+++ b/crates/lab/src/cluster/judge.rs
@@ -51,7 +51,7 @@
 }
 
 /// Whether one order fits; none if the search passed its bound.
-fn fits(events: &mut Vec<Event>) -> Option<bool> {
+fn fits(events: &mut [Event]) -> Option<bool> {
     events.sort_by_key(|event| event.called);
     // Which events are placed, and the value so far. An order of unknown outcome need not be placed.
     let words = events.len().div_ceil(64);
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod judge;
 pub mod links;
+pub mod measure;
 
 use crate::ask;
 use crate::bell::{Bell, Rung};
@@ -20,6 +21,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::Receiver;
 use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 const CEILING: Duration = Duration::from_secs(60);
@@ -67,6 +69,8 @@
     Wipe,
     OldCopy,
     Damage,
+    /// Another member is added, and the leader killed while it learns.
+    Join,
 }
 
 use Trouble::*;
@@ -77,6 +81,8 @@
     pub program: &'a Path,
     pub dir: PathBuf,
     pub members: usize,
+    /// So many of them found the cluster; the others are added by `Join`.
+    pub founders: usize,
     pub seed: u64,
     pub strikes: usize,
     /// Only these, where any are named.
@@ -105,13 +111,12 @@
 
 struct Shared {
     admin: Mutex<Vec<Option<SocketAddr>>>,
-    members: Mutex<Vec<Option<SocketAddr>>>,
     ops: Mutex<Vec<Op>>,
     over: AtomicBool,
     values: AtomicU64,
 }
 
-struct Director<'a> {
+pub struct Director<'a> {
     day: &'a ClusterDay<'a>,
     shared: Arc<Shared>,
     clock: Clock,
@@ -123,6 +128,8 @@
     rng: fastrand::Rng,
     troubles: Vec<String>,
     copies: BTreeMap<usize, Vec<u8>>,
+    /// Members that belong now.
+    belong: usize,
 }
 
 fn name(at: usize) -> String {
@@ -133,45 +140,66 @@
     dir.join(name(at)).join(format!("{}.record", name(at)))
 }
 
+/// The relay's thread and the director, until dropped.
+pub struct Started<'a> {
+    pub director: Director<'a>,
+    sightings: Sightings,
+    handle: Handle,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl<'a> Started<'a> {
+    pub fn new(day: &'a ClusterDay<'a>) -> Result<Started<'a>, String> {
+        let told = |e: std::io::Error| e.to_string();
+        let _ = std::fs::remove_dir_all(&day.dir);
+        std::fs::create_dir_all(&day.dir).map_err(told)?;
+        let clock = Clock::default();
+        let (bell, rungs) = Bell::new();
+        let sightings: Sightings = Arc::default();
+        let mut reactor = Reactor::new(clock, 16 * 1024 * 1024, day.dir.clone()).map_err(told)?;
+        let relay = reactor.add(Box::new(Links::new(day.members, bell.clone(), sightings.clone())));
+        let handle = reactor.handle();
+        let thread = std::thread::spawn(move || drop(reactor.run()));
+        let shared = Arc::new(Shared {
+            admin: Mutex::new(vec![None; day.members]),
+            ops: Mutex::default(),
+            over: AtomicBool::new(false),
+            values: AtomicU64::new(0),
+        });
+        let director = Director {
+            day,
+            shared,
+            clock,
+            relay: (handle.clone(), relay),
+            rungs,
+            bell,
+            listens: HashMap::new(),
+            running: (0..day.members).map(|_| None).collect(),
+            rng: fastrand::Rng::with_seed(day.seed),
+            troubles: Vec::new(),
+            copies: BTreeMap::new(),
+            belong: day.founders,
+        };
+        Ok(Started { director, sightings, handle, thread: Some(thread) })
+    }
+}
+
+impl Drop for Started<'_> {
+    fn drop(&mut self) {
+        self.director.shared.over.store(true, Ordering::SeqCst);
+        (0..self.director.running.len()).for_each(|at| self.director.end(at, Signal::KILL));
+        self.handle.end();
+        self.thread.take().map(JoinHandle::join);
+    }
+}
+
 /// Plays a day; an error says why it could not be played.
 pub fn play(day: &ClusterDay) -> Result<Came, String> {
-    let told = |e: std::io::Error| e.to_string();
-    let _ = std::fs::remove_dir_all(&day.dir);
-    std::fs::create_dir_all(&day.dir).map_err(told)?;
-    let clock = Clock::default();
-    let (bell, rungs) = Bell::new();
-    let sightings: Sightings = Arc::default();
-    let mut reactor = Reactor::new(clock, 16 * 1024 * 1024, day.dir.clone()).map_err(told)?;
-    let relay = reactor.add(Box::new(Links::new(day.members, bell.clone(), sightings.clone())));
-    let handle = reactor.handle();
-    let thread = std::thread::spawn(move || reactor.run().map(drop));
-    let shared = Arc::new(Shared {
-        admin: Mutex::new(vec![None; day.members]),
-        members: Mutex::new(vec![None; day.members]),
-        ops: Mutex::default(),
-        over: AtomicBool::new(false),
-        values: AtomicU64::new(0),
-    });
-    let mut director = Director {
-        day,
-        shared: shared.clone(),
-        clock,
-        relay: (handle.clone(), relay),
-        rungs,
-        bell,
-        listens: HashMap::new(),
-        running: (0..day.members).map(|_| None).collect(),
-        rng: fastrand::Rng::with_seed(day.seed),
-        troubles: Vec::new(),
-        copies: BTreeMap::new(),
-    };
-    let played = director.run();
-    shared.over.store(true, Ordering::SeqCst);
-    let troubles = std::mem::take(&mut director.troubles);
-    drop(director);
-    handle.end();
-    let _ = thread.join();
-    let handed_ms = played?;
+    let mut started = Started::new(day)?;
+    let handed_ms = started.director.run()?;
+    let troubles = std::mem::take(&mut started.director.troubles);
+    let (shared, sightings) = (started.director.shared.clone(), started.sightings.clone());
+    drop(started);
     let mut ops = shared.ops.lock().map_err(|_| "an operator failed")?.clone();
     let mut seen = sightings.lock().map_err(|_| "the relay failed")?.clone();
     plant(day.planted, &mut ops, &mut seen);
@@ -236,16 +264,21 @@
 }
 
 impl Director<'_> {
-    fn run(&mut self) -> Result<Vec<u64>, String> {
+    /// All members run, know each other and give fresh reads.
+    pub fn bring_up(&mut self) -> Result<(), String> {
         let count = self.day.members;
         for from in 0..count {
             for to in 0..count {
                 self.wait(&Links::door_name(from, to))?;
             }
         }
-        (0..count).try_for_each(|at| self.start(at))?;
-        (0..count).try_for_each(|at| self.wait_up(at))?;
-        self.wait_all_fresh()?;
+        (0..self.belong).try_for_each(|at| self.start(at))?;
+        (0..self.belong).try_for_each(|at| self.wait_up(at))?;
+        self.wait_all_fresh()
+    }
+
+    fn run(&mut self) -> Result<Vec<u64>, String> {
+        self.bring_up()?;
         let operators: Vec<_> = (0..OPERATORS)
             .map(|at| {
                 let (shared, clock) = (self.shared.clone(), self.clock);
@@ -265,7 +298,7 @@
             handed.extend(self.strike(trouble)?);
         }
         self.tell("open-all".into());
-        for at in 0..count {
+        for at in 0..self.belong {
             self.go_on(at);
             if self.running[at].is_none() {
                 self.start(at)?;
@@ -278,7 +311,7 @@
             operator.join().map_err(|_| "an operator failed")?;
         }
         // Read once more at each: what was kept is there.
-        for at in 0..count {
+        for at in 0..self.belong {
             let op = read(&self.shared, self.clock, at);
             self.shared.ops.lock().map_err(|_| "an operator failed")?.push(op);
         }
@@ -309,7 +342,7 @@
     }
 
     fn text(&self, at: usize) -> String {
-        let links = (0..self.day.members).map(|to| {
+        let links = (0..self.day.founders).map(|to| {
             let door = self.listens[&Links::door_name(at, to)];
             format!("        member(\"{}\", address = \"{door}\"),\n", name(to))
         });
@@ -361,9 +394,9 @@
                         continue;
                     };
                     let Ok(heard) = heard.parse::<SocketAddr>() else { continue };
-                    let known = if *door == "admin" { &shared.admin } else { &shared.members };
-                    known.lock().into_iter().for_each(|mut known| known[at] = Some(heard));
-                    if *door == "members" {
+                    if *door == "admin" {
+                        shared.admin.lock().into_iter().for_each(|mut known| known[at] = Some(heard));
+                    } else {
                         relay.0.tell(relay.1, format!("target {at} {heard}"));
                     }
                     bell.listens(&format!("{me} {door}"), heard);
@@ -381,12 +414,12 @@
     /// Every member gives a fresh read, and everybody who belongs has a vote.
     fn wait_all_fresh(&mut self) -> Result<(), String> {
         let end = Instant::now() + CEILING;
-        for at in 0..self.day.members {
+        for at in 0..self.belong {
             loop {
                 let whole = self.admin(at).and_then(|admin| ask::call(admin, "GET", "/members", None).ok());
                 let votes = |view: &Value| {
                     let list = view["members"].as_array().cloned().unwrap_or_default();
-                    list.len() == self.day.members && list.iter().all(|m| m["votes"] == json!(true))
+                    list.len() == self.belong && list.iter().all(|m| m["votes"] == json!(true))
                 };
                 let whole = whole.and_then(|(_, text)| serde_json::from_str::<Value>(&text).ok());
                 let fresh = matches!(read(&self.shared, self.clock, at).done, Done::Found(_));
@@ -461,7 +494,7 @@
     }
 
     fn strike(&mut self, trouble: Trouble) -> Result<Option<u64>, String> {
-        let count = self.day.members;
+        let count = self.belong;
         let leader = self.leader();
         let one = match (self.rng.bool(), leader) {
             (true, Some(leader)) => leader,
@@ -532,11 +565,39 @@
                     self.tell(format!("reset {other} {one}"));
                 }
             }
+            Join => return self.join(leader).map(|()| None),
             Wipe | OldCopy | Damage => return self.lose_disk(trouble, one).map(|()| None),
         }
         Ok(None)
     }
 
+    fn join(&mut self, leader: Option<usize>) -> Result<(), String> {
+        let at = self.belong;
+        if at >= self.day.members {
+            return Ok(());
+        }
+        let door = self.listens[&Links::door_name(at, at)];
+        let body = json!({ "name": name(at), "at": door.to_string() }).to_string();
+        let end = Instant::now() + CEILING;
+        while !(0..at).filter_map(|known| self.admin(known)).any(|admin| {
+            ask::call(admin, "POST", "/members", Some(&body)).is_ok_and(|answer| answer.0 == 200)
+        }) {
+            if Instant::now() > end {
+                return Err(format!("{} could not be added", name(at)));
+            }
+        }
+        self.belong += 1;
+        self.start(at)?;
+        if let Some(leader) = leader {
+            self.end(leader, Signal::KILL);
+            self.until_kept()?;
+            self.start(leader)?;
+            self.wait_up(leader)?;
+        }
+        self.wait_up(at)?;
+        self.wait_all_fresh()
+    }
+
     /// A disk is lost, put back from an older copy, or damaged: no more of them at a time than a majority bears.
     fn lose_disk(&mut self, trouble: Trouble, one: usize) -> Result<(), String> {
         self.tell("open-all".into());
@@ -571,14 +632,6 @@
     }
 }
 
-impl Drop for Director<'_> {
-    fn drop(&mut self) {
-        for at in 0..self.running.len() {
-            self.end(at, Signal::KILL);
-        }
-    }
-}
-
 /// One operator: orders and reads at whichever planner, one after the other, until all is over.
 fn operate(shared: &Shared, clock: Clock, mut rng: fastrand::Rng) {
     while !shared.over.load(Ordering::SeqCst) {
--- /dev/null
+++ b/crates/member/src/alone.rs
@@ -0,0 +1,56 @@
+//! The way on when a majority is lost for good: the operator's deliberate act on what one disk still has.
+
+use crate::disk;
+use crate::member::digest;
+use crate::words::{self, OnDisk, Seat};
+use pewtergap_agree::{Body, Row, Snapshot};
+use pewtergap_record::{Command, Record};
+use pewtergap_store::Pen;
+use prost::Message;
+
+/// What goes on, and from where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GoesOn {
+    pub index: u64,
+    pub term: u64,
+    pub orders: usize,
+    /// Who belonged.
+    pub members: Vec<String>,
+}
+
+/// The file of a member that goes on alone, as a new cluster, with all that its disk holds. What only the lost ones
+/// had is lost; what this one had and no majority ever kept goes on as if it had been.
+pub fn alone(bytes: &[u8]) -> Result<(Vec<u8>, GoesOn), String> {
+    let found = disk::open(bytes).map_err(|fault| fault.to_string())?;
+    let mut identity = found.identity.ok_or("the file says not whose it is")?;
+    if identity.cluster == 0 {
+        return Err("it belonged to no cluster".into());
+    }
+    let log = found.log;
+    let snapshot = log.snapshot.clone().unwrap_or_default();
+    let mut record = match snapshot.data.is_empty() {
+        true => Record::default(),
+        false => Record::read(&snapshot.data)?,
+    };
+    let (term, index) = log.last();
+    for at in snapshot.index + 1..=index {
+        if let Some(Body::Command(bytes)) = log.get(at).map(|entry| &entry.body) {
+            if let Ok(command) = Command::decode(bytes.as_slice()) {
+                record.apply(at, &command);
+            }
+        }
+    }
+    let members = log.members.1.list.iter().map(|member| member.name.clone()).collect();
+    let seat = Seat { id: identity.id, name: identity.name.clone(), at: String::new(), votes: true };
+    // Another cluster: what is left of the old one must not meet it as the same.
+    identity.founders = vec![seat];
+    identity.cluster = digest(&identity.founders);
+    let seats = words::Seats { list: identity.founders.clone(), retired: Vec::new() };
+    let snapshot = Snapshot { index, term, members: words::members(seats), data: record.write() };
+    let mut rows = disk::head(&identity, &found.seen, found.number);
+    rows.push(words::on_disk(&Row::Snapshot(snapshot)));
+    rows.push(words::on_disk(&Row::Hard { term: log.term, vote: 0 }));
+    let rows: Vec<Vec<u8>> = rows.into_iter().map(|row: OnDisk| words::write(row)).collect();
+    let goes_on = GoesOn { index, term, orders: record.orders().count(), members };
+    Ok((Pen::default().anew(&rows), goes_on))
+}
--- a/crates/member/src/disk.rs
+++ b/crates/member/src/disk.rs
@@ -1,7 +1,7 @@
 //! A member's file: what is found in it at a start, and where the next rows go.
 
 use crate::words::{self, Hello, OnDisk, Place};
-use pewtergap_agree::{Log, Row};
+use pewtergap_agree::{Index, Log, Row};
 use pewtergap_node::{Effect, Outbox};
 use pewtergap_store::{Fault, Pen};
 use std::collections::{BTreeMap, VecDeque};
@@ -13,6 +13,7 @@
     pub seen: BTreeMap<String, Hello>,
     /// The number that this planner's last start had.
     pub number: u64,
+    pub committed: Index,
     pub log: Log,
     pub whole: u64,
     pub torn: Option<String>,
@@ -35,6 +36,7 @@
             OnDisk::Identity(identity) => found.identity = Some(identity),
             OnDisk::Seen(hello) => drop(found.seen.insert(hello.name.clone(), hello)),
             OnDisk::Number(number) => found.number = found.number.max(number.index),
+            OnDisk::Committed(index) => found.committed = found.committed.max(index),
             other => rows.extend(words::row(other).map_err(|e| strange(format!("row {at}: {e}")))?),
         }
     }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -4,11 +4,13 @@
 //! no other members named it is a cluster of one, the same code on its own disk.
 #![forbid(unsafe_code)]
 
+mod alone;
 mod disk;
 mod member;
 mod peers;
 mod together;
 pub mod words;
 
+pub use alone::{alone, GoesOn};
 pub use member::{Member, Post, Reply, Request, SeatView, Told, MOST_MEMBERS};
 pub use together::Together;
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -129,6 +129,10 @@
     /// Commands of this leader's that are in the log and not yet committed.
     proposed: BTreeMap<u64, Index>,
     cleaned: Moment,
+    /// Who belongs, by others: for as long as this one does not.
+    hearsay: Vec<Seat>,
+    /// As far as the disk says that entries are committed.
+    committed: Index,
     tick_set: Option<Moment>,
     stopping: bool,
     /// Its door is open and its timers run.
@@ -157,6 +161,8 @@
             tokens: 0,
             proposed: BTreeMap::new(),
             cleaned: Moment(0),
+            hearsay: Vec::new(),
+            committed: 0,
             tick_set: None,
             stopping: false,
             open: false,
@@ -286,7 +292,7 @@
         let found = self.found.take().unwrap_or_default();
         self.stage = Stage::New;
         if self.own.cluster != 0 {
-            self.join(now, found.log, out);
+            self.join(now, found.log, found.committed, out);
         } else if self.alone() {
             self.establish(now, out);
         }
@@ -302,7 +308,7 @@
     }
 
     /// The machine begins with what is on disk.
-    fn join(&mut self, now: Moment, log: Log, out: &mut Outbox) {
+    fn join(&mut self, now: Moment, log: Log, committed: Index, out: &mut Outbox) {
         self.record = Record::default();
         if let Some(snapshot) = log.snapshot.as_ref().filter(|snapshot| !snapshot.data.is_empty()) {
             match Record::read(&snapshot.data) {
@@ -310,7 +316,7 @@
                 Err(why) => return self.end(out, "record_refused", &why),
             }
         }
-        let agree = Agree::new(now, self.own.id, self.home.times, self.rng.u64(..), log);
+        let agree = Agree::new(now, self.own.id, self.home.times, self.rng.u64(..), log, committed);
         self.stage = Stage::Member(Box::new(agree));
         self.told.push(Told::Changed);
     }
@@ -355,7 +361,7 @@
         rows.extend(log.rows().iter().map(words::on_disk));
         self.disk.anew(rows, Kept::Note, out);
         out.log(Level::Info, "cluster", vec![("id", format!("{:016x}", self.own.cluster))]);
-        self.join(now, log, out);
+        self.join(now, log, 0, out);
         self.carry_out(now, out);
     }
 
@@ -378,6 +384,12 @@
                 *known = known.or(Some(*at));
             }
         }
+        if !self.belongs() {
+            for seat in &self.hearsay {
+                let at = wanted.entry(seat.name.clone()).or_default();
+                *at = at.or(seat.at.parse().ok());
+            }
+        }
         wanted.remove(&self.home.name);
         self.peers.know(now, &wanted, out);
     }
@@ -405,6 +417,7 @@
         let members = self.agree().map(|agree| agree.members().clone()).unwrap_or_default();
         let known = members.named(&hello.name).is_some()
             || members.list.is_empty() && self.home.members.iter().any(|member| member.0 == hello.name);
+        let known = known || !self.belongs() && self.hearsay.iter().any(|seat| seat.name == hello.name);
         if !known || hello.name == self.own.name {
             return self.refuse(link, "a stranger: no member has this name", false, out);
         }
@@ -431,7 +444,7 @@
         if members.find(hello.id).is_none() {
             self.knocking.insert(hello.name.clone(), (hello.id, now));
         }
-        let own = self.own.clone();
+        let own = self.hello_now();
         out.send(link, encode(&Word::of(word::Kind::Welcome(own))));
         if let Some(came) = self.peers.came.get_mut(&link) {
             came.hello = Some(hello);
@@ -468,7 +481,20 @@
         self.carry_out(now, out);
     }
 
+    /// Who we are, as it is told now.
+    fn hello_now(&self) -> Hello {
+        let seats = self.agree().map(|agree| words::seats(agree.members()).list).unwrap_or_default();
+        Hello { seats, ..self.own.clone() }
+    }
+
+    fn belongs(&self) -> bool {
+        self.agree().is_some_and(|agree| agree.member(self.own.id).is_some())
+    }
+
     fn welcomed(&mut self, now: Moment, hello: &Hello, out: &mut Outbox) {
+        if !self.belongs() && !hello.seats.is_empty() {
+            self.hearsay = hello.seats.clone();
+        }
         if matches!(self.stage, Stage::New) {
             if hello.cluster != 0 {
                 self.let_in(now, hello, out);
@@ -690,6 +716,11 @@
         self.know(now, out);
         self.peers.dial(now, out);
         self.lead(now, out);
+        let commit = self.agree().map_or(0, Agree::commit);
+        if commit != self.committed {
+            self.committed = commit;
+            self.disk.add(vec![OnDisk::Committed(commit)], Kept::Note, out);
+        }
         let id = self.own.id;
         if let Stage::Member(agree) = &self.stage {
             let members = agree.settled_members();
@@ -768,6 +799,8 @@
                         if anew {
                             let mut all = disk::head(&self.own, &self.seen, self.number);
                             all.extend(rows);
+                            // The new file has none of it; it is told again at the next look.
+                            self.committed = 0;
                             self.disk.anew(all, Kept::Agreed(ticket), out);
                         } else {
                             self.disk.add(rows.collect(), Kept::Agreed(ticket), out);
@@ -931,7 +964,7 @@
             Input::NotListening { why, .. } => self.end(out, "not_listening", &why),
             Input::Accepted { link, .. } => self.peers.accepted(now, link, out),
             Input::Opened { link } => {
-                let own = self.own.clone();
+                let own = self.hello_now();
                 self.peers.opened(link, &own, out);
             }
             Input::Bytes { link, bytes } => self.heard(now, link, bytes, out),
@@ -991,7 +1024,7 @@
 }
 
 /// A cluster's number, from who founded it: whoever has other founders is of another.
-fn digest(founders: &[Seat]) -> u64 {
+pub fn digest(founders: &[Seat]) -> u64 {
     let bytes: Vec<u8> = founders.iter().flat_map(|seat| seat.encode_length_delimited_to_vec()).collect();
     xxhash_rust::xxh3::xxh3_64(&bytes).max(1)
 }
--- a/crates/member/src/words.rs
+++ b/crates/member/src/words.rs
@@ -68,6 +68,9 @@
     /// On the link for all that is long.
     #[prost(bool, tag = "9")]
     pub bulk: bool,
+    /// Who belongs now: one that joins knows the founders only, and the leader may be none of them.
+    #[prost(message, repeated, tag = "10")]
+    pub seats: Vec<Seat>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -238,7 +241,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct DiskRow {
-    #[prost(oneof = "OnDisk", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "OnDisk", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub row: Option<OnDisk>,
 }
 
@@ -259,6 +262,9 @@
     /// The highest number of a start that this planner was given, and the one it has used.
     #[prost(message, tag = "6")]
     Number(Place),
+    /// Up to here entries were known to be committed. Without it a start that hears nobody would go by no order.
+    #[prost(uint64, tag = "7")]
+    Committed(Index),
 }
 
 impl Checked for Word {
@@ -272,8 +278,8 @@
         match self.kind.as_ref().ok_or("no word of this format")? {
             word::Kind::Hello(hello) | word::Kind::Welcome(hello) => {
                 named(&hello.name)?;
-                if hello.founders.len() > MOST_MEMBERS {
-                    return Err(format!("founders: {}, {MOST_MEMBERS} at most", hello.founders.len()));
+                if hello.founders.len().max(hello.seats.len()) > MOST_MEMBERS {
+                    return Err(format!("founders or seats: more than {MOST_MEMBERS}"));
                 }
                 if hello.id == 0 {
                     return Err("id: is missing".into());
@@ -398,7 +404,7 @@
         OnDisk::Hard(hard) => Row::Hard { term: hard.term, vote: hard.index },
         OnDisk::Entry(kept) => Row::Entry { index: kept.index, entry: entry(kept)? },
         OnDisk::Snapshot(image) => Row::Snapshot(snapshot(image)),
-        OnDisk::Identity(_) | OnDisk::Seen(_) | OnDisk::Number(_) => return Ok(None),
+        OnDisk::Identity(_) | OnDisk::Seen(_) | OnDisk::Number(_) | OnDisk::Committed(_) => return Ok(None),
     }))
 }
 
--- /dev/null
+++ b/crates/member/tests/hand.rs
@@ -0,0 +1,188 @@
+//! A member fed by hand: whom it speaks with, and what it believes of its disk.
+
+use pewtergap_agree::Times;
+use pewtergap_member::words::{word, Hello, Word};
+use pewtergap_member::{Member, Post};
+use pewtergap_node::{Effect, Input, Link, Outbox, NO_FILE};
+use pewtergap_protocol::{encode, Frames};
+use pewtergap_time::{Moment, Span};
+use std::net::SocketAddr;
+
+const START: Moment = Moment(1_700_000_000_000_000_000);
+
+struct Hand {
+    member: Member,
+    out: Outbox,
+    now: Moment,
+    due: Vec<(Moment, u64)>,
+    file: Vec<u8>,
+    /// Writes and syncs go on.
+    disk: bool,
+    seen: Vec<String>,
+}
+
+impl Hand {
+    fn new(members: &[&str], file: Option<Vec<u8>>) -> Hand {
+        let at = SocketAddr::from(([127, 0, 0, 1], 1));
+        let post = Post {
+            name: "a".into(),
+            listen: (members.len() > 1).then_some(at),
+            members: members.iter().map(|name| (name.to_string(), at)).collect(),
+            from: None,
+            times: Times { beat: Span::millis(50), election: Span::millis(300) },
+            patience: Span::millis(1_000),
+            seed: if file.is_some() { 10 } else { 9 },
+        };
+        let member = Member::new(post);
+        let (out, due, seen) = (Outbox::default(), Vec::new(), Vec::new());
+        let mut hand = Hand { member, out, now: START, due, file: Vec::new(), disk: true, seen };
+        hand.give(Input::Start);
+        match file {
+            Some(bytes) => {
+                hand.file = bytes.clone();
+                hand.give(Input::File { name: "a.record", bytes: Ok(&bytes) });
+            }
+            None => hand.give(Input::File { name: "a.record", bytes: Err(NO_FILE.into()) }),
+        }
+        hand
+    }
+
+    fn give(&mut self, input: Input<'_>) {
+        self.member.handle(self.now, input, &mut self.out);
+        for effect in std::mem::take(&mut self.out.effects) {
+            match effect {
+                Effect::Wake { timer, at } => self.due.push((at, timer)),
+                Effect::Replace { bytes, ticket, .. } => {
+                    self.file = bytes;
+                    self.synced(ticket);
+                }
+                Effect::Append { at, bytes, ticket, .. } => {
+                    self.file.truncate(at as usize);
+                    self.file.extend(bytes);
+                    self.synced(ticket);
+                }
+                Effect::Log(line) => {
+                    let why =
+                        line.fields.iter().filter(|field| field.0 == "why").map(|field| field.1.as_str());
+                    self.seen.push(format!("{} {}", line.event, why.collect::<String>()).trim().to_string());
+                }
+                Effect::Send { bytes, .. } => {
+                    let mut frames: Frames<Word> = Frames::default();
+                    frames.push(&bytes);
+                    let word = frames.take().ok().flatten().and_then(|word| word.kind);
+                    match word {
+                        Some(word::Kind::Refuse(refuse)) => {
+                            self.seen.push(format!("refused: {}", refuse.reason))
+                        }
+                        Some(word::Kind::Welcome(_)) => self.seen.push("welcome".into()),
+                        _ => {}
+                    }
+                }
+                Effect::Exit { code } => self.seen.push(format!("exit {code}")),
+                _ => {}
+            }
+        }
+    }
+
+    fn synced(&mut self, ticket: u64) {
+        let result = if self.disk { Ok(()) } else { Err("no space left on device".to_string()) };
+        self.give(Input::Synced { ticket, result });
+    }
+
+    fn pass(&mut self, ms: u64) {
+        let end = self.now + Span::millis(ms);
+        while let Some(at) = (0..self.due.len()).min_by_key(|at| self.due[*at]) {
+            if self.due[at].0 > end {
+                break;
+            }
+            let (when, timer) = self.due.remove(at);
+            self.now = self.now.max(when);
+            self.give(Input::Due { timer });
+        }
+        self.now = end;
+    }
+
+    /// Somebody comes in and says this first; what was said to it.
+    fn comes(&mut self, hello: Hello) -> String {
+        let link: Link = self.out.link();
+        let from = SocketAddr::from(([127, 0, 0, 9], 9));
+        self.seen.clear();
+        self.give(Input::Accepted { link, door: 16, from });
+        let bytes = encode(&Word::of(word::Kind::Hello(hello)));
+        self.give(Input::Bytes { link, bytes: &bytes });
+        self.seen.join(", ")
+    }
+}
+
+fn hello(name: &str, id: u64, start: u64) -> Hello {
+    Hello { lowest: 1, highest: 1, name: name.into(), id, start, nonce: start * 7, ..Hello::default() }
+}
+
+#[test]
+fn strangers_other_clusters_formats_and_older_disks_are_refused_with_the_reason() {
+    let mut hand = Hand::new(&["a", "b", "c"], None);
+    let mut told = vec![
+        ("a name of nobody", hand.comes(hello("x", 5, 1))),
+        ("our own name", hand.comes(hello("a", 5, 1))),
+        ("a newer format", hand.comes(Hello { lowest: 2, highest: 3, ..hello("b", 5, 1) })),
+        ("one that speaks a newer one too", hand.comes(Hello { highest: 2, ..hello("b", 5, 3) })),
+        ("the same start again", hand.comes(hello("b", 5, 3))),
+        ("an earlier start of that disk", hand.comes(hello("b", 5, 2))),
+        ("the same start, drawn anew", hand.comes(Hello { nonce: 99, ..hello("b", 5, 3) })),
+        ("a new disk", hand.comes(hello("b", 6, 1))),
+        ("no id", hand.comes(hello("c", 0, 1))),
+    ];
+    // Alone in a cluster of its own, it is of another one than they are.
+    let mut other = Hand::new(&["a"], None);
+    other.pass(1_000);
+    told.push(("of another cluster", other.comes(Hello { cluster: 77, ..hello("b", 5, 1) })));
+    let told: Vec<String> = told.into_iter().map(|(who, said)| format!("{who}: {said}")).collect();
+    insta::assert_snapshot!(told.join("\n"));
+}
+
+#[test]
+fn a_disk_that_fails_a_sync_is_not_believed_again() {
+    let mut hand = Hand::new(&["a"], None);
+    hand.pass(500);
+    assert!(hand.member.agree().is_some_and(|agree| agree.commit() > 0), "it has begun");
+    hand.disk = false;
+    hand.seen.clear();
+    let number = hand.now.0;
+    hand.member.use_number(number, &mut hand.out);
+    hand.give(Input::Reload);
+    assert_eq!(hand.seen, ["record_not_synced no space left on device", "exit 4"]);
+    // Whatever comes then: it says nothing more.
+    hand.seen.clear();
+    hand.disk = true;
+    hand.pass(2_000);
+    assert_eq!(hand.seen, [""; 0]);
+}
+
+#[test]
+fn what_a_start_finds_decides_what_it_is() {
+    let mut first = Hand::new(&["a", "b", "c"], None);
+    first.pass(100);
+    first.comes(hello("b", 5, 1));
+    let (id, file) = (first.member.id(), first.file.clone());
+    let mut told = Vec::new();
+    let mut start = |what: &str, members: &[&str], file: Vec<u8>| {
+        let hand = Hand::new(members, Some(file));
+        let same = if hand.member.id() == id { "the same" } else { "another" };
+        told.push(format!("{what}: {same}, {}", hand.seen.join(", ")));
+    };
+    let flipped = |at: usize| {
+        let mut bytes = file.clone();
+        bytes[at] ^= 4;
+        bytes
+    };
+    start("as it was", &["a", "b", "c"], file.clone());
+    start("cut off in a row", &["a", "b", "c"], file[..file.len() - 3].to_vec());
+    start("damaged, others to learn from", &["a", "b", "c"], flipped(30));
+    start("damaged, alone", &["a"], flipped(30));
+    start("of something else", &["a", "b", "c"], b"{\"items\":[]}".to_vec());
+    let mut hand = Hand::new(&["a", "b", "c"], None);
+    hand.seen.clear();
+    hand.give(Input::File { name: "a.record", bytes: Err("permission denied".into()) });
+    told.push(format!("unreadable: {}", hand.seen.join(", ")));
+    insta::assert_snapshot!(told.join("\n"));
+}
--- a/crates/pewtergap/src/cluster.rs
+++ b/crates/pewtergap/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use crate::Ended;
 use clap::Args;
+use pewtergap_lab::cluster::measure::{bare_round_trip, bare_sync, with_cluster};
 use pewtergap_lab::cluster::{play, Came, ClusterDay, Planted, PLANTED};
 use serde_json::json;
 use std::path::{Path, PathBuf};
@@ -83,6 +84,7 @@
                     program: &program,
                     dir: base.join(format!("seed-{mine}")),
                     members: line.members,
+                    founders: line.members,
                     seed: mine,
                     strikes: line.strikes,
                     only: Vec::new(),
@@ -111,3 +113,32 @@
         (code, _) => Ok(code),
     }
 }
+
+/// One line of JSON for each figure.
+pub fn measure(members: &[usize], each: usize, kills: usize, entries: &[usize]) -> Ended {
+    let program = std::env::current_exe().map_err(|e| (3, e.to_string()))?;
+    let dir = std::env::temp_dir().join(format!("pewtergap-record-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).map_err(|e| (3, e.to_string()))?;
+    let failed = |why: String| (3, format!("the measurement failed: {why}"));
+    let bare = |e: std::io::Error| failed(e.to_string());
+    println!("{}", json!({ "append_and_sync_ms": bare_sync(&dir, each).map_err(bare)? }));
+    println!("{}", json!({ "round_trip_ms": bare_round_trip(each).map_err(bare)? }));
+    for count in members {
+        let orders =
+            with_cluster(&program, &dir, *count, |director| director.measure_orders(each)).map_err(failed)?;
+        orders.iter().for_each(|orders| println!("{}", json!({ "orders": orders })));
+    }
+    println!("{}", json!({ "append_and_sync_ms": bare_sync(&dir, each).map_err(bare)? }));
+    if kills > 0 {
+        let kills =
+            with_cluster(&program, &dir, 3, |director| director.measure_kills(kills)).map_err(failed)?;
+        println!("{}", json!({ "kill_of_the_leader_to_kept_ms": kills }));
+    }
+    for count in entries {
+        let up = with_cluster(&program, &dir, 3, |director| director.measure_bringing_up(*count))
+            .map_err(failed)?;
+        println!("{}", json!({ "brought_up": up }));
+    }
+    let _ = std::fs::remove_dir_all(&dir);
+    Ok(0)
+}
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -1,6 +1,6 @@
 //! The fronts by scripts and the rehearsal kit.
 
-use crate::{drive, operator, rehearse, Ended};
+use crate::{cluster, drive, operator, rehearse, Ended};
 use clap::Subcommand;
 use pewtergap_reactor::Clock;
 use pewtergap_settings::{proxy_file, run, service_file, Faults, Script};
@@ -58,6 +58,17 @@
         #[arg(long)]
         json: bool,
     },
+    /// What the record costs: orders to kept, kills of the leader, an empty member brought up.
+    Record {
+        #[arg(long, value_delimiter = ',', default_value = "1,3,5")]
+        members: Vec<usize>,
+        #[arg(long, default_value_t = 500)]
+        orders: usize,
+        #[arg(long, default_value_t = 50)]
+        kills: usize,
+        #[arg(long, value_delimiter = ',', default_value = "10000")]
+        entries: Vec<usize>,
+    },
 }
 
 /// Unwritten bytes on one stream beyond which it is closed.
@@ -73,12 +84,19 @@
         Front::Record(line) => operator::record(line),
         Front::Rehearse(wanted) => rehearse::rehearse(wanted),
         Front::Measure { what: Measured::Order { proxies, rounds, json } } => order(&proxies, rounds, json),
+        Front::Measure { what: Measured::Record { members, orders, kills, entries } } => {
+            cluster::measure(&members, orders, kills, &entries)
+        }
         Front::Audit { recording, json } => rehearse::audit(&recording, json),
     }
 }
 
+pub fn planner_file(file: &Path) -> Result<pewtergap_settings::ServiceFile, (u8, String)> {
+    service_file(&load(file)?).map_err(wrong)
+}
+
 fn planner(file: &Path, announce: bool) -> Ended {
-    let file = service_file(&load(file)?).map_err(wrong)?;
+    let file = planner_file(file)?;
     let dir = file.dir.clone();
     let clock = Clock::default();
     drive(
--- a/crates/pewtergap/src/operator.rs
+++ b/crates/pewtergap/src/operator.rs
@@ -83,6 +83,14 @@
         #[command(flatten)]
         at: At,
     },
+    /// A majority is lost for good: this planner's disk, while it does not run, goes on alone as a new cluster. What
+    /// only the lost ones held is lost.
+    Alone {
+        settings: std::path::PathBuf,
+        /// Said in full, since nothing brings back what is lost by it.
+        #[arg(long, required = true)]
+        what_is_lost_is_lost: bool,
+    },
     /// A planner's disk is given up: another one may come under its name.
     Replace {
         name: String,
@@ -166,6 +174,7 @@
     };
     let (at, body) = match line {
         MembersLine::List { at } => return ask(&at, "GET", "/members", None),
+        MembersLine::Alone { settings, .. } => return alone(&settings),
         MembersLine::Add { name, address, at } => (at, change(name, Some(address), false)),
         MembersLine::Remove { name, at } => (at, change(name, None, false)),
         MembersLine::Replace { name, address, at } => (at, change(name, Some(address), true)),
@@ -176,3 +185,26 @@
 pub fn record(line: RecordLine) -> Ended {
     ask(&line.at, "GET", if line.stale { "/record?stale" } else { "/record" }, None)
 }
+
+fn alone(settings: &std::path::Path) -> Ended {
+    let file = crate::fronts::planner_file(settings)?;
+    let path = file.dir.join(format!("{}.record", file.post.name));
+    let told = |e: std::io::Error| (3, format!("{}: {e}", path.display()));
+    let before = std::fs::read(&path).map_err(told)?;
+    let refused = |why: String| (3, format!("{}: {why}", path.display()));
+    let (after, goes_on) = pewtergap_member::alone(&before).map_err(refused)?;
+    let aside = path.with_extension("record.before-alone");
+    std::fs::write(&aside, &before).map_err(told)?;
+    pewtergap_reactor::keep(&path, &after).map_err(told)?;
+    println!(
+        "{} goes on alone from entry {} of term {}, with {} orders in force. It belonged with {}: what only they held \
+         is lost, and they are refused until their disks are empty and they are added. The file as it was: {}",
+        file.post.name,
+        goes_on.index,
+        goes_on.term,
+        goes_on.orders,
+        goes_on.members.join(", "),
+        aside.display()
+    );
+    Ok(0)
+}
--- a/crates/pewtergap/tests/cluster.rs
+++ b/crates/pewtergap/tests/cluster.rs
@@ -7,7 +7,7 @@
 fn day(name: &str, seed: u64) -> ClusterDay<'static> {
     let dir = std::env::temp_dir().join(format!("pewtergap-cluster-{}-{name}", std::process::id()));
     let program = Path::new(env!("CARGO_BIN_EXE_pewtergap"));
-    ClusterDay { program, dir, members: 3, seed, strikes: 3, only: Vec::new(), planted: None }
+    ClusterDay { program, dir, members: 3, founders: 3, seed, strikes: 3, only: Vec::new(), planted: None }
 }
 
 fn kept(day: &ClusterDay) {
@@ -30,7 +30,8 @@
     use Trouble::*;
     kept(&ClusterDay { only: vec![Kill, Stop, Terminate, Reset], strikes: 5, ..day("processes", 4) });
     kept(&ClusterDay { only: vec![Isolate, Mute, Deaf, OneWay, Chain, Slow], strikes: 5, ..day("links", 5) });
-    kept(&ClusterDay { members: 5, strikes: 5, ..day("five", 6) });
+    kept(&ClusterDay { members: 5, founders: 5, strikes: 5, ..day("five", 6) });
+    kept(&ClusterDay { members: 5, only: vec![Join], strikes: 2, ..day("join", 8) });
 }
 
 #[test]
@@ -54,9 +55,76 @@
     }
 }
 
-/// A planner alone, told apart by its folder; its admin address.
-fn alone(dir: &Path) -> (std::process::Child, std::net::SocketAddr) {
+#[test]
+fn of_three_that_lost_two_one_goes_on_alone_when_told_so() {
+    let day = ClusterDay { only: vec![Trouble::Terminate], strikes: 1, ..day("lost", 9) };
+    let came = play(&day).expect("the day is played");
+    // The other two are lost with their disks: by itself it keeps nothing and says so.
+    let settings = day.dir.join("m1.star");
+    let (mut child, admin) = start(&settings);
+    let refused = call(admin, "POST", "/orders", Some(&order(77, "s7"))).expect("an answer");
+    assert_eq!(refused.0, 503, "{}", refused.1);
+    let (_, text) = call(admin, "GET", "/record", None).expect("an answer");
+    assert!(text.contains("\"fresh\":false") && text.contains("weight s"), "old, and told so: {text}");
+    child.kill();
+    let alone = |said: &[&str]| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_pewtergap"));
+        command.args(["members", "alone"]).arg(&settings).args(said).output().expect("it runs")
+    };
+    assert_eq!(alone(&[]).status.code(), Some(2), "not without the words for it");
+    let told = alone(&["--what-is-lost-is-lost"]);
+    let text = String::from_utf8_lossy(&told.stdout);
+    assert!(told.status.success() && text.contains("goes on alone from entry"), "{text}");
+    let (mut child, admin) = start(&settings);
+    let answer = call(admin, "POST", "/orders", Some(&order(78, "s8"))).expect("an answer");
+    assert_eq!(answer.0, 200, "{}", answer.1);
+    let (_, text) = call(admin, "GET", "/record", None).expect("an answer");
+    let view: serde_json::Value = serde_json::from_str(&text).expect("a record");
+    assert_eq!(view["fresh"], true);
+    assert!(view["orders"].as_array().is_some_and(|orders| orders.len() > 1), "{text} after {came:?}");
+    child.kill();
+    let _ = std::fs::remove_dir_all(&day.dir);
+}
+
+fn order(id: u64, server: &str) -> String {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a time").as_millis();
+    format!(
+        r#"{{"id":"{id:016x}","given":{now},"who":"a test","why":"it","order":"drain","server":"{server}"}}"#
+    )
+}
+
+/// A planner's process; it ends with the test, however that ends.
+struct Planner(std::process::Child);
+
+impl Planner {
+    fn kill(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Drop for Planner {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn start(settings: &Path) -> (Planner, std::net::SocketAddr) {
     use std::io::BufRead;
+    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_pewtergap"))
+        .args(["--log", "error", "run", "--announce"])
+        .arg(settings)
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .expect("a planner");
+    let lines = std::io::BufReader::new(child.stdout.take().expect("its output")).lines();
+    let admin =
+        lines.map_while(Result::ok).find_map(|line| line.strip_prefix("listening admin ")?.parse().ok());
+    (Planner(child), admin.expect("its admin address"))
+}
+
+/// A planner alone, told apart by its folder; its admin address.
+fn alone(dir: &Path) -> (Planner, std::net::SocketAddr) {
     std::fs::create_dir_all(dir).expect("a folder");
     std::fs::write(dir.join("servers.json"), "").expect("a list");
     let text = format!(
@@ -69,27 +137,13 @@
     );
     let file = dir.join("a.star");
     std::fs::write(&file, text).expect("settings");
-    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_pewtergap"))
-        .args(["--log", "error", "run", "--announce"])
-        .arg(&file)
-        .stdout(std::process::Stdio::piped())
-        .spawn()
-        .expect("a planner");
-    let lines = std::io::BufReader::new(child.stdout.take().expect("its output")).lines();
-    let admin =
-        lines.map_while(Result::ok).find_map(|line| line.strip_prefix("listening admin ")?.parse().ok());
-    (child, admin.expect("its admin address"))
+    start(&file)
 }
 
 #[test]
 fn an_order_is_kept_alone_through_kills_at_any_moment_and_never_made_twice() {
     let dir = std::env::temp_dir().join(format!("pewtergap-alone-{}", std::process::id()));
-    let body = |id: u64| {
-        format!(
-            r#"{{"id":"{id:016x}","given":{},"who":"a test","why":"it","order":"drain","server":"s{id}"}}"#,
-            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a time").as_millis()
-        )
-    };
+    let body = |id: u64| order(id, &format!("s{id}"));
     let mut numbers = Vec::new();
     for start in 0..4u64 {
         let (mut child, admin) = alone(&dir);
@@ -101,8 +155,7 @@
         assert_eq!(again.unwrap_or(number), number, "the same order has the same number");
         numbers.push(number);
         call(admin, "POST", "/orders", Some(&body(10 + start))).expect("an answer");
-        child.kill().expect("killed");
-        child.wait().expect("ended");
+        child.kill();
     }
     let (mut child, admin) = alone(&dir);
     let (_, text) = call(admin, "GET", "/record", None).expect("an answer");
@@ -111,8 +164,7 @@
     assert_eq!(view["start"], 5);
     let refused = call(admin, "POST", "/orders", Some(r#"{"id":"1","who":"x"}"#)).expect("an answer");
     assert_eq!(refused.0, 400, "{}", refused.1);
-    child.kill().expect("killed");
-    child.wait().expect("ended");
+    child.kill();
     // Damage in what was kept, with nobody to learn from: named, and no start that forgets it.
     let file = dir.join("a.record");
     let mut bytes = std::fs::read(&file).expect("a record");
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -13,6 +13,7 @@
 use pewtergap_time::{Moment, Span};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
+pub use sockets::keep;
 use sockets::{Conn, Door, Taken};
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::io::{self, Write};
