Tests of an operator's cap and hold in the module, and of synced writes in the reactor

Need: what the record orders has to be seen in orders. Seen by the first trace: the same cap given again had all tables told their levels anew; State::cap now lets it be.

--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -668,7 +668,9 @@
     /// A cap changes: all tables are to be told their levels anew.
     pub fn cap(&mut self, route: usize, level: f64) {
         self.caps.resize(self.caps.len().max(route + 1), 1.0);
-        self.caps[route] = level;
+        if std::mem::replace(&mut self.caps[route], level) == level {
+            return;
+        }
         self.tables.iter_mut().for_each(|table| table.gates = table.gates.map(|_| usize::MAX));
     }
 
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -684,3 +684,32 @@
     }
     assert!(peak < 600, "{peak} places");
 }
+
+#[test]
+fn an_operators_cap_bounds_a_route_at_every_step_and_is_taken_back() {
+    let mut stage = settled(terms());
+    stage.at(1_000, &[Event::Cap { route: 1, level: 0.3 }]);
+    stage.note("more of the same cap changes nothing; then it goes");
+    stage.at(2_500, &[Event::Cap { route: 1, level: 0.3 }]);
+    stage.at(4_000, &[Event::Cap { route: 1, level: 1.0 }]);
+    let trace = stage.trace.lines().filter(|line| !line.contains("Probe")).collect::<Vec<_>>().join("\n");
+    insta::assert_snapshot!(trace);
+}
+
+#[test]
+fn an_operators_hold_keeps_all_back_but_removals_and_lines_for_a_table_without_a_warm_one() {
+    let mut stage = settled(terms());
+    stage.at(1_000, &[Event::Hold { on: true }]);
+    stage.note("a new server waits, a drain goes");
+    stage.at(2_000, &[change(entry(6, 0, Listed::Running, 1.0, None))]);
+    stage.at(3_000, &[change(entry(0, 0, Listed::Stopping, 1.0, None))]);
+    stage.note("the last of the first zone drain: their proxies need a line all the same");
+    let last = vec![entry(1, 0, Listed::Stopping, 1.0, None), entry(2, 0, Listed::Stopping, 1.0, None)];
+    stage.at(4_000, &[Event::List { kind: ListKind::Changes, entries: last }]);
+    stage.pass(4_500, 8_000);
+    stage.note("and all goes on");
+    stage.at(8_500, &[Event::Hold { on: false }]);
+    stage.pass(9_000, 13_000);
+    let trace = stage.trace.lines().filter(|line| !line.contains("Probe")).collect::<Vec<_>>().join("\n");
+    insta::assert_snapshot!(trace);
+}
--- a/crates/reactor/tests/sockets.rs
+++ b/crates/reactor/tests/sockets.rs
@@ -1,6 +1,6 @@
 //! What the reactor promises its nodes, on real sockets.
 
-use pewtergap_node::{Effect, Ended, Input, Link, Node, Outbox};
+use pewtergap_node::{Effect, Ended, Input, Level, Link, Node, Outbox};
 use pewtergap_reactor::{Clock, Handle, Reactor};
 use pewtergap_time::{Moment, Span};
 use std::any::Any;
@@ -196,3 +196,50 @@
     assert_eq!(told.iter().filter(|told| *told == "accepted").count(), 200);
     assert_eq!(first_word, 16, "so many are taken in before the first is heard");
 }
+
+/// Writes twice at places of a file, cuts it back, and once where nothing can be written.
+struct Writer;
+
+impl Node for Writer {
+    fn handle(&mut self, _: Moment, input: Input<'_>, out: &mut Outbox) {
+        match input {
+            Input::Start => {
+                let file = |name: &str, at, bytes: &[u8], ticket| Effect::Append {
+                    name: name.into(),
+                    at,
+                    bytes: bytes.to_vec(),
+                    ticket,
+                };
+                let (name, bytes) = ("kept".to_string(), b"head".to_vec());
+                out.push(Effect::Replace { name, bytes, ticket: 1 });
+                out.push(file("kept", 4, b"torn", 2));
+                out.push(file("kept", 4, b"one", 3));
+                out.push(file("kept", 7, b"two", 4));
+                out.push(file("no/such/file", 0, b"x", 5));
+            }
+            Input::Synced { ticket: 5, result } => {
+                out.push(Effect::Exit { code: i32::from(result.is_ok()) });
+            }
+            Input::Synced { ticket, result } => {
+                out.log(Level::Info, "synced", vec![("ticket", ticket.to_string())]);
+                assert_eq!(result, Ok(()), "write {ticket}");
+            }
+            _ => {}
+        }
+    }
+
+    fn into_any(self: Box<Self>) -> Box<dyn Any> {
+        self
+    }
+}
+
+#[test]
+fn writes_are_carried_out_in_order_and_an_error_is_told() {
+    let dir = std::env::temp_dir().join(format!("pewtergap-writes-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let mut reactor = Reactor::new(Clock::default(), 1024, dir.clone()).expect("a reactor");
+    reactor.add(Box::new(Writer));
+    assert_eq!(reactor.run().expect("it runs").0, 0, "the write into nowhere was told as an error");
+    assert_eq!(std::fs::read(dir.join("kept")).expect("the file"), b"headonetwo");
+    let _ = std::fs::remove_dir_all(dir);
+}
