Test: orders bind at the service whatever the list says, until taken back

Measured: removed in the turn of the order, held through a list that says running, weight and cap told, all of it taken back.

--- a/crates/control/tests/service.rs
+++ b/crates/control/tests/service.rs
@@ -1,7 +1,7 @@
 //! The service as a node: proxies that do not read, refuse, flood or come twice; a list kept for the next start.
 
 use pewtergap_control::channel::Channel as Queue;
-use pewtergap_control::{Charge, Doors, Probing, Reports, Service, Source};
+use pewtergap_control::{Charge, Doors, Probing, Reports, Service, Source, Standing};
 use pewtergap_node::{Effect, Ended, Input, Link, Node, Outbox};
 use pewtergap_planner::*;
 use pewtergap_protocol::{down, encode, up, Ack, Down, Frames, Hello, Nack, Up};
@@ -104,6 +104,15 @@
 
     fn give(&mut self, input: Input<'_>) {
         self.service.handle(self.now, input, &mut self.out);
+        self.carry_out();
+    }
+
+    fn orders(&mut self, standing: Standing) {
+        self.service.stand_by(self.now, standing, &mut self.out);
+        self.carry_out();
+    }
+
+    fn carry_out(&mut self) {
         for effect in std::mem::take(&mut self.out.effects) {
             let at = self.now.since(START).0 / 1_000_000;
             match effect {
@@ -299,3 +308,35 @@
     stage.pass(500);
     insta::assert_snapshot!(stage.trace);
 }
+
+#[test]
+fn orders_bind_whatever_the_list_says_until_they_are_taken_back() {
+    let mut stage = Stage::new(1_000.0, None, LIST);
+    let proxy = stage.join("p");
+    stage.pass(300);
+    stage.ack(proxy);
+    stage.trace += "# drained by order, in the same turn\n";
+    let drained = Standing { drained: ["10.0.0.2:80".to_string()].into(), ..Standing::default() };
+    stage.orders(drained.clone());
+    stage.pass(100);
+    stage.ack(proxy);
+    stage.trace += "# the list says once more that it runs\n";
+    stage.list(LIST);
+    stage.pass(1_000);
+    stage.trace += "# a weight is held, and a cap\n";
+    let caps = [("order".to_string(), 0.5)].into();
+    let weights = [("10.0.0.3:80".to_string(), 0.25)].into();
+    stage.orders(Standing { weights, caps, ..drained });
+    for _ in 0..8 {
+        let before = stage.streams[&proxy].2;
+        stage.say(proxy, up::Kind::Beat(pewtergap_protocol::Beat {}));
+        stage.pass(500);
+        if stage.streams[&proxy].2 != before {
+            stage.ack(proxy);
+        }
+    }
+    stage.trace += "# all taken back\n";
+    stage.orders(Standing::default());
+    stage.pass(300);
+    insta::assert_snapshot!(stage.trace);
+}
