--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -20,6 +20,9 @@
 const NUMBER: Span = Span::millis(2_000);
 /// At the end, for leadership to be taken over.
 const HANDED: Span = Span::millis(400);
+/// Drains that wait to be kept, and those given at once.
+const MOST_DRAINS: usize = 1_024;
+const DRAINS_AT_ONCE: usize = 64;
 const ELSEWHERE: &[&str] = &["/orders", "/record", "/members"];
 
 #[derive(Clone, Debug)]
@@ -264,8 +267,7 @@
         let grace = self.drain_grace.0 / 1_000_000;
         for told in told {
             let (started, server) = (told.started.0 / 1_000_000, told.server);
-            let known = self.member.record.drains().any(|d| d.server == server && d.started >= started);
-            if known || self.drains.len() >= 1_024 {
+            if self.member.record.drained(&server, started) || self.drains.len() >= MOST_DRAINS {
                 continue;
             }
             let given = told.told.0 / 1_000_000;
@@ -273,19 +275,21 @@
             let id = self.member.draw();
             self.drains.push(Command { id, given, what: Some(What::Drain(drain)) });
         }
-        let ms = now.0 / 1_000_000;
-        let record = &self.member.record;
-        self.drains.retain(|command| {
-            let Some(What::Drain(drain)) = &command.what else { return false };
-            let kept = record.drains().any(|d| d.server == drain.server && d.started >= drain.started);
-            !kept && drain.told + drain.grace > ms
-        });
-        let asked: Vec<Command> = self.drains.clone();
-        let under_way = self.purposes.values().filter(|purpose| matches!(purpose, Purpose::Drain)).count();
-        if under_way == 0 {
-            for command in asked.into_iter().take(64) {
-                self.ask(now, Purpose::Drain, Request::Command(command), out);
+        let under_way = self.purposes.values().any(|purpose| matches!(purpose, Purpose::Drain));
+        if self.drains.is_empty() || under_way {
+            return;
+        }
+        let (ms, record) = (now.0 / 1_000_000, &self.member.record);
+        // What ran out meanwhile is of no use to anybody.
+        self.drains.retain(|command| match &command.what {
+            Some(What::Drain(drain)) => {
+                !record.drained(&drain.server, drain.started) && drain.told + drain.grace > ms
             }
+            _ => false,
+        });
+        let next: Vec<Command> = self.drains.iter().take(DRAINS_AT_ONCE).cloned().collect();
+        for command in next {
+            self.ask(now, Purpose::Drain, Request::Command(command), out);
         }
     }
 
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -172,6 +172,11 @@
         self.orders.iter()
     }
 
+    /// Whether a drain of this start of the server, or of a later one, is kept.
+    pub fn drained(&self, server: &str, started: u64) -> bool {
+        self.drains.get(server).is_some_and(|drain| drain.started >= started)
+    }
+
     pub fn drains(&self) -> impl Iterator<Item = &Drain> + '_ {
         self.drains.values()
     }
