--- a/crates/benchlink/tests/refusals.rs
+++ b/crates/benchlink/tests/refusals.rs
@@ -66,3 +66,34 @@
     let text = String::from_utf8_lossy(&output).into_owned();
     insta::assert_snapshot!(text.lines().filter(kept).collect::<Vec<_>>().join("\n"));
 }
+
+#[test]
+fn a_place_that_is_used_again_goes_by_its_new_name() {
+    // One server at a time, replaced every 5 s for 10 minutes: places are given up after two.
+    let mut input = format!("sync\t1\t0\n{START}\njoined\t0\t3\ta\t1\t1\ngo\n");
+    for step in 1..=120u64 {
+        let (ns, row) = (step * 5_000_000_000, format!("row\ts-{step}\ta\tk\t0\tRunning\t1\t-"));
+        input +=
+            &format!("sync\t{ns}\t{step}\nledger\t{step}\t1\n{row}\nmembers\t0\tsnapshot\t{step}\t{step}\n");
+        // Whatever its mark was, the last message is confirmed.
+        for mark in step.saturating_sub(3)..2 * step + 2 {
+            input += &format!("confirmed\t0\t3\t{mark}\t0\n");
+        }
+        input += "reminder\t0\t1\ngo\n";
+    }
+    let mut output = Vec::new();
+    assert_eq!(Link::default().run(input.as_bytes(), &mut output), Ok(()));
+    let (mut step, mut named) = (0, 0);
+    for line in String::from_utf8_lossy(&output).lines() {
+        let fields: Vec<&str> = line.split('\t').collect();
+        match fields.as_slice() {
+            ["next", frame] => step = frame.parse::<u64>().expect("a frame"),
+            ["put_line", _, _, server, weight] if *weight != "0" => {
+                named += 1;
+                assert_eq!(*server, format!("s-{}", step + 1), "after frame {step}");
+            }
+            _ => {}
+        }
+    }
+    assert!(named > 100, "{named} lines were written");
+}
