Read once more: a start's number waits for its sync; answers for a still disk are bounded

Seen by reading: Together began the service in the turn in which the number was handed to the disk, though the comment said it was there; with the file not yet read, that write would have cut it to nothing. Lines at fault: use_number in member.rs, begin in together.rs. Now the service begins at Told::Numbered. Messages held for the disk had no bound. Unused functions removed.

--- a/crates/agree/src/leader.rs
+++ b/crates/agree/src/leader.rs
@@ -3,7 +3,7 @@
 use crate::log::Snapshot;
 use crate::machine::Agree;
 use crate::{Body, Effect, Id, Index, Member, Members, Refusal, Role, Say, Term};
-use pewtergap_time::{Moment, Span};
+use pewtergap_time::Moment;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -364,11 +364,6 @@
         Ok((self.log.term, index))
     }
 
-    /// How long until a member that says nothing counts as lost to a leader.
-    pub fn patience(&self) -> Span {
-        self.times.election
-    }
-
     pub fn member(&self, id: Id) -> Option<&Member> {
         self.log.members.1.find(id)
     }
--- a/crates/agree/src/machine.rs
+++ b/crates/agree/src/machine.rs
@@ -6,6 +6,9 @@
 use pewtergap_time::{Moment, Span};
 use std::collections::{BTreeMap, VecDeque};
 
+/// Messages that wait for the disk. Beyond it they are dropped, as a link may drop them: a disk that stands still
+/// must not fill the memory with answers to beats.
+const MOST_HELD: usize = 4_096;
 /// A snapshot beyond this is not taken.
 pub const MOST_SNAPSHOT: u64 = 256 * 1024 * 1024;
 
@@ -210,9 +213,6 @@
     pub fn held_entries(&self) -> usize {
         self.log.held()
     }
-    pub fn vote(&self) -> Id {
-        self.log.vote
-    }
 
     // ---- inputs
 
@@ -371,7 +371,7 @@
         let message = Message { term: self.log.term, say };
         if self.synced == self.saved {
             self.out.push(Effect::Send { to, message });
-        } else {
+        } else if self.held.len() < MOST_HELD {
             self.held.push_back((self.saved, to, message));
         }
     }
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -12,7 +12,7 @@
 use pewtergap_reactor::{Clock, Handle, Place, Reactor};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -687,8 +687,3 @@
     let done = if view["fresh"] == json!(true) { Done::Found(found) } else { Done::Nothing };
     Op { called, returned: clock.now(), at, order: None, done }
 }
-
-/// Kinds that were met, for a summary.
-pub fn kinds(troubles: &[String]) -> BTreeSet<&str> {
-    troubles.iter().filter_map(|trouble| trouble.split(' ').next()).collect()
-}
--- a/crates/member/src/disk.rs
+++ b/crates/member/src/disk.rs
@@ -51,6 +51,8 @@
     Agreed(u64),
     /// The file as it was made or opened: from here on this member may speak.
     Opened,
+    /// The number of a start.
+    Number,
     Note,
 }
 
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -83,6 +83,8 @@
     },
     /// The record is another than before.
     Changed,
+    /// The number of this start is on disk.
+    Numbered(u64),
 }
 
 struct Waiting {
@@ -281,6 +283,7 @@
                         agree.synced(now, ticket);
                     }
                 }
+                Kept::Number => self.told.push(Told::Numbered(self.number)),
                 _ => {}
             }
         }
@@ -907,10 +910,15 @@
         }
     }
 
-    /// The number of a start, used from here on: on disk before anybody hears it.
-    pub fn use_number(&mut self, number: u64, out: &mut Outbox) {
+    /// The number of a start: `Told::Numbered` once it is on disk, so that nobody hears it before.
+    pub fn use_number(&mut self, number: u64, out: &mut Outbox) -> bool {
+        // Before its file is read nothing may be written: it would be cut back to nothing.
+        if matches!(self.stage, Stage::Opening | Stage::Ended) {
+            return false;
+        }
         self.number = number;
-        self.disk.add(vec![OnDisk::Number(Place { term: 0, index: number })], Kept::Note, out);
+        self.disk.add(vec![OnDisk::Number(Place { term: 0, index: number })], Kept::Number, out);
+        true
     }
 
     /// Leadership goes to another one, if there is one.
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -94,6 +94,7 @@
     member: Member,
     name: String,
     drain_grace: Span,
+    numbered: bool,
     started: bool,
     stopping: bool,
     tokens: u64,
@@ -110,6 +111,7 @@
             name: home.name.clone(),
             member: Member::new(home),
             drain_grace,
+            numbered: false,
             started: false,
             stopping: false,
             tokens: 0,
@@ -124,9 +126,9 @@
         self.member.ask(now, self.tokens, what, out);
     }
 
-    /// The service begins, under a number that no start of any planner had.
-    fn begin(&mut self, now: Moment, number: Option<u64>, out: &mut Outbox) {
-        if std::mem::replace(&mut self.started, true) {
+    /// A number that no start of any planner had; the service begins once it is on disk.
+    fn number(&mut self, now: Moment, number: Option<u64>, out: &mut Outbox) {
+        if self.numbered {
             return;
         }
         let alone = now.0.max(self.member.last_number() + 1);
@@ -136,7 +138,13 @@
         ];
         out.log(Level::Info, "start_number", fields);
         let number = number.unwrap_or(alone);
-        self.member.use_number(number, out);
+        self.numbered = self.member.use_number(number, out);
+    }
+
+    fn begin(&mut self, now: Moment, number: u64, out: &mut Outbox) {
+        if std::mem::replace(&mut self.started, true) {
+            return;
+        }
         self.service.count_as(number);
         self.service.handle(now, Input::Start, out);
         self.stand_by(now, out);
@@ -216,7 +224,7 @@
         match (self.purposes.remove(&token), reply) {
             (Some(Purpose::Number), reply) => {
                 let number = if let Reply::Kept(number) = reply { Some(number) } else { None };
-                self.begin(now, number, out);
+                self.number(now, number, out);
             }
             (Some(Purpose::Answer(link)), reply) => {
                 let (status, body) = match reply {
@@ -316,6 +324,7 @@
                 match told {
                     Told::Reply { token, reply } => self.replied(now, token, reply, out),
                     Told::Changed => self.stand_by(now, out),
+                    Told::Numbered(number) => self.begin(now, number, out),
                 }
             }
         }
@@ -334,7 +343,7 @@
             }
             Input::Due { timer: NUMBERED } => {
                 // The time of orders that end is looked at now and then.
-                self.begin(now, None, out);
+                self.number(now, None, out);
                 self.stand_by(now, out);
                 out.wake(NUMBERED, now + Span::millis(1_000));
             }
