--- a/crates/lab/src/ask.rs
+++ b/crates/lab/src/ask.rs
@@ -72,3 +72,11 @@
 pub fn call(at: SocketAddr, method: &str, target: &str, body: Option<&str>) -> Asked {
     Client::new(at).call(method, target, body)
 }
+
+/// Whether the planner at this admin door says of itself that it leads.
+pub fn leads(at: SocketAddr) -> bool {
+    let view = call(at, "GET", "/members", None).ok();
+    let view = view.and_then(|(_, text)| serde_json::from_str::<serde_json::Value>(&text).ok());
+    let seats = view.and_then(|view| view["members"].as_array().cloned()).unwrap_or_default();
+    seats.iter().any(|seat| seat["leads"] == true && seat["here"] == true)
+}
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -57,6 +57,9 @@
     pub mutating_sent: usize,
     pub answers_lost: usize,
     pub drains_told: usize,
+    /// Drains by order that a planner went by, and orders that were kept.
+    pub drains_ordered: usize,
+    pub orders_kept: usize,
     pub cold_starts: usize,
     pub messages: usize,
     /// The highest, as part of its limit.
@@ -80,6 +83,8 @@
     started: i64,
     /// Since when it is stopping or gone.
     left: Option<i64>,
+    /// Since when an operator's drain is known to it.
+    ordered: Option<i64>,
     at: i64,
 }
 
@@ -178,6 +183,7 @@
                 }
             }
             Kind::Listed => self.listed(row),
+            Kind::Ordered => self.ordered(row),
             Kind::Capacity => self.capacity(row),
             Kind::Answered => self.answered(row),
             Kind::Sent => self.sent(row),
@@ -205,7 +211,24 @@
         if left.is_some() && told.left.is_none() {
             self.audit.looked.drains_told += 1;
         }
-        *told = Told { running, started: if running { row.m } else { told.started }, left, at: row.at };
+        let started = if running { row.m } else { told.started };
+        *told = Told { running, started, left, ordered: told.ordered, at: row.at };
+    }
+
+    fn ordered(&mut self, row: &Row) {
+        if row.route == "kept" {
+            self.audit.looked.orders_kept += 1;
+            return;
+        }
+        let told = self.lists.entry(row.to.clone()).or_default().entry(row.text.clone()).or_default();
+        match row.route.as_str() {
+            "drain" if told.ordered.is_none() => {
+                told.ordered = Some(row.at);
+                self.audit.looked.drains_ordered += 1;
+            }
+            "drain" => {}
+            _ => told.ordered = None,
+        }
     }
 
     fn capacity(&mut self, row: &Row) {
@@ -230,7 +253,9 @@
         }
         let Some(proxy) = self.proxies.get(&row.from) else { return };
         let Some(planner) = proxy.planner.clone() else { return };
-        let warm = |told: &Told| told.running && row.at - told.started >= self.facts.cold_for;
+        let warm = |told: &Told| {
+            told.running && told.ordered.is_none() && row.at - told.started >= self.facts.cold_for
+        };
         let servers = self.lists.get(&planner).map(|list| list.values().filter(|told| warm(told)).count());
         let servers = servers.unwrap_or(0);
         let Some(proxy) = self.proxies.get_mut(&row.from) else { return };
@@ -271,7 +296,11 @@
         let Some(planner) = proxy.planner.clone() else { return };
         self.audit.looked.sent_joined += 1;
         let since = proxy.since;
-        let left = self.lists.get(&planner).and_then(|list| list.get(&row.to)).and_then(|told| told.left);
+        let told = self.lists.get(&planner).and_then(|list| list.get(&row.to));
+        let left = told.and_then(|told| match (told.left, told.ordered) {
+            (Some(left), Some(ordered)) => Some(left.min(ordered)),
+            (left, ordered) => left.or(ordered),
+        });
         if let Some(left) = left {
             let after = row.at - left.max(since);
             let seconds = after as f64 / 1e9;
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -462,12 +462,7 @@
     }
 
     fn leader(&self) -> Option<usize> {
-        let leads = |at: &usize| {
-            let view = self.admin(*at).and_then(|admin| ask::call(admin, "GET", "/members", None).ok());
-            let view = view.and_then(|(_, text)| serde_json::from_str::<Value>(&text).ok());
-            let seats = view.and_then(|view| view["members"].as_array().cloned()).unwrap_or_default();
-            seats.iter().any(|seat| seat["leads"] == json!(true) && seat["here"] == json!(true))
-        };
+        let leads = |at: &usize| self.admin(*at).is_some_and(ask::leads);
         (0..self.day.members).filter(|at| self.running[*at].as_ref().is_some_and(|r| !r.stopped)).find(leads)
     }
 
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -61,6 +61,14 @@
     ListGoesBack,
     ListExpires,
     ListTorn,
+    /// A planner's links to the other planners are cut; or it hears none of them; or nobody hears anybody.
+    MemberCut,
+    MemberDeaf,
+    MajorityLost,
+    /// The planner that leads is killed, and started again.
+    LeaderKilled,
+    /// A planner is lost with its record, and comes back with an empty disk.
+    DiskLost,
 }
 
 use Struck::*;
@@ -93,6 +101,11 @@
     ("list_goes_back", ListGoesBack),
     ("list_expires", ListExpires),
     ("list_torn", ListTorn),
+    ("member_cut", MemberCut),
+    ("member_deaf", MemberDeaf),
+    ("majority_lost", MajorityLost),
+    ("leader_killed", LeaderKilled),
+    ("disk_lost", DiskLost),
 ];
 
 #[derive(Clone, Debug)]
@@ -103,6 +116,8 @@
     pub slots: Vec<Slot>,
     pub proxies: usize,
     pub planners: usize,
+    /// Planners are members of one cluster, and operators give them orders all day.
+    pub agreed: bool,
     pub standing: usize,
     pub routes: Vec<RouteFile>,
     pub asked: Vec<Asked>,
@@ -176,6 +191,11 @@
         if asked.is_empty() {
             part.fault("calls", "at least one calls() was expected");
         }
+        let planners: usize = part.or("planners", 2);
+        let agreed: bool = part.or("agreed", false);
+        if agreed && ![1, 3, 5, 7].contains(&planners) {
+            part.clash("planners", "1, 3, 5 or 7 of them agree");
+        }
         let troubles = part.parts("troubles", "trouble", |part| {
             let trouble = Trouble {
                 kind: part.word("name", KINDS),
@@ -193,6 +213,11 @@
             if let Some(zone) = trouble.zone.as_ref().filter(|zone| !zones.contains(zone)) {
                 part.fault("zone", format!("\"{zone}\" is not among the zones"));
             }
+            if !agreed
+                && matches!(trouble.kind, MemberCut | MemberDeaf | MajorityLost | LeaderKilled | DiskLost)
+            {
+                part.clash("name", "only planners that agree have it: agreed = True");
+            }
             let zonal = matches!(trouble.kind, ZoneCut | ZoneLost);
             if zonal && trouble.zone.is_none() {
                 part.fault("zone", "is missing: which zone is struck?");
@@ -204,7 +229,8 @@
             lasts,
             slots,
             proxies: part.or("proxies", 8),
-            planners: part.or("planners", 2),
+            planners,
+            agreed,
             standing: part.or("standing", 4),
             routes,
             asked,
@@ -268,6 +294,11 @@
     KillPlanner(usize),
     StopPlanner(usize),
     StartPlanner(usize),
+    /// A word for the relay of members' links.
+    Links(String),
+    KillLeader,
+    StartKilled,
+    LosePlanner(usize),
     FreezePlanner(usize),
     ThawPlanner(usize),
 }
@@ -429,6 +460,29 @@
             ListGoesBack => add(at, Act::List(format!("older {}", trouble.lasts.0 / 1_000_000))),
             ListExpires => add(at, Act::List("expire".into())),
             ListTorn => add(at, Act::List("tear".into())),
+            MemberCut | MemberDeaf | MajorityLost => {
+                for from in 0..day.planners {
+                    for to in (0..day.planners).filter(|to| *to != from) {
+                        let cut = match trouble.kind {
+                            MemberCut => from == planner || to == planner,
+                            MemberDeaf => to == planner,
+                            _ => true,
+                        };
+                        if cut {
+                            add(at, Act::Links(format!("cut {from} {to}")));
+                            add(end, Act::Links(format!("open {from} {to}")));
+                        }
+                    }
+                }
+            }
+            LeaderKilled => {
+                add(at, Act::KillLeader);
+                add(end, Act::StartKilled);
+            }
+            DiskLost => {
+                add(at, Act::LosePlanner(planner));
+                add(end, Act::StartPlanner(planner));
+            }
         }
     }
     acts.sort_by_key(|act| act.0);
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -37,6 +37,16 @@
                                  trouble(\"slow_channel\", at = \"1s\", lasts = \"6s\", factor = 0.3), \
                                  trouble(\"planner_killed\", at = \"2s\", lasts = \"3s\"), \
                                  trouble(\"streams_broken\", at = \"4s\", share = 0.5)"),
+    ("members_cut", "trouble(\"member_cut\", at = \"2s\", lasts = \"3s\"), trouble(\"deploy\", at = \"1s\", lasts = \"5s\", share = 0.34), \
+                     trouble(\"member_deaf\", at = \"6s\", lasts = \"2s\")"),
+    ("members", "trouble(\"member_cut\", at = \"1s\", lasts = \"2s\"), trouble(\"leader_killed\", at = \"3500ms\", lasts = \"1s\"), \
+                 trouble(\"deploy\", at = \"1s\", lasts = \"6s\", share = 0.34), trouble(\"disk_lost\", at = \"5500ms\", lasts = \"1s\"), \
+                 trouble(\"majority_lost\", at = \"7500ms\", lasts = \"1500ms\")"),
+    ("majority_lost", "trouble(\"majority_lost\", at = \"2s\", lasts = \"5s\"), \
+                       trouble(\"deploy\", at = \"1s\", lasts = \"7s\", share = 0.34)"),
+    ("leader_killed", "trouble(\"leader_killed\", at = \"2s\", lasts = \"1500ms\"), \
+                       trouble(\"leader_killed\", at = \"5s\", lasts = \"2s\")"),
+    ("disk_lost", "trouble(\"disk_lost\", at = \"2s\", lasts = \"1s\"), trouble(\"zone_cut\", at = \"4s\", lasts = \"3s\", zone = \"south\")"),
     ("list_trouble", "trouble(\"list_goes_back\", at = \"5s\", lasts = \"2s\"), trouble(\"list_expires\", at = \"3s\"), \
                       trouble(\"list_torn\", at = \"1s\"), trouble(\"deploy\", at = \"2s\", lasts = \"4s\", share = 0.34)"),
 ];
@@ -51,8 +61,10 @@
     }
     let troubles = SHORT.iter().find(|day| day.0 == name)?.1;
     let binds = if name == "wrong_list" { "False" } else { "True" };
+    let agreed = ["members_cut", "majority_lost", "leader_killed", "disk_lost", "members"].contains(&name);
+    let agreed = if agreed { "True" } else { "False" };
     let later = if name == "growth" { 2 } else { 0 };
-    Some(format!("{FLEET}\nday(**short(\"{name}\", [{troubles}], binds = {binds}, later = {later}))\n"))
+    Some(format!("{FLEET}\nday(**short(\"{name}\", [{troubles}], binds = {binds}, later = {later}, agreed = {agreed}))\n"))
 }
 
 pub fn built_in(name: &str) -> Option<Result<Day, Faults>> {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod days;
 mod list;
 pub mod measure;
+mod members;
 pub mod record;
 pub mod rehearse;
 mod relay;
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -37,6 +37,9 @@
     Listed,
     /// A server's capacity changed: `x` microseconds of work a second when warm, `m` its start.
     Capacity,
+    /// An operator's order on a server, `route` drain or take-back, as it was seen at a planner; or `route` kept: an
+    /// order was answered so.
+    Ordered,
     /// The day's script struck: `text` says what.
     Fault,
 }
@@ -55,6 +58,7 @@
     (Kind::Nacked, "nacked"),
     (Kind::Listed, "listed"),
     (Kind::Capacity, "capacity"),
+    (Kind::Ordered, "ordered"),
     (Kind::Fault, "fault"),
 ];
 
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -3,11 +3,14 @@
 //! Planners and proxies are processes of this program, as others run them; stand-ins, relay and clients share
 //! one reactor in this process. Each wait is for an event, with one generous ceiling.
 
+use crate::ask;
 use crate::audit::{audit, Audit, Facts};
 use crate::bell::{Bell, Rung};
 use crate::clients::{Clients, Target};
+use crate::cluster::links::{Links, Sightings};
 use crate::day::{script, Act, Day};
 use crate::list::List;
+use crate::members::{Doors, Operator, Work};
 use crate::record::{Kind, Row};
 use crate::relay::{Door, Passes, Relay};
 use crate::report::{service, Service};
@@ -25,6 +28,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::Receiver;
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -102,7 +106,7 @@
 const PROXIES: u8 = 30;
 const CLIENTS: u8 = 40;
 
-fn planner_name(at: usize) -> String {
+pub(crate) fn planner_name(at: usize) -> String {
     format!("planner-{}", at + 1)
 }
 
@@ -123,6 +127,10 @@
     relay: Place,
     list: Place,
     clients: Place,
+    /// The relay of members' links, where planners agree, and their admin doors.
+    links: Option<Place>,
+    doors: Doors,
+    killed: Vec<usize>,
     servers: HashMap<String, Place>,
     clock: Clock,
     listens: HashMap<String, SocketAddr>,
@@ -152,7 +160,7 @@
     // Only files of our own parties go: the folder may be anybody's.
     let day = play.day;
     let ours = (0..day.planners).map(planner_name).chain((0..day.proxies).map(proxy_name));
-    for name in ours.flat_map(|name| [format!("{name}.list.json"), format!("{name}.log")]) {
+    for name in ours.flat_map(|name| ["list.json", "log", "record"].map(|kind| format!("{name}.{kind}"))) {
         match std::fs::remove_file(play.dir.join(name)) {
             Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(told(e)),
             _ => {}
@@ -175,6 +183,8 @@
     let asked = day.asked.clone();
     let clients = Clients::new(ip(CLIENTS, 0), asked, targets(day), play.seed ^ 0x5eed, bell.clone());
     let clients = reactor.add(Box::new(clients));
+    let links = Links::new(day.planners, bell.clone(), Sightings::default());
+    let links = day.agreed.then(|| reactor.add(Box::new(links)));
     let thread = std::thread::spawn(move || reactor.run());
     let place = |slot: &crate::day::Slot| Filled {
         present: slot.name.clone(),
@@ -190,6 +200,9 @@
         relay,
         list,
         clients,
+        links,
+        doors: Arc::new(Mutex::new(vec![None; day.planners])),
+        killed: Vec::new(),
         servers,
         clock,
         listens: HashMap::new(),
@@ -287,6 +300,8 @@
         names.extend(self.servers.keys().map(|name| format!("door {name}")));
         names.extend((0..day.planners).map(|at| format!("door {}", planner_name(at))));
         names.extend((0..day.proxies).map(|at| format!("door {}", proxy_name(at))));
+        let pairs = (0..day.planners).flat_map(|from| (0..day.planners).map(move |to| (from, to)));
+        names.extend(pairs.filter(|_| day.agreed).map(|(from, to)| Links::door_name(from, to)));
         self.wait_for(&names)?;
         self.upstream("list", self.listens["list"]);
         for name in self.servers.keys().cloned().collect::<Vec<_>>() {
@@ -383,7 +398,7 @@
              fleet = fleet(proxies = {}, planners = {}, crossing_price = {}),\n    \
              channel = channel(lines_per_s = {}, most_waiting = {}, head = {}{messages}),\n    \
              rules = rules(drain_grace = {}, removal_binds = {binds}, cold_from = {}, cold_for = {}, overload = {}, fall = {}),\n    \
-             reports = reports(every = {}, intake_per_s = {}),\n    proxies_shun = {shun},\n    state_dir = \"{}\",\n)\n",
+             reports = reports(every = {}, intake_per_s = {}),\n    proxies_shun = {shun},\n    state_dir = \"{}\",\n{})\n",
             planner_name(at),
             zones.join(", "),
             self.play.seed * 100 + at as u64,
@@ -404,6 +419,24 @@
             span(day.report_every),
             day.intake_per_s,
             self.play.dir.display(),
+            self.cluster_text(at),
+        )
+    }
+
+    fn cluster_text(&self, at: usize) -> String {
+        let day = self.play.day;
+        if !day.agreed {
+            return String::new();
+        }
+        let member = |to: usize| {
+            let door = self.listens[&Links::door_name(at, to)];
+            format!("member(\"{}\", address = \"{door}\")", planner_name(to))
+        };
+        let members: Vec<String> = (0..day.planners).map(member).collect();
+        format!(
+            "    admin = \"127.0.0.1:0\",\n    cluster = cluster(listen = \"127.0.0.1:0\", election = \"300ms\", patience = \"2s\", \
+             members = [{}]),\n",
+            members.join(", ")
         )
     }
 
@@ -461,14 +494,23 @@
             .spawn()
             .map_err(told)?;
         let (bell, name) = (self.bell.clone(), name.to_string());
+        let planner = (0..self.play.day.planners).find(|at| planner_name(*at) == name);
+        let (doors, lab, links) = (self.doors.clone(), self.lab.clone(), self.links);
         if let Some(out) = child.stdout.take() {
             std::thread::spawn(move || {
                 for line in BufReader::new(out).lines().map_while(Result::ok) {
                     let words: Vec<&str> = line.split_whitespace().collect();
-                    if let ["listening", "proxies" | "clients", at] = words.as_slice() {
-                        if let Ok(at) = at.parse() {
-                            bell.listens(&name, at);
+                    let ["listening", door, at] = words.as_slice() else { continue };
+                    let Ok(at) = at.parse::<SocketAddr>() else { continue };
+                    match (*door, planner, links) {
+                        ("proxies" | "clients", ..) => bell.listens(&name, at),
+                        ("admin", Some(planner), _) => {
+                            doors.lock().into_iter().for_each(|mut doors| doors[planner] = Some(at));
+                        }
+                        ("members", Some(planner), Some(links)) => {
+                            lab.tell(links, format!("target {planner} {at}"));
                         }
+                        _ => {}
                     }
                 }
             });
@@ -498,7 +540,7 @@
             text = text.replace(&pace, &format!("{pace}000"));
         }
         let party = match self.play.plant {
-            Some(plant) if plant != Plant::Repeat && at == 0 => {
+            Some(plant) if !matches!(plant, Plant::Repeat | Plant::IgnoredOrder) && at == 0 => {
                 let file =
                     run(&name, &text).and_then(|script| service_file(&script)).map_err(|e| e.to_string())?;
                 let service = file.service(self.clock.now(), self.play.seed);
@@ -576,12 +618,14 @@
         let facts = serde_json::to_string(&self.facts(started)).map_err(|e| e.to_string())?;
         self.rows.push(Row { text: facts, ..Row::new(started.0, Kind::Day, "director", "") });
         self.say(self.clients, "go");
+        let operators = self.operators();
         for (at, act) in script(day, self.play.seed) {
             self.pass(started + at)?;
             (self.play.progress)(&format!("{:.1} s of {}: {act:?}", at.seconds(), day.lasts));
             self.carry_out(act)?;
         }
         self.pass(started + day.lasts)?;
+        drop(operators);
         self.say(self.clients, "end");
         // The last calls have until their time limit.
         let longest = day.asked.iter().map(|asked| asked.time_limit).max().unwrap_or_default();
@@ -723,13 +767,34 @@
             Act::HotProxy(proxy, factor) => {
                 self.say(self.clients, format!("rate {} {factor}", proxy_name(proxy)));
             }
+            Act::Links(word) => self.links.into_iter().for_each(|links| self.say(links, word.clone())),
             Act::KillPlanner(_)
+            | Act::KillLeader
+            | Act::StartKilled
+            | Act::LosePlanner(_)
             | Act::StopPlanner(_)
             | Act::StartPlanner(_)
             | Act::FreezePlanner(_)
             | Act::ThawPlanner(_)
                 if self.play.planners_off => {}
-            Act::KillPlanner(at) => drop(self.planners.remove(&at)),
+            Act::KillPlanner(at) => self.kill_planner(at),
+            Act::LosePlanner(at) => {
+                self.kill_planner(at);
+                let record = self.play.dir.join(format!("{}.record", planner_name(at)));
+                std::fs::remove_file(&record).map_err(|e| format!("{}: {e}", record.display()))?;
+            }
+            Act::KillLeader => {
+                if let Some(at) = self.leader() {
+                    self.kill_planner(at);
+                    self.killed.push(at);
+                }
+            }
+            Act::StartKilled => {
+                for at in std::mem::take(&mut self.killed) {
+                    self.start_planner(at)?;
+                    self.wait_planner(at)?;
+                }
+            }
             Act::StopPlanner(at) => {
                 if let Some(party) = self.planners.get(&at) {
                     party.signal(Signal::TERM);
@@ -754,6 +819,38 @@
         Ok(())
     }
 
+    fn kill_planner(&mut self, at: usize) {
+        self.planners.remove(&at);
+        self.doors.lock().into_iter().for_each(|mut doors| doors[at] = None);
+    }
+
+    /// Who says of itself that it leads.
+    fn leader(&self) -> Option<usize> {
+        let doors = self.doors.lock().map(|doors| doors.clone()).unwrap_or_default();
+        let leads = |door: &Option<SocketAddr>| door.is_some_and(ask::leads);
+        doors.iter().position(leads)
+    }
+
+    fn operators(&self) -> Option<Operator> {
+        let day = self.play.day;
+        let servers = day
+            .slots
+            .iter()
+            .filter(|slot| !slot.later)
+            .map(|slot| (self.listens[&format!("door {}", slot.name)].to_string(), slot.name.clone()));
+        let work = || Work {
+            clock: self.clock,
+            bell: self.bell.clone(),
+            doors: self.doors.clone(),
+            servers: servers.collect(),
+            routes: day.routes.iter().map(|route| route.name.clone()).collect(),
+            seed: self.play.seed,
+            stays: duration(day.pledge.drain_grace) + Duration::from_millis(1_500),
+            ignored: self.play.plant == Some(Plant::IgnoredOrder),
+        };
+        (day.agreed && !self.play.planners_off).then(|| Operator::start(work()))
+    }
+
     /// Ends all parties and gives the rows that were rung.
     fn finish(&mut self) -> Vec<Row> {
         self.planners.clear();
--- a/crates/lab/src/wrong.rs
+++ b/crates/lab/src/wrong.rs
@@ -22,6 +22,8 @@
     /// Messages are ordered and not sent for seconds, and the planner reckons with a limit far above the stated
     /// one (rule 5).
     LongQueue,
+    /// The recording has an operator's drain at a planner that never heard of it (rule 3).
+    IgnoredOrder,
 }
 
 pub const PLANTS: &[(&str, Plant, u8)] = &[
@@ -30,6 +32,7 @@
     ("late-drain", Plant::LateDrain, 3),
     ("cold-push", Plant::ColdPush, 4),
     ("long-queue", Plant::LongQueue, 5),
+    ("ignored-order", Plant::IgnoredOrder, 3),
 ];
 
 /// How long a queue is held, and then let go at once.
--- a/crates/pewtergap/src/rehearse.rs
+++ b/crates/pewtergap/src/rehearse.rs
@@ -26,7 +26,8 @@
     /// Figures as JSON on standard output.
     #[arg(long)]
     json: bool,
-    /// Plant a break that the audit must find: bare, repeat, late-drain, cold-push, long-queue.
+    /// Plant a break that the audit must find: bare, repeat, late-drain, cold-push, long-queue,
+    /// ignored-order (on a day whose planners agree).
     #[arg(long, value_parser = plant)]
     plant: Option<Plant>,
     /// Do not play the day a second time with the planners off.
@@ -128,6 +129,12 @@
         "looked at {} calls, {} sent ({} mutating, {} answers lost), {} drains told, {} cold starts, {} messages",
         l.calls, l.sent, l.mutating_sent, l.answers_lost, l.drains_told, l.cold_starts, l.messages
     );
+    if l.orders_kept > 0 {
+        println!(
+            "{} orders kept, {} drains by order that a planner went by",
+            l.orders_kept, l.drains_ordered
+        );
+    }
     println!(
         "nearest to a limit: {:.2} s without a line, {:.2} s after a drain was told, cold work {:.0}%, waiting lines {:.0}%, \
          messages {:.0}%",
--- a/crates/pewtergap/tests/rehearsals.rs
+++ b/crates/pewtergap/tests/rehearsals.rs
@@ -67,6 +67,13 @@
     assert!(days.len() >= 20, "{listed}");
     let failed = all(&days);
     assert!(failed.is_empty(), "{}", failed.join("\n"));
+    // Where planners agree, one planner's orders bound at the others too.
+    let recording = dir("members_cut").join("recording.parquet");
+    let told = program(&["audit", "--json", recording.to_str().unwrap()]);
+    let view: serde_json::Value =
+        serde_json::from_str(String::from_utf8_lossy(&told.stdout).lines().next().unwrap()).unwrap();
+    let looked = |what: &str| view["looked"][what].as_u64().unwrap();
+    assert!(looked("drains_ordered") > 3 && looked("orders_kept") > 3, "{view}");
 }
 
 #[test]
@@ -83,6 +90,9 @@
         let found = format!("BROKEN rule {rule} at ");
         assert!(text.lines().any(|line| line.starts_with(&found) && line.contains(peer)), "{plant}: {text}");
     }
+    // And an order that a planner holds and does not carry out.
+    let (code, text) = rehearse(&["members", "--plant", "ignored-order"], "plant-ignored-order");
+    assert!(code == 1 && text.contains("BROKEN rule 3 at "), "{text}");
     // The same day without a break: the audit finds nothing where there is nothing.
     let (code, text) = rehearse(&["planted", "--alone"], "planted");
     assert_eq!(code, 0, "{text}");
