The record's format rises once all members speak it; planners' own commands have own ids

Need: 100,000 ids in 15 minutes bound all commands at 111 a second, too few for leases, and a build that knows new commands could not roll out beside an old one. Commands go by the record's format, raised by the leader when every member's hello says it; a member that knows less is refused by the others and refuses its own disk, cluster(format = 1) keeps back a roll-out that may have to go back. In format 2 planners' own commands are remembered by their number (4,096), not by time. A commit tells the service what it touched, not all of up to 10,000 orders. member.rs is parted: opening, requests, leading.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,11 +12,13 @@
 pub mod probes;
 pub mod roll;
 mod service;
+mod standing;
 mod streams;
 pub mod tables;
 pub mod watch;
 
 pub use probes::Probing;
-pub use service::{Asked, Charge, Doors, DrainTold, Service, Standing};
+pub use service::{Asked, Charge, Doors, DrainTold, Service};
+pub use standing::{Standing, Stands};
 pub use streams::Reports;
 pub use watch::Source;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -5,6 +5,7 @@
 use crate::kept;
 use crate::probes::{Probes, Probing};
 use crate::roll::{Change, Roll, Slice, SliceList};
+use crate::standing::{Standing, Stands};
 use crate::streams::{Reports, Sent, Stream, Streams, MOST_UNANSWERED};
 use crate::tables::Tables;
 use crate::watch::{Source, Told, Watch};
@@ -15,7 +16,7 @@
 use pewtergap_protocol::{down, encode, up, Beat, Bye, Down, Hello, Nack, Sums, Update, Welcome, VERSION};
 use pewtergap_time::{Moment, Span};
 use std::any::Any;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
 /// Who this planner is, and whom it serves.
@@ -79,16 +80,6 @@
     worst_ack: Span,
 }
 
-/// What operators' orders say, as it is in force.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Standing {
-    /// Servers that take no more calls, whatever the list says.
-    pub drained: BTreeSet<String>,
-    pub weights: BTreeMap<String, f64>,
-    pub caps: BTreeMap<String, f64>,
-    pub held: bool,
-}
-
 /// A request at the admin door that is not answered here.
 pub struct Asked {
     pub link: Link,
@@ -702,30 +693,29 @@
         self.epoch = epoch;
     }
 
+    pub fn standing(&self) -> &Standing {
+        &self.standing
+    }
+
     /// Operators' orders reach the module as what the list and they together say.
-    pub fn stand_by(&mut self, now: Moment, standing: Standing, out: &mut Outbox) {
-        if standing == self.standing {
-            return;
-        }
-        let before = std::mem::replace(&mut self.standing, standing);
-        let drained = before.drained.symmetric_difference(&self.standing.drained);
-        let weighed = before.weights.keys().chain(self.standing.weights.keys());
-        let weighed = weighed.filter(|at| before.weights.get(*at) != self.standing.weights.get(*at));
-        let names: BTreeSet<&String> = drained.chain(weighed).collect();
-        let known = self.roll.known();
-        let changes: Vec<Change> = names
-            .into_iter()
-            .filter_map(|at| known.get(at).map(|known| (at.clone(), known.clone())))
-            .collect();
-        for (route, name) in self.charge.routes.clone().iter().enumerate() {
-            let cap = |standing: &Standing| standing.caps.get(name).copied().unwrap_or(1.0);
-            let level = cap(&self.standing);
-            if cap(&before) != level {
-                self.event(now, Event::Cap { route, level }, out);
+    pub fn stand_by(&mut self, now: Moment, stands: &[Stands], out: &mut Outbox) {
+        let mut changes: Vec<Change> = Vec::new();
+        for stands in stands {
+            if !self.standing.take(stands) {
+                continue;
+            }
+            match stands {
+                Stands::Drained(at, _) | Stands::Weighs(at, _) => {
+                    let known = self.roll.known().get(at).filter(|_| !changes.iter().any(|c| c.0 == *at));
+                    changes.extend(known.map(|known| (at.clone(), known.clone())));
+                }
+                Stands::Capped(name, level) => {
+                    if let Some(route) = self.charge.routes.iter().position(|route| route == name) {
+                        self.event(now, Event::Cap { route, level: level.unwrap_or(1.0) }, out);
+                    }
+                }
+                Stands::Held(on) => self.event(now, Event::Hold { on: *on }, out),
             }
-        }
-        if before.held != self.standing.held {
-            self.event(now, Event::Hold { on: self.standing.held }, out);
         }
         if !changes.is_empty() {
             self.tell_list(now, ListKind::Changes, &changes, out);
--- a/crates/control/tests/service.rs
+++ b/crates/control/tests/service.rs
@@ -108,7 +108,8 @@
     }
 
     fn orders(&mut self, standing: Standing) {
-        self.service.stand_by(self.now, standing, &mut self.out);
+        let stands = self.service.standing().towards(&standing);
+        self.service.stand_by(self.now, &stands, &mut self.out);
         self.carry_out();
     }
 
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -13,13 +13,17 @@
 use pewtergap_agree::{Snapshot, Times};
 use pewtergap_node::{Effect, Input, Level, Link, Outbox, NO_FILE};
 use pewtergap_protocol::encode;
-use pewtergap_record::{Answer, Clean, Command, Record, What};
+use pewtergap_record::{Answer, Clean, Command, Record, Subject, What};
 use pewtergap_store::Fault;
 use pewtergap_time::{Moment, Span};
 use prost::Message;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 
+mod leading;
+mod opening;
+mod requests;
+
 /// Doors and timers of a member lie beyond those of the service beside it.
 pub const DOOR: u32 = 16;
 const TICK: u64 = 1_000;
@@ -51,6 +55,8 @@
     /// Within this a request is answered, one way or another.
     pub patience: Span,
     pub seed: u64,
+    /// The newest format that is spoken: an older one for as long as a roll-out may have to go back.
+    pub format: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -81,8 +87,8 @@
         token: u64,
         reply: Reply,
     },
-    /// The record is another than before.
-    Changed,
+    /// The record says something else of these; none: of anything.
+    Changed(Option<BTreeSet<Subject>>),
     /// The number of this start is on disk.
     Numbered(u64),
 }
@@ -131,6 +137,7 @@
     /// Commands of this leader's that are in the log and not yet committed.
     proposed: BTreeMap<u64, Index>,
     cleaned: Moment,
+    raised: Moment,
     /// Who belongs, by others: for as long as this one does not.
     hearsay: Vec<Seat>,
     /// As far as the disk says that entries are committed.
@@ -146,7 +153,7 @@
     pub fn new(home: Post) -> Member {
         let rng = fastrand::Rng::with_seed(home.seed);
         let own =
-            Hello { lowest: FORMATS.0, highest: FORMATS.1, name: home.name.clone(), ..Hello::default() };
+            Hello { lowest: FORMATS.0, highest: home.format, name: home.name.clone(), ..Hello::default() };
         Member {
             peers: Peers::new(home.from),
             disk: Disk::new(format!("{}.record", home.name)),
@@ -163,6 +170,7 @@
             tokens: 0,
             proposed: BTreeMap::new(),
             cleaned: Moment(0),
+            raised: Moment(0),
             hearsay: Vec::new(),
             committed: 0,
             tick_set: None,
@@ -204,170 +212,6 @@
         self.home.members.iter().all(|member| member.0 == self.home.name)
     }
 
-    // ---- the disk
-
-    fn opened(&mut self, now: Moment, bytes: Result<&[u8], String>, out: &mut Outbox) {
-        let bytes = match bytes {
-            Ok(bytes) => bytes,
-            Err(why) if why == NO_FILE => return self.make(now, out),
-            // Taken for a new disk, one that could not be read once would have forgotten all it promised.
-            Err(why) => return self.end(out, "record_unread", &why),
-        };
-        match disk::open(bytes) {
-            Ok(found) if found.identity.is_some() => self.resume(found, out),
-            Ok(_) => self.make(now, out),
-            Err(fault @ Fault::Damaged { .. }) if !self.alone() => {
-                let aside = format!("{}.damaged-{:08x}", self.file(), self.rng.u32(..));
-                let fields = vec![("why", fault.to_string()), ("kept_as", aside.clone())];
-                out.log(Level::Error, "record_damaged", fields);
-                out.push(Effect::Keep { name: aside, bytes: bytes.to_vec() });
-                self.make(now, out);
-            }
-            Err(fault) => self.end(out, "record_refused", &fault.to_string()),
-        }
-    }
-
-    fn end(&mut self, out: &mut Outbox, event: &'static str, why: &str) {
-        out.log(Level::Error, event, vec![("file", self.file()), ("why", why.into())]);
-        self.stage = Stage::Ended;
-        out.push(Effect::Exit { code: 4 });
-    }
-
-    /// A new disk has a new id: whoever had this name before is another member.
-    fn make(&mut self, now: Moment, out: &mut Outbox) {
-        (self.own.id, self.own.start, self.own.cluster) = (self.rng.u64(1..), 1, 0);
-        self.own.nonce = self.rng.u64(1..);
-        self.own.founders.clear();
-        self.record = Record::default();
-        self.seen.clear();
-        self.proposed.clear();
-        self.peers.hang_up(now, out);
-        self.stage = Stage::Making;
-        out.log(Level::Info, "record_made", vec![("id", format!("{:016x}", self.own.id))]);
-        self.disk.restart(0);
-        self.disk.anew(disk::head(&self.own, &self.seen, self.number), Kept::Opened, out);
-    }
-
-    fn resume(&mut self, found: disk::Found, out: &mut Outbox) {
-        if let Some(why) = &found.torn {
-            out.log(Level::Warn, "record_cut_back", vec![("why", why.clone())]);
-        }
-        let identity = found.identity.clone().unwrap_or_default();
-        (self.own.id, self.own.cluster) = (identity.id, identity.cluster);
-        (self.own.start, self.own.nonce) = (identity.start + 1, self.rng.u64(1..));
-        self.own.founders = identity.founders.clone();
-        (self.seen, self.number) = (found.seen.clone(), found.number);
-        self.disk.restart(found.whole);
-        self.stage = Stage::Making;
-        self.disk.add(vec![OnDisk::Identity(self.own.clone())], Kept::Opened, out);
-        let fields = vec![
-            ("id", format!("{:016x}", self.own.id)),
-            ("start", self.own.start.to_string()),
-            ("entries", found.log.last().1.to_string()),
-        ];
-        out.log(Level::Info, "record_opened", fields);
-        self.found = Some(found);
-    }
-
-    fn synced(&mut self, now: Moment, ticket: u64, result: Result<(), String>, out: &mut Outbox) {
-        let done = match self.disk.synced(ticket, result) {
-            Ok(done) => done,
-            // What the disk holds is not known any more, and asking it again would not tell: a start reads it.
-            Err(why) => return self.end(out, "record_not_synced", &why),
-        };
-        for kept in done {
-            match kept {
-                Kept::Opened if matches!(self.stage, Stage::Making) => self.speak(now, out),
-                Kept::Agreed(ticket) => {
-                    if let Stage::Member(agree) = &mut self.stage {
-                        agree.synced(now, ticket);
-                    }
-                }
-                Kept::Number => self.told.push(Told::Numbered(self.number)),
-                _ => {}
-            }
-        }
-        self.carry_out(now, out);
-    }
-
-    /// The file is there: from here on others may be spoken to.
-    fn speak(&mut self, now: Moment, out: &mut Outbox) {
-        let found = self.found.take().unwrap_or_default();
-        self.stage = Stage::New;
-        if self.own.cluster != 0 {
-            self.join(now, found.log, found.committed, out);
-        } else if self.alone() {
-            self.establish(now, out);
-        }
-        self.know(now, out);
-        // It may have been another member before, on a disk that was an old copy.
-        if std::mem::replace(&mut self.open, true) {
-            return;
-        }
-        if let Some(at) = self.home.listen {
-            out.push(Effect::Listen { door: DOOR, at });
-        }
-        out.wake(HOUSE, now + HOUSEKEEPING);
-    }
-
-    /// The machine begins with what is on disk.
-    fn join(&mut self, now: Moment, log: Log, committed: Index, out: &mut Outbox) {
-        self.record = Record::default();
-        if let Some(snapshot) = log.snapshot.as_ref().filter(|snapshot| !snapshot.data.is_empty()) {
-            match Record::read(&snapshot.data) {
-                Ok(record) => self.record = record,
-                Err(why) => return self.end(out, "record_refused", &why),
-            }
-        }
-        let agree = Agree::new(now, self.own.id, self.home.times, self.rng.u64(..), log, committed);
-        self.stage = Stage::Member(Box::new(agree));
-        self.told.push(Told::Changed);
-    }
-
-    /// All founders are known and none belongs to anything: each of them comes to the same cluster by itself.
-    fn establish(&mut self, now: Moment, out: &mut Outbox) {
-        if !self.alone() && !self.home.members.iter().any(|member| member.0 == self.home.name) {
-            return;
-        }
-        let mut founders = Vec::new();
-        let mut names: Vec<&String> = self.home.members.iter().map(|member| &member.0).collect();
-        names.sort();
-        for name in names {
-            let id = match *name == self.home.name {
-                true => self.own.id,
-                false => match self.peers.welcome(name) {
-                    Some(hello) if hello.cluster == 0 => hello.id,
-                    _ => return,
-                },
-            };
-            founders.push(Seat { id, name: name.clone(), at: String::new(), votes: true });
-        }
-        if founders.is_empty() {
-            founders.push(Seat {
-                id: self.own.id,
-                name: self.own.name.clone(),
-                at: String::new(),
-                votes: true,
-            });
-        }
-        self.belong(now, founders, out);
-    }
-
-    /// Belongs to the cluster of these founders from here on.
-    fn belong(&mut self, now: Moment, founders: Vec<Seat>, out: &mut Outbox) {
-        self.own.cluster = digest(&founders);
-        self.own.founders = founders.clone();
-        let members = words::members(words::Seats { list: founders, retired: Vec::new() });
-        let mut log = Log::default();
-        log.restore(Snapshot { members, ..Snapshot::default() });
-        let mut rows = disk::head(&self.own, &self.seen, self.number);
-        rows.extend(log.rows().iter().map(words::on_disk));
-        self.disk.anew(rows, Kept::Note, out);
-        out.log(Level::Info, "cluster", vec![("id", format!("{:016x}", self.own.cluster))]);
-        self.join(now, log, 0, out);
-        self.carry_out(now, out);
-    }
-
     // ---- links
 
     /// Who is dialled: founders where the settings say, others where the operator said.
@@ -407,11 +251,11 @@
 
     /// A link's first word: who comes, and whether we speak with such a one.
     fn hello(&mut self, now: Moment, link: Link, hello: Hello, out: &mut Outbox) {
-        if hello.lowest > FORMATS.1 || hello.highest < FORMATS.0 {
-            let why = format!(
-                "speaks formats {} to {}, we {} to {}",
-                hello.lowest, hello.highest, FORMATS.0, FORMATS.1
-            );
+        // One that knows less than the record needs would carry out commands as something else.
+        let stands = self.record.format();
+        if hello.lowest > self.home.format || hello.highest < stands {
+            let (lowest, highest) = (hello.lowest, hello.highest);
+            let why = format!("speaks formats {lowest} to {highest}, we {stands} to {}", self.home.format);
             return self.refuse(link, &why, false, out);
         }
         if hello.cluster != 0 && self.own.cluster != 0 && hello.cluster != self.own.cluster {
@@ -555,165 +399,6 @@
         }
     }
 
-    // ---- what is asked
-
-    pub fn ask(&mut self, now: Moment, token: u64, what: Request, out: &mut Outbox) {
-        if let Request::Command(command) = &what {
-            if let Err(why) = command.check() {
-                return self.told.push(Told::Reply { token, reply: Reply::Refused(why) });
-            }
-        }
-        if let Request::Stale = what {
-            let reply = Reply::Look { fresh: false, age: self.age(now) };
-            return self.told.push(Told::Reply { token, reply });
-        }
-        if self.waiting.len() >= MOST_WAITING {
-            let reply = Reply::Refused(format!("{MOST_WAITING} requests wait, no more are taken"));
-            return self.told.push(Told::Reply { token, reply });
-        }
-        let until = now + self.home.patience;
-        self.waiting.push_back(Waiting { token, what, until, given: None, read_at: None });
-        self.give_all(now, out);
-        self.carry_out(now, out);
-    }
-
-    /// How old what is known here may be.
-    pub fn age(&self, now: Moment) -> Span {
-        let heard = self.agree().and_then(|agree| agree.heard_at(now));
-        heard.map_or(Span(u64::MAX / 4), |heard| now.since(heard))
-    }
-
-    fn propose(&mut self, command: &Command) -> bool {
-        let Stage::Member(agree) = &mut self.stage else { return false };
-        if agree.role() != Role::Leader || self.stopping || self.proposed.len() >= 4 * MOST_WAITING {
-            return false;
-        }
-        if self.proposed.contains_key(&command.id) {
-            return true;
-        }
-        match agree.propose(command.encode_to_vec()) {
-            Ok((_, index)) => {
-                self.proposed.insert(command.id, index);
-                true
-            }
-            Err(_) => false,
-        }
-    }
-
-    /// Gives what waits to whoever leads.
-    fn give_all(&mut self, now: Moment, out: &mut Outbox) {
-        let Some((leads, leader)) = self.agree().map(|agree| (agree.role() == Role::Leader, agree.leader()))
-        else {
-            return;
-        };
-        for at in 0..self.waiting.len() {
-            let waiting = &self.waiting[at];
-            if waiting.given.is_some_and(|given| now.since(given) < AGAIN) || waiting.read_at.is_some() {
-                continue;
-            }
-            let (token, what) = (waiting.token, waiting.what.clone());
-            let given = match (what, leader) {
-                (Request::Command(command), _) if leads => self.propose(&command),
-                (Request::Change(change), _) if leads => self.change(now, &change).is_ok(),
-                (Request::Fresh, _) if leads => {
-                    let Stage::Member(agree) = &mut self.stage else { return };
-                    self.tokens += 1;
-                    let own = self.own.id;
-                    // Asked once: its answer comes, or that it cannot be had.
-                    let asked = waiting.given.is_none() && agree.read(now, self.tokens).is_ok();
-                    if asked {
-                        self.reads.insert(self.tokens, (own, token));
-                    }
-                    asked
-                }
-                (Request::Command(command), Some(leader)) => {
-                    let word = word::Kind::Command(command.encode_to_vec());
-                    self.peers.send(leader, Lane::Bulk, word, out)
-                }
-                (Request::Change(change), Some(leader)) => {
-                    self.peers.send(leader, Lane::Bulk, word::Kind::Change(change), out)
-                }
-                (Request::Fresh, Some(leader)) => {
-                    self.peers.send(leader, Lane::Urgent, word::Kind::ReadAsk(token), out)
-                }
-                _ => false,
-            };
-            if given {
-                self.waiting[at].given = Some(now);
-            }
-        }
-    }
-
-    /// An operator's change of members. What is so already is no change.
-    fn change(&mut self, now: Moment, change: &Change) -> Result<(), Refusal> {
-        let Stage::Member(agree) = &mut self.stage else { return Err(Refusal::NotLeader) };
-        let mut members = agree.members().clone();
-        if satisfied(&members, change) {
-            return Ok(());
-        }
-        let at = members.list.iter().position(|member| member.name == change.name);
-        match (at, change.at.is_empty()) {
-            (Some(at), true) => retire(&mut members, at, false),
-            (Some(at), false) => {
-                members.list[at].at = change.at.clone();
-                if change.old != 0 && members.list[at].id == change.old {
-                    retire(&mut members, at, true);
-                }
-            }
-            (None, true) => return Ok(()),
-            (None, false) if members.list.len() >= MOST_MEMBERS => return Err(Refusal::Full),
-            (None, false) => {
-                let (name, at) = (change.name.clone(), change.at.clone());
-                members.list.push(Seated { id: 0, name, at, votes: false });
-            }
-        }
-        agree.change(now, members).map(drop)
-    }
-
-    // ---- time
-
-    /// A leader lets in who knocks, gives votes to who has caught up, and cleans.
-    fn lead(&mut self, now: Moment, out: &mut Outbox) {
-        self.knocking.retain(|_, knock| now.since(knock.1) < Span::millis(3_000));
-        let Stage::Member(agree) = &mut self.stage else { return };
-        let Some((since, _)) = agree.leads_since() else { return };
-        let lost = self.home.times.election.times(2.0);
-        let mut members = agree.members().clone();
-        let mut wants = None;
-        for (name, (id, _)) in &self.knocking {
-            let Some(at) = members.list.iter().position(|member| member.name == *name) else { continue };
-            let held = members.list[at].id;
-            // One that is still heard keeps its place; whoever comes under its name waits.
-            let alive = agree.progress(held).is_some_and(|(_, heard)| now.since(heard.max(since)) < lost);
-            if held == *id || held != 0 && alive || members.retired.contains(id) {
-                continue;
-            }
-            retire(&mut members, at, true);
-            members.list[at].id = *id;
-            wants = Some(("member_let_in", name.clone()));
-            break;
-        }
-        if wants.is_none() {
-            let ready = members.list.iter().position(|m| !m.votes && m.id != 0 && agree.caught_up(m.id));
-            if let Some(at) = ready {
-                members.list[at].votes = true;
-                wants = Some(("member_votes", members.list[at].name.clone()));
-            }
-        }
-        if let Some((event, name)) = wants {
-            if agree.change(now, members).is_ok() {
-                out.log(Level::Info, event, vec![("member", name)]);
-            }
-        }
-        let ms = now.0 / 1_000_000;
-        if now.since(self.cleaned) >= Span::millis(1_000) && self.record.has_run_out(ms) {
-            self.cleaned = now;
-            let id = self.rng.u64(1..);
-            let clean = Command { id, given: ms, what: Some(What::Clean(Clean { now: ms })) };
-            self.propose(&clean);
-        }
-    }
-
     fn house(&mut self, now: Moment, out: &mut Outbox) {
         out.wake(HOUSE, now + HOUSEKEEPING);
         self.know(now, out);
@@ -741,45 +426,9 @@
         self.answer(now, now);
     }
 
-    /// Answers what can be answered, and what can no longer wait.
-    fn answer(&mut self, now: Moment, until: Moment) {
-        let applied = self.agree().map_or(0, Agree::applied);
-        let members = self.agree().map(|agree| (agree.settled_members(), agree.commit()));
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.retain(|waiting| {
-            let known = match &waiting.what {
-                Request::Command(command) => self.record.answered(command.id).map(|answer| match answer {
-                    Answer::Kept(number) => Reply::Kept(number),
-                    Answer::Refused(why) => Reply::Refused(why),
-                    Answer::Unknown => Reply::Unknown,
-                }),
-                Request::Change(change) => {
-                    members.as_ref().filter(|m| satisfied(&m.0, change)).map(|m| Reply::Kept(m.1))
-                }
-                Request::Fresh => waiting
-                    .read_at
-                    .filter(|at| *at <= applied)
-                    .map(|_| Reply::Look { fresh: true, age: Span(0) }),
-                Request::Stale => None,
-            };
-            let late = until >= waiting.until;
-            let reply = known.or_else(|| {
-                late.then(|| match (&waiting.what, waiting.given) {
-                    (Request::Fresh | Request::Stale, _) => Reply::Look { fresh: false, age: self.age(now) },
-                    (_, Some(_)) => Reply::Unknown,
-                    (_, None) => Reply::NoMajority,
-                })
-            });
-            let Some(reply) = reply else { return true };
-            self.told.push(Told::Reply { token: waiting.token, reply });
-            false
-        });
-        self.waiting = waiting;
-    }
-
     /// Carries out what the machine wants.
     fn carry_out(&mut self, now: Moment, out: &mut Outbox) {
-        let mut changed = false;
+        let mut touched = Some(BTreeSet::new());
         loop {
             let Stage::Member(agree) = &mut self.stage else { return };
             let effects = agree.take(now);
@@ -814,12 +463,14 @@
                             if let Ok(command) = Command::decode(bytes.as_slice()) {
                                 self.record.apply(index, &command);
                                 self.proposed.remove(&command.id);
-                                changed = true;
+                                let whole = matches!(command.what, Some(What::Clean(_)));
+                                touched = touched.filter(|_| !whole);
+                                touched.iter_mut().for_each(|all| all.extend(command.subject()));
                             }
                         }
                     }
                     Does::Restore(snapshot) => match Record::read(&snapshot.data) {
-                        Ok(record) => (self.record, changed) = (record, true),
+                        Ok(record) => (self.record, touched) = (record, None),
                         Err(why) => return self.end(out, "record_refused", &why),
                     },
                     Does::Readable { token, index } => match self.reads.remove(&token) {
@@ -847,8 +498,8 @@
         self.proposed_by_no_leader();
         self.compact(out);
         self.answer(now, Moment(0));
-        if changed {
-            self.told.push(Told::Changed);
+        if touched.as_ref().is_none_or(|touched| !touched.is_empty()) {
+            self.told.push(Told::Changed(touched));
         }
         self.set_tick(now, out);
     }
@@ -1008,29 +659,6 @@
     pub refused: Option<String>,
 }
 
-/// Takes a member's id out; `stays`: its name waits for another disk.
-fn retire(members: &mut Members, at: usize, stays: bool) {
-    let id = members.list[at].id;
-    if id != 0 {
-        members.retired.push(id);
-        let over = members.retired.len().saturating_sub(MOST_RETIRED);
-        members.retired.drain(..over);
-    }
-    if stays {
-        (members.list[at].id, members.list[at].votes) = (0, false);
-    } else {
-        members.list.remove(at);
-    }
-}
-
-fn satisfied(members: &Members, change: &Change) -> bool {
-    match (members.named(&change.name), change.at.is_empty()) {
-        (member, true) => member.is_none(),
-        (Some(member), false) => member.at == change.at && (change.old == 0 || member.id != change.old),
-        (None, false) => false,
-    }
-}
-
 /// A cluster's number, from who founded it: whoever has other founders is of another.
 pub fn digest(founders: &[Seat]) -> u64 {
     let bytes: Vec<u8> = founders.iter().flat_map(|seat| seat.encode_length_delimited_to_vec()).collect();
--- /dev/null
+++ b/crates/member/src/member/leading.rs
@@ -0,0 +1,116 @@
+//! What a leader does for the others: lets them in, gives votes, changes who belongs, cleans.
+
+use super::*;
+
+impl Member {
+    /// An operator's change of members. What is so already is no change.
+    pub(super) fn change(&mut self, now: Moment, change: &Change) -> Result<(), Refusal> {
+        let Stage::Member(agree) = &mut self.stage else { return Err(Refusal::NotLeader) };
+        let mut members = agree.members().clone();
+        if satisfied(&members, change) {
+            return Ok(());
+        }
+        let at = members.list.iter().position(|member| member.name == change.name);
+        match (at, change.at.is_empty()) {
+            (Some(at), true) => retire(&mut members, at, false),
+            (Some(at), false) => {
+                members.list[at].at = change.at.clone();
+                if change.old != 0 && members.list[at].id == change.old {
+                    retire(&mut members, at, true);
+                }
+            }
+            (None, true) => return Ok(()),
+            (None, false) if members.list.len() >= MOST_MEMBERS => return Err(Refusal::Full),
+            (None, false) => {
+                let (name, at) = (change.name.clone(), change.at.clone());
+                members.list.push(Seated { id: 0, name, at, votes: false });
+            }
+        }
+        agree.change(now, members).map(drop)
+    }
+
+    /// The record's format rises once everybody who belongs speaks a newer one.
+    fn raise(&mut self, now: Moment, out: &mut Outbox) {
+        let Some(agree) = self.agree() else { return };
+        let speaks = |member: &Seated| match member.id == self.own.id {
+            true => self.own.highest,
+            // A place that waits for a disk, and one not heard of yet, may bring any.
+            false => self.seen.get(&member.name).filter(|s| s.id == member.id).map_or(0, |s| s.highest),
+        };
+        let all = agree.members().list.iter().map(speaks).min().unwrap_or(0);
+        if all <= self.record.format() || now.since(self.raised) < AGAIN {
+            return;
+        }
+        self.raised = now;
+        let raise = Command { id: self.rng.u64(1..), given: now.0 / 1_000_000, what: Some(What::Raise(all)) };
+        if self.propose(&raise) {
+            out.log(Level::Info, "record_raised", vec![("format", all.to_string())]);
+        }
+    }
+
+    /// A leader lets in who knocks, gives votes to who has caught up, and cleans.
+    pub(super) fn lead(&mut self, now: Moment, out: &mut Outbox) {
+        self.knocking.retain(|_, knock| now.since(knock.1) < Span::millis(3_000));
+        let Stage::Member(agree) = &mut self.stage else { return };
+        let Some((since, _)) = agree.leads_since() else { return };
+        let lost = self.home.times.election.times(2.0);
+        let mut members = agree.members().clone();
+        let mut wants = None;
+        for (name, (id, _)) in &self.knocking {
+            let Some(at) = members.list.iter().position(|member| member.name == *name) else { continue };
+            let held = members.list[at].id;
+            // One that is still heard keeps its place; whoever comes under its name waits.
+            let alive = agree.progress(held).is_some_and(|(_, heard)| now.since(heard.max(since)) < lost);
+            if held == *id || held != 0 && alive || members.retired.contains(id) {
+                continue;
+            }
+            retire(&mut members, at, true);
+            members.list[at].id = *id;
+            wants = Some(("member_let_in", name.clone()));
+            break;
+        }
+        if wants.is_none() {
+            let ready = members.list.iter().position(|m| !m.votes && m.id != 0 && agree.caught_up(m.id));
+            if let Some(at) = ready {
+                members.list[at].votes = true;
+                wants = Some(("member_votes", members.list[at].name.clone()));
+            }
+        }
+        if let Some((event, name)) = wants {
+            if agree.change(now, members).is_ok() {
+                out.log(Level::Info, event, vec![("member", name)]);
+            }
+        }
+        self.raise(now, out);
+        let ms = now.0 / 1_000_000;
+        if now.since(self.cleaned) >= Span::millis(1_000) && self.record.has_run_out(ms) {
+            self.cleaned = now;
+            let id = self.rng.u64(1..);
+            let clean = Command { id, given: ms, what: Some(What::Clean(Clean { now: ms })) };
+            self.propose(&clean);
+        }
+    }
+}
+
+/// Takes a member's id out; `stays`: its name waits for another disk.
+pub(super) fn retire(members: &mut Members, at: usize, stays: bool) {
+    let id = members.list[at].id;
+    if id != 0 {
+        members.retired.push(id);
+        let over = members.retired.len().saturating_sub(MOST_RETIRED);
+        members.retired.drain(..over);
+    }
+    if stays {
+        (members.list[at].id, members.list[at].votes) = (0, false);
+    } else {
+        members.list.remove(at);
+    }
+}
+
+pub(super) fn satisfied(members: &Members, change: &Change) -> bool {
+    match (members.named(&change.name), change.at.is_empty()) {
+        (member, true) => member.is_none(),
+        (Some(member), false) => member.at == change.at && (change.old == 0 || member.id != change.old),
+        (None, false) => false,
+    }
+}
--- /dev/null
+++ b/crates/member/src/member/requests.rs
@@ -0,0 +1,129 @@
+//! What is asked of a member, until it is answered.
+
+use super::leading::satisfied;
+use super::*;
+
+impl Member {
+    pub fn ask(&mut self, now: Moment, token: u64, what: Request, out: &mut Outbox) {
+        if let Request::Command(command) = &what {
+            if let Err(why) = command.check() {
+                return self.told.push(Told::Reply { token, reply: Reply::Refused(why) });
+            }
+        }
+        if let Request::Stale = what {
+            let reply = Reply::Look { fresh: false, age: self.age(now) };
+            return self.told.push(Told::Reply { token, reply });
+        }
+        if self.waiting.len() >= MOST_WAITING {
+            let reply = Reply::Refused(format!("{MOST_WAITING} requests wait, no more are taken"));
+            return self.told.push(Told::Reply { token, reply });
+        }
+        let until = now + self.home.patience;
+        self.waiting.push_back(Waiting { token, what, until, given: None, read_at: None });
+        self.give_all(now, out);
+        self.carry_out(now, out);
+    }
+
+    /// How old what is known here may be.
+    pub fn age(&self, now: Moment) -> Span {
+        let heard = self.agree().and_then(|agree| agree.heard_at(now));
+        heard.map_or(Span(u64::MAX / 4), |heard| now.since(heard))
+    }
+
+    pub(super) fn propose(&mut self, command: &Command) -> bool {
+        let Stage::Member(agree) = &mut self.stage else { return false };
+        if agree.role() != Role::Leader || self.stopping || self.proposed.len() >= 4 * MOST_WAITING {
+            return false;
+        }
+        if self.proposed.contains_key(&command.id) {
+            return true;
+        }
+        match agree.propose(command.encode_to_vec()) {
+            Ok((_, index)) => {
+                self.proposed.insert(command.id, index);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Gives what waits to whoever leads.
+    pub(super) fn give_all(&mut self, now: Moment, out: &mut Outbox) {
+        let Some((leads, leader)) = self.agree().map(|agree| (agree.role() == Role::Leader, agree.leader()))
+        else {
+            return;
+        };
+        for at in 0..self.waiting.len() {
+            let waiting = &self.waiting[at];
+            if waiting.given.is_some_and(|given| now.since(given) < AGAIN) || waiting.read_at.is_some() {
+                continue;
+            }
+            let (token, what) = (waiting.token, waiting.what.clone());
+            let given = match (what, leader) {
+                (Request::Command(command), _) if leads => self.propose(&command),
+                (Request::Change(change), _) if leads => self.change(now, &change).is_ok(),
+                (Request::Fresh, _) if leads => {
+                    let Stage::Member(agree) = &mut self.stage else { return };
+                    self.tokens += 1;
+                    let own = self.own.id;
+                    // Asked once: its answer comes, or that it cannot be had.
+                    let asked = waiting.given.is_none() && agree.read(now, self.tokens).is_ok();
+                    if asked {
+                        self.reads.insert(self.tokens, (own, token));
+                    }
+                    asked
+                }
+                (Request::Command(command), Some(leader)) => {
+                    let word = word::Kind::Command(command.encode_to_vec());
+                    self.peers.send(leader, Lane::Bulk, word, out)
+                }
+                (Request::Change(change), Some(leader)) => {
+                    self.peers.send(leader, Lane::Bulk, word::Kind::Change(change), out)
+                }
+                (Request::Fresh, Some(leader)) => {
+                    self.peers.send(leader, Lane::Urgent, word::Kind::ReadAsk(token), out)
+                }
+                _ => false,
+            };
+            if given {
+                self.waiting[at].given = Some(now);
+            }
+        }
+    }
+
+    /// Answers what can be answered, and what can no longer wait.
+    pub(super) fn answer(&mut self, now: Moment, until: Moment) {
+        let applied = self.agree().map_or(0, Agree::applied);
+        let members = self.agree().map(|agree| (agree.settled_members(), agree.commit()));
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.retain(|waiting| {
+            let known = match &waiting.what {
+                Request::Command(command) => self.record.answered(command.id).map(|answer| match answer {
+                    Answer::Kept(number) => Reply::Kept(number),
+                    Answer::Refused(why) => Reply::Refused(why),
+                    Answer::Unknown => Reply::Unknown,
+                }),
+                Request::Change(change) => {
+                    members.as_ref().filter(|m| satisfied(&m.0, change)).map(|m| Reply::Kept(m.1))
+                }
+                Request::Fresh => waiting
+                    .read_at
+                    .filter(|at| *at <= applied)
+                    .map(|_| Reply::Look { fresh: true, age: Span(0) }),
+                Request::Stale => None,
+            };
+            let late = until >= waiting.until;
+            let reply = known.or_else(|| {
+                late.then(|| match (&waiting.what, waiting.given) {
+                    (Request::Fresh | Request::Stale, _) => Reply::Look { fresh: false, age: self.age(now) },
+                    (_, Some(_)) => Reply::Unknown,
+                    (_, None) => Reply::NoMajority,
+                })
+            });
+            let Some(reply) = reply else { return true };
+            self.told.push(Told::Reply { token: waiting.token, reply });
+            false
+        });
+        self.waiting = waiting;
+    }
+}
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -5,14 +5,16 @@
 
 use crate::member::{Member, Post, Reply, Request, Told, DOOR, TIMERS};
 use crate::words::Change;
-use pewtergap_control::{Asked, Service, Standing};
+use pewtergap_control::{Asked, Service, Standing, Stands};
 use pewtergap_node::{Effect, Input, Level, Link, Node, Outbox};
-use pewtergap_record::{Cap, Clean, Command, Drain, Order, Subject, TakeNumber, Weight, What, Wish};
+use pewtergap_record::{
+    Cap, Clean, Command, Drain, Order, Standing as Kept, Subject, TakeNumber, Weight, What, Wish,
+};
 use pewtergap_time::{Moment, Span};
 use serde::Deserialize;
 use serde_json::json;
 use std::any::Any;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const NUMBERED: u64 = TIMERS + 100;
 const GONE: u64 = TIMERS + 101;
@@ -89,6 +91,12 @@
     }
 }
 
+/// What is wished for, unless its time is over.
+fn in_force(kept: &Kept, now: Moment) -> Option<&Wish> {
+    let order = kept.order.as_ref().filter(|order| order.until == 0 || order.until > now.0 / 1_000_000);
+    order.and_then(|order| order.wish.as_ref())
+}
+
 pub struct Together {
     service: Service,
     member: Member,
@@ -156,10 +164,8 @@
             return;
         }
         let mut standing = Standing::default();
-        let ms = now.0 / 1_000_000;
         for (subject, kept) in self.member.record.orders() {
-            let order = kept.order.as_ref().filter(|order| order.until == 0 || order.until > ms);
-            let Some(wish) = order.and_then(|order| order.wish.as_ref()) else { continue };
+            let Some(wish) = in_force(kept, now) else { continue };
             match (subject, wish) {
                 (Subject::Server(server), _) => drop(standing.drained.insert(server.clone())),
                 (Subject::Weight(server), Wish::Weight(w)) => {
@@ -173,12 +179,40 @@
             }
         }
         // A grace that another planner began runs on here, also where this one's list is behind.
-        for drain in self.member.record.drains().filter(|drain| drain.told + drain.grace > ms) {
-            if self.service.knows_start(&drain.server, drain.started) {
-                standing.drained.insert(drain.server.clone());
-            }
+        let runs = self.member.record.drains().filter(|drain| self.runs(drain, now));
+        standing.drained.extend(runs.map(|drain| drain.server.clone()));
+        let stands = self.service.standing().towards(&standing);
+        self.service.stand_by(now, &stands, out);
+    }
+
+    fn runs(&self, drain: &Drain, now: Moment) -> bool {
+        drain.told + drain.grace > now.0 / 1_000_000 && self.service.knows_start(&drain.server, drain.started)
+    }
+
+    /// What the record says of these, and no more: with 10,000 orders in force each commit went through all of them.
+    fn stand_by_these(&mut self, now: Moment, subjects: &BTreeSet<Subject>, out: &mut Outbox) {
+        if !self.started {
+            return;
         }
-        self.service.stand_by(now, standing, out);
+        let record = &self.member.record;
+        let stands = |subject: &Subject| {
+            let wish = record.order_on(subject).and_then(|kept| in_force(kept, now));
+            match (subject, wish) {
+                (Subject::Server(at), wish) => {
+                    let runs = record.drain_of(at).is_some_and(|drain| self.runs(drain, now));
+                    Stands::Drained(at.clone(), wish.is_some() || runs)
+                }
+                (Subject::Weight(at), Some(Wish::Weight(w))) => Stands::Weighs(at.clone(), Some(w.weight)),
+                (Subject::Weight(at), _) => Stands::Weighs(at.clone(), None),
+                (Subject::Route(route), Some(Wish::Cap(cap))) => {
+                    Stands::Capped(route.clone(), Some(cap.level))
+                }
+                (Subject::Route(route), _) => Stands::Capped(route.clone(), None),
+                (Subject::Releases, wish) => Stands::Held(wish.is_some()),
+            }
+        };
+        let stands: Vec<Stands> = subjects.iter().map(stands).collect();
+        self.service.stand_by(now, &stands, out);
     }
 
     fn asked(&mut self, now: Moment, asked: Asked, out: &mut Outbox) {
@@ -323,7 +357,8 @@
             for told in told {
                 match told {
                     Told::Reply { token, reply } => self.replied(now, token, reply, out),
-                    Told::Changed => self.stand_by(now, out),
+                    Told::Changed(None) => self.stand_by(now, out),
+                    Told::Changed(Some(subjects)) => self.stand_by_these(now, &subjects, out),
                     Told::Numbered(number) => self.begin(now, number, out),
                 }
             }
--- a/crates/member/src/words.rs
+++ b/crates/member/src/words.rs
@@ -5,8 +5,9 @@
 use pewtergap_protocol::Checked;
 use prost::{Message, Oneof};
 
-/// What this build speaks and understands; between two members the lower of both highest counts.
-pub const FORMATS: (u32, u32) = (1, 1);
+/// What this build speaks and understands. Words are the same in both; commands differ, and go by the record's format,
+/// which rises once all who belong speak it.
+pub const FORMATS: (u32, u32) = pewtergap_record::FORMATS;
 const MOST_NAME: usize = 256;
 const MOST_MEMBERS: usize = 64;
 /// A message: entries or a piece, and their heads.
--- a/crates/member/tests/hand.rs
+++ b/crates/member/tests/hand.rs
@@ -32,6 +32,7 @@
             times: Times { beat: Span::millis(50), election: Span::millis(300) },
             patience: Span::millis(1_000),
             seed: if file.is_some() { 10 } else { 9 },
+            format: 2,
         };
         let member = Member::new(post);
         let (out, due, seen) = (Outbox::default(), Vec::new(), Vec::new());
@@ -124,8 +125,8 @@
     let mut told = vec![
         ("a name of nobody", hand.comes(hello("x", 5, 1))),
         ("our own name", hand.comes(hello("a", 5, 1))),
-        ("a newer format", hand.comes(Hello { lowest: 2, highest: 3, ..hello("b", 5, 1) })),
-        ("one that speaks a newer one too", hand.comes(Hello { highest: 2, ..hello("b", 5, 3) })),
+        ("a newer format", hand.comes(Hello { lowest: 3, highest: 4, ..hello("b", 5, 1) })),
+        ("one that speaks a newer one too", hand.comes(Hello { highest: 3, ..hello("b", 5, 3) })),
         ("the same start again", hand.comes(hello("b", 5, 3))),
         ("an earlier start of that disk", hand.comes(hello("b", 5, 2))),
         ("the same start, drawn anew", hand.comes(Hello { nonce: 99, ..hello("b", 5, 3) })),
--- a/crates/record/src/commands.rs
+++ b/crates/record/src/commands.rs
@@ -13,7 +13,7 @@
     pub id: u64,
     #[prost(uint64, tag = "2")]
     pub given: u64,
-    #[prost(oneof = "What", tags = "3, 4, 5, 6")]
+    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7")]
     pub what: Option<What>,
 }
 
@@ -30,6 +30,9 @@
     /// Ends what has run out by this moment, and forgets ids given long before.
     #[prost(message, tag = "6")]
     Clean(Clean),
+    /// From here on commands mean what this format says; all who belong speak it.
+    #[prost(uint32, tag = "7")]
+    Raise(u32),
 }
 
 /// An operator's order. The newest on a subject is in force.
@@ -153,7 +156,23 @@
     }
 }
 
+impl What {
+    /// Given by planners themselves, not by operators.
+    pub(crate) fn is_own(&self) -> bool {
+        matches!(self, What::TakeNumber(_) | What::Drain(_))
+    }
+}
+
 impl Command {
+    /// What it may change for those who go by the record; none: anything.
+    pub fn subject(&self) -> Option<Subject> {
+        match self.what.as_ref()? {
+            What::Order(order) => Some(order.wish.as_ref()?.subject().0),
+            What::Drain(drain) => Some(Subject::Server(drain.server.clone())),
+            _ => None,
+        }
+    }
+
     /// What is wrong with it, naming the field; protobuf alone lets through what nobody may order.
     pub fn check(&self) -> Result<(), String> {
         let name = |field: &str, text: &str, most: usize| match text {
@@ -187,7 +206,7 @@
             }
             What::TakeNumber(take) => name("planner", &take.planner, MOST_NAME),
             What::Drain(drain) => name("server", &drain.server, MOST_NAME),
-            What::Clean(_) => Ok(()),
+            What::Clean(_) | What::Raise(_) => Ok(()),
         }
     }
 }
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -14,6 +14,7 @@
 //! | | number | one more is taken | `Kept`, the number |
 //! | no drain of that start | drain | it runs from when it was told | `Kept` |
 //! | a drain of that start | drain | as it is: a grace never begins anew | `Kept`, the number of the first |
+//! | | raise | the format of the commands that follow, never a lower one | `Kept` |
 //! | | clean | what ran out is gone, the horizon rises, never falls | `Kept` |
 #![forbid(unsafe_code)]
 
@@ -24,12 +25,17 @@
 };
 
 use prost::Message;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Orders in force, drains that run, and ids that are remembered.
 pub const MOST_ORDERS: usize = 10_000;
 pub const MOST_DRAINS: usize = 100_000;
 pub const MOST_IDS: usize = 100_000;
+/// Of planners' own commands the last so many are remembered: given again after that, a drain changes nothing and a
+/// number is one more. In format 1 they took the places of operators' orders, and more than 111 a second filled them.
+pub const MOST_OWN: usize = 4_096;
+/// Formats of commands that this build can carry out.
+pub const FORMATS: (u32, u32) = (1, 2);
 /// An id is remembered for so long after it was given, in milliseconds: longer than anybody goes on asking.
 pub const REMEMBERED: u64 = 15 * 60 * 1000;
 /// A drain is remembered for so long after its grace: proxies and planners may have been away.
@@ -66,6 +72,19 @@
     drains: BTreeMap<String, Drain>,
     #[prost(uint64, tag = "5")]
     horizon: u64,
+    /// 0: 1.
+    #[prost(uint32, tag = "6")]
+    format: u32,
+    #[prost(message, repeated, tag = "7")]
+    own: Vec<Own>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct Own {
+    #[prost(fixed64, tag = "1")]
+    id: u64,
+    #[prost(message, required, tag = "2")]
+    past: Past,
 }
 
 /// An id's answer; empty `why`: kept.
@@ -87,19 +106,24 @@
     drains: BTreeMap<String, Drain>,
     /// Ids given before are forgotten.
     horizon: u64,
+    format: u32,
+    /// Planners' own commands, in their order.
+    own: VecDeque<u64>,
+    own_ids: BTreeMap<u64, Past>,
 }
 
 impl Record {
     /// Carries out the command at a place of the log.
     pub fn apply(&mut self, index: u64, command: &Command) -> Answer {
-        if let Some(past) = self.ids.get(&command.id) {
-            return past.answer();
+        if let Some(answer) = self.answered(command.id) {
+            return answer;
         }
         if command.given < self.horizon {
             return Answer::Unknown;
         }
+        let own = self.format >= 2 && command.what.as_ref().is_some_and(What::is_own);
         // Refused before it is remembered: it may be given again once there is room.
-        if self.ids.len() >= MOST_IDS && !matches!(command.what, Some(What::Clean(_))) {
+        if self.ids.len() >= MOST_IDS && !own && !matches!(command.what, Some(What::Clean(_))) {
             return Answer::Refused(format!("{MOST_IDS} commands are remembered, no more are taken"));
         }
         let answer = match &command.what {
@@ -109,6 +133,10 @@
                 Answer::Kept(self.number)
             }
             Some(What::Drain(drain)) => self.drain(index, drain),
+            Some(What::Raise(format)) => {
+                self.format = self.format().max(*format);
+                return Answer::Kept(index);
+            }
             Some(What::Clean(clean)) => {
                 self.clean(clean.now);
                 return Answer::Kept(index);
@@ -120,7 +148,17 @@
             Answer::Refused(why) => (0, why.clone()),
             Answer::Unknown => return answer,
         };
-        self.ids.insert(command.id, Past { number, why, given: command.given });
+        let past = Past { number, why, given: command.given };
+        if own {
+            self.own.push_back(command.id);
+            self.own_ids.insert(command.id, past);
+            let over = self.own.len().saturating_sub(MOST_OWN);
+            for id in self.own.drain(..over) {
+                self.own_ids.remove(&id);
+            }
+        } else {
+            self.ids.insert(command.id, past);
+        }
         answer
     }
 
@@ -172,15 +210,28 @@
         self.orders.iter()
     }
 
+    pub fn order_on(&self, subject: &Subject) -> Option<&Standing> {
+        self.orders.get(subject)
+    }
+
     /// Whether a drain of this start of the server, or of a later one, is kept.
     pub fn drained(&self, server: &str, started: u64) -> bool {
         self.drains.get(server).is_some_and(|drain| drain.started >= started)
     }
 
+    pub fn drain_of(&self, server: &str) -> Option<&Drain> {
+        self.drains.get(server)
+    }
+
     pub fn drains(&self) -> impl Iterator<Item = &Drain> + '_ {
         self.drains.values()
     }
 
+    /// The format in which commands are carried out.
+    pub fn format(&self) -> u32 {
+        self.format.max(FORMATS.0)
+    }
+
     /// The highest number that was taken.
     pub fn number(&self) -> u64 {
         self.number
@@ -188,16 +239,19 @@
 
     /// The answer that an id had, if it is remembered.
     pub fn answered(&self, id: u64) -> Option<Answer> {
-        self.ids.get(&id).map(Past::answer)
+        self.ids.get(&id).or_else(|| self.own_ids.get(&id)).map(Past::answer)
     }
 
     pub fn write(&self) -> Vec<u8> {
+        let own = self.own.iter().filter_map(|id| Some(Own { id: *id, past: self.own_ids.get(id)?.clone() }));
         let image = Image {
             orders: self.orders.values().cloned().collect(),
             ids: self.ids.clone(),
             number: self.number,
             drains: self.drains.clone(),
             horizon: self.horizon,
+            format: self.format,
+            own: own.collect(),
         };
         image.encode_to_vec()
     }
@@ -210,8 +264,13 @@
             let (subject, _) = wish.ok_or("an order in the image wishes for nothing")?.subject();
             orders.insert(subject, standing);
         }
-        let Image { ids, number, drains, horizon, .. } = image;
-        Ok(Record { orders, ids, number, drains, horizon })
+        let Image { ids, number, drains, horizon, format, own, .. } = image;
+        if format > FORMATS.1 {
+            return Err(format!("the record stands at format {format}, this build knows {}", FORMATS.1));
+        }
+        let ids_of_own = own.iter().map(|own| own.id).collect();
+        let own_ids = own.into_iter().map(|own| (own.id, own.past)).collect();
+        Ok(Record { orders, ids, number, drains, horizon, format, own: ids_of_own, own_ids })
     }
 }
 
--- a/crates/record/tests/table.rs
+++ b/crates/record/tests/table.rs
@@ -101,3 +101,30 @@
     // What was refused stays refused under its id: its answer may be known somewhere already.
     assert_eq!(record.apply(5, &order(1 << 20, 5, 0, Wish::Drain("one more".into()))), more);
 }
+
+#[test]
+fn planners_own_commands_never_fill_the_places_of_operators_orders() {
+    let mut record = Record::default();
+    // In format 1 they did, at 111 a second over a quarter of an hour.
+    assert_eq!((record.format(), record.apply(1, &number(1, 5))), (1, Answer::Kept(1)));
+    let raise = Command { id: 2, given: 5, what: Some(What::Raise(2)) };
+    assert_eq!((record.apply(2, &raise), record.format()), (Answer::Kept(2), 2));
+    let many = MOST_IDS as u64 + 10;
+    for id in 100..100 + many {
+        assert_eq!(record.apply(id, &drain(id, id, 5)), Answer::Kept(id));
+    }
+    assert_eq!(record.apply(3, &order(50, 5, 0, Wish::Drain("s2".into()))), Answer::Kept(3));
+    // Remembered as far as anybody still asks; forgotten, a drain given again changes nothing.
+    assert_eq!(record.apply(4, &drain(100 + many - 1, 7, 5)), Answer::Kept(100 + many - 1));
+    assert_eq!(record.answered(100), None);
+    record.apply(5, &drain(100, 100, 5));
+    assert!(record.drained("s1", 100 + many - 1), "the newest stays");
+    assert!(record.write().len() < 300_000, "{}", record.write().len());
+    assert_eq!(Record::read(&record.write()), Ok(record.clone()));
+    // Never back, and what a newer build wrote is refused.
+    record.apply(6, &Command { id: 3, given: 5, what: Some(What::Raise(1)) });
+    assert_eq!(record.format(), 2);
+    record.apply(7, &Command { id: 4, given: 5, what: Some(What::Raise(FORMATS.1 + 1)) });
+    let refused = Record::read(&record.write());
+    assert!(refused.as_ref().is_err_and(|why| why.contains("stands at format 3")), "{refused:?}");
+}
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -5,6 +5,7 @@
 use pewtergap_agree::Times;
 use pewtergap_control::channel::Channel as Queue;
 use pewtergap_control::{Charge, Doors, Probing, Reports, Service, Source};
+use pewtergap_member::words::FORMATS;
 use pewtergap_member::{Post, Together, MOST_MEMBERS};
 use pewtergap_planner::{
     Channel, Fleet, KeyScope, Planner, Pledge, Reach, Repeats, Route, Slicing, Throttle,
@@ -169,7 +170,11 @@
     }
     let patience = part.or("patience", Span::millis(3_000));
     let listen = part.maybe("listen");
-    Post { name: String::new(), listen, members, from: None, times, patience, seed: 0 }
+    let format = part.or("format", FORMATS.1 as usize) as u32;
+    if !(FORMATS.0..=FORMATS.1).contains(&format) {
+        part.fault("format", format!("{format}: this build speaks {} to {}", FORMATS.0, FORMATS.1));
+    }
+    Post { name: String::new(), listen, members, from: None, times, patience, seed: 0, format }
 }
 
 pub fn service_file(script: &Script) -> Result<ServiceFile, Faults> {
