Drills: roll-out, kills at pieces, full disk, a disk lost in a change, places; found and mended

Found: a member that was taken out never heard it, since the others stop dialling it and let its links stand; they now refuse such links and say that its place was given up. A start with an older format went on until the log was replayed; it now ends with the reason as soon as the record is known to be newer. At a stop the committed place is written. Adding after 'members alone' and 'members remove' are typed as an operator does in a test.

--- a/crates/lab/src/cluster/links.rs
+++ b/crates/lab/src/cluster/links.rs
@@ -22,6 +22,8 @@
     Vote { by: u64, start: u64, term: u64, to: u64 },
     /// Entries went out: who led in a term.
     Leads { id: u64, term: u64 },
+    /// A piece of a snapshot, from which byte of how many.
+    Piece { at: u64, total: u64 },
 }
 
 pub type Sightings = Arc<Mutex<Vec<(Moment, Seen)>>>;
@@ -59,6 +61,8 @@
     by_link: BTreeMap<Link, (u64, usize)>,
     next: u64,
     sightings: Sightings,
+    /// A door is cut when a piece of a snapshot from this byte on comes to it.
+    hold_from: Option<u64>,
 }
 
 /// So much is held for one direction; beyond it the sender is not read any more.
@@ -75,6 +79,7 @@
             by_link: BTreeMap::new(),
             next: 0,
             sightings,
+            hold_from: None,
         }
     }
 
@@ -96,7 +101,11 @@
                     self.pairs.iter().filter(|pair| pair.1.door == door).map(|p| *p.0).collect();
                 pairs.into_iter().for_each(|pair| self.end(pair, out));
             }
-            "open-all" => self.doors.fill(State::default()),
+            "hold-from" => self.hold_from = Some(number(1) as u64),
+            "open-all" => {
+                self.hold_from = None;
+                self.doors.fill(State::default());
+            }
             _ => {}
         }
         self.pump_all(now, out);
@@ -158,6 +167,7 @@
                     let (by, start) = (pair.who[0], pair.start);
                     seen.push(Seen::Vote { by, start, term: agreeing.term, to: pair.who[1] });
                 }
+                Some(Saying::Piece(piece)) => seen.push(Seen::Piece { at: piece.at, total: piece.total }),
                 Some(Saying::Append(_)) => seen.push(Seen::Leads { id: pair.who[0], term: agreeing.term }),
                 _ => {}
             },
@@ -208,6 +218,13 @@
                 let Some(pair) = self.pairs.get_mut(&at) else { return };
                 // As it was said, not as it passes: what a dead member said may pass long after.
                 let seen = read(pair, way, bytes);
+                let late = |seen: &Seen| match seen {
+                    Seen::Piece { at, .. } => self.hold_from.is_some_and(|from| *at >= from),
+                    _ => false,
+                };
+                if seen.iter().any(late) {
+                    self.doors[pair.door].cut = true;
+                }
                 if let Ok(mut sightings) = self.sightings.lock() {
                     sightings.extend(seen.into_iter().map(|seen| (now, seen)));
                 }
--- a/crates/lab/src/cluster/measure.rs
+++ b/crates/lab/src/cluster/measure.rs
@@ -126,7 +126,7 @@
 }
 
 impl Director<'_> {
-    fn leader_admin(&self) -> Result<(usize, SocketAddr), String> {
+    pub(super) fn leader_admin(&self) -> Result<(usize, SocketAddr), String> {
         let end = Instant::now() + Duration::from_secs(30);
         loop {
             if let Some((at, admin)) = self.leader().and_then(|at| self.admin(at).map(|admin| (at, admin))) {
@@ -204,6 +204,7 @@
         strikes: 0,
         only: Vec::new(),
         planted: None,
+        format: None,
     };
     let mut started = Started::new(&day)?;
     started.director.bring_up()?;
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -1,14 +1,17 @@
 //! The cluster day: several planners as processes of the program, their links through a relay, faults by seed, and
 //! operators that give orders and read all the time.
 
+pub mod drill;
 pub mod judge;
 pub mod links;
 pub mod measure;
+mod operators;
 
 use crate::ask;
 use crate::bell::{Bell, Rung};
 use judge::{judge, Breach, Done, Op};
 use links::{Links, Sightings};
+use operators::{operate, order, read};
 use pewtergap_reactor::{Clock, Handle, Place, Reactor};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
@@ -77,6 +80,7 @@
 const ALL: [Trouble; 13] =
     [Kill, Terminate, Stop, Isolate, OneWay, Mute, Deaf, Chain, Slow, Reset, Wipe, OldCopy, Damage];
 
+#[derive(Clone)]
 pub struct ClusterDay<'a> {
     pub program: &'a Path,
     pub dir: PathBuf,
@@ -88,6 +92,8 @@
     /// Only these, where any are named.
     pub only: Vec<Trouble>,
     pub planted: Option<Planted>,
+    /// The newest format that all may speak at first.
+    pub format: Option<u32>,
 }
 
 #[derive(Debug)]
@@ -128,6 +134,10 @@
     rng: fastrand::Rng,
     troubles: Vec<String>,
     copies: BTreeMap<usize, Vec<u8>>,
+    /// The newest format a member may speak, and how many blocks a file of its may have.
+    formats: Vec<Option<u32>>,
+    most_blocks: Vec<Option<u64>>,
+    sightings: Sightings,
     /// Members that belong now.
     belong: usize,
 }
@@ -178,6 +188,9 @@
             rng: fastrand::Rng::with_seed(day.seed),
             troubles: Vec::new(),
             copies: BTreeMap::new(),
+            formats: vec![day.format; day.members],
+            most_blocks: vec![None; day.members],
+            sightings: sightings.clone(),
             belong: day.founders,
         };
         Ok(Started { director, sightings, handle, thread: Some(thread) })
@@ -195,8 +208,16 @@
 
 /// Plays a day; an error says why it could not be played.
 pub fn play(day: &ClusterDay) -> Result<Came, String> {
+    play_with(day, |director| director.strikes())
+}
+
+/// Plays a day of which this is the middle: all are up before, and whole again after it.
+pub fn play_with(
+    day: &ClusterDay,
+    middle: impl FnOnce(&mut Director) -> Result<Vec<u64>, String>,
+) -> Result<Came, String> {
     let mut started = Started::new(day)?;
-    let handed_ms = started.director.run()?;
+    let handed_ms = started.director.run(middle)?;
     let troubles = std::mem::take(&mut started.director.troubles);
     let (shared, sightings) = (started.director.shared.clone(), started.sightings.clone());
     drop(started);
@@ -277,7 +298,10 @@
         self.wait_all_fresh()
     }
 
-    fn run(&mut self) -> Result<Vec<u64>, String> {
+    fn run(
+        &mut self,
+        middle: impl FnOnce(&mut Self) -> Result<Vec<u64>, String>,
+    ) -> Result<Vec<u64>, String> {
         self.bring_up()?;
         let operators: Vec<_> = (0..OPERATORS)
             .map(|at| {
@@ -286,17 +310,7 @@
                 std::thread::spawn(move || operate(&shared, clock, rng))
             })
             .collect();
-        let some: Vec<Trouble> = match self.day.only.is_empty() {
-            true => ALL.into_iter().filter(|_| self.rng.bool()).collect(),
-            false => self.day.only.clone(),
-        };
-        let some = if some.is_empty() { vec![Kill] } else { some };
-        let mut handed = Vec::new();
-        for _ in 0..self.day.strikes {
-            self.rest(100, 500);
-            let trouble = some[self.rng.usize(0..some.len())];
-            handed.extend(self.strike(trouble)?);
-        }
+        let handed = middle(self)?;
         self.tell("open-all".into());
         for at in 0..self.belong {
             self.go_on(at);
@@ -318,6 +332,21 @@
         Ok(handed)
     }
 
+    fn strikes(&mut self) -> Result<Vec<u64>, String> {
+        let some: Vec<Trouble> = match self.day.only.is_empty() {
+            true => ALL.into_iter().filter(|_| self.rng.bool()).collect(),
+            false => self.day.only.clone(),
+        };
+        let some = if some.is_empty() { vec![Kill] } else { some };
+        let mut handed = Vec::new();
+        for _ in 0..self.day.strikes {
+            self.rest(100, 500);
+            let trouble = some[self.rng.usize(0..some.len())];
+            handed.extend(self.strike(trouble)?);
+        }
+        Ok(handed)
+    }
+
     fn tell(&self, word: String) {
         self.relay.0.tell(self.relay.1, word);
     }
@@ -353,10 +382,11 @@
              fleet = fleet(proxies = 4, planners = {}),\n    \
              channel = channel(lines_per_s = 2000, most_waiting = 4000),\n    \
              rules = rules(drain_grace = \"5s\", cold_for = \"20s\"),\n    \
-             cluster = cluster(listen = \"127.0.0.1:0\", election = \"300ms\", patience = \"2s\", members = [\n{}    ]),\n)\n",
+             cluster = cluster(listen = \"127.0.0.1:0\", election = \"300ms\", patience = \"2s\"{}, members = [\n{}    ]),\n)\n",
             name(at),
             self.day.dir.join(name(at)).display(),
             self.day.members,
+            self.formats[at].map(|format| format!(", format = {format}")).unwrap_or_default(),
             links.collect::<String>()
         )
     }
@@ -373,7 +403,17 @@
             .create(true)
             .open(self.day.dir.join(format!("{}.log", name(at))))
             .map_err(told)?;
-        let mut child = Command::new(self.day.program)
+        let mut command = match self.most_blocks[at] {
+            None => Command::new(self.day.program),
+            // A disk that is full, for this process alone: what passes the limit is refused.
+            Some(most) => {
+                let mut command = Command::new("/bin/sh");
+                let script = format!("trap '' XFSZ; ulimit -f {most}; exec \"$0\" \"$@\"");
+                command.arg("-c").arg(script).arg(self.day.program);
+                command
+            }
+        };
+        let mut child = command
             .arg("run")
             .arg(&settings)
             .arg("--announce")
@@ -626,59 +666,3 @@
         self.wait_all_fresh()
     }
 }
-
-/// One operator: orders and reads at whichever planner, one after the other, until all is over.
-fn operate(shared: &Shared, clock: Clock, mut rng: fastrand::Rng) {
-    while !shared.over.load(Ordering::SeqCst) {
-        let count = shared.admin.lock().map_or(1, |admin| admin.len());
-        let at = rng.usize(0..count);
-        let op = match rng.u8(0..3) {
-            0 => read(shared, clock, at),
-            _ => order(shared, clock, at, rng.usize(0..KEYS)),
-        };
-        if let Ok(mut ops) = shared.ops.lock() {
-            ops.push(op);
-        }
-        std::thread::sleep(Duration::from_millis(rng.u64(PAUSE / 2..PAUSE * 2)));
-    }
-}
-
-fn order(shared: &Shared, clock: Clock, at: usize, key: usize) -> Op {
-    let value = shared.values.fetch_add(1, Ordering::SeqCst) + 1;
-    let called = clock.now();
-    let id = format!("{:016x}", fastrand::u64(1..));
-    let body = json!({ "id": id, "given": called.0 / 1_000_000, "who": "lab", "why": "a cluster day",
-        "order": "weight", "server": format!("s{key}"), "weight": value });
-    let done = match shared.admin.lock().ok().and_then(|admin| admin[at]) {
-        None => Done::Not,
-        Some(admin) => match ask::call(admin, "POST", "/orders", Some(&body.to_string())) {
-            Ok((200, text)) => {
-                let view: Value = serde_json::from_str(&text).unwrap_or_default();
-                view["number"].as_u64().map_or(Done::Unknown, Done::Kept)
-            }
-            Ok((409 | 503, _)) | Err((false, _)) => Done::Not,
-            Ok(_) | Err((true, _)) => Done::Unknown,
-        },
-    };
-    Op { called, returned: clock.now(), at, order: Some((key, value)), done }
-}
-
-fn read(shared: &Shared, clock: Clock, at: usize) -> Op {
-    let called = clock.now();
-    let answer = shared.admin.lock().ok().and_then(|admin| admin[at]);
-    let answer = answer.and_then(|admin| ask::call(admin, "GET", "/record", None).ok());
-    let view: Value = answer.and_then(|(_, text)| serde_json::from_str(&text).ok()).unwrap_or_default();
-    let mut found = BTreeMap::new();
-    for order in view["orders"].as_array().into_iter().flatten() {
-        let words: Vec<&str> = order["order"].as_str().unwrap_or_default().split(' ').collect();
-        if let ["weight", server, weight] = words.as_slice() {
-            let key = server.trim_start_matches('s').parse::<usize>();
-            let value = weight.parse::<f64>().map(|weight| weight as u64);
-            if let (Ok(key), Ok(value)) = (key, value) {
-                found.insert(key, value);
-            }
-        }
-    }
-    let done = if view["fresh"] == json!(true) { Done::Found(found) } else { Done::Nothing };
-    Op { called, returned: clock.now(), at, order: None, done }
-}
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -241,12 +241,29 @@
         self.peers.know(now, &wanted, out);
     }
 
-    fn refuse(&mut self, link: Link, reason: &str, old_copy: bool, out: &mut Outbox) {
-        let refuse = Refuse { reason: reason.into(), old_copy };
+    fn refuse(&mut self, link: Link, refuse: Refuse, out: &mut Outbox) {
+        let reason = refuse.reason.clone();
         out.send(link, encode(&Word::of(word::Kind::Refuse(refuse))));
         out.finish(link);
         self.peers.came.remove(&link);
-        out.log(Level::Warn, "member_refused", vec![("why", reason.into())]);
+        out.log(Level::Warn, "member_refused", vec![("why", reason)]);
+    }
+
+    fn refuse_retired(&mut self, link: Link, id: Id, out: &mut Outbox) {
+        let settled = self.agree().is_some_and(|agree| agree.settled_members().retired.contains(&id));
+        let refuse = Refuse::of("an older incarnation: its place was given up or to another disk");
+        self.refuse(link, Refuse { given_up: settled, ..refuse }, out);
+    }
+
+    /// Who was let in before its place was given up is told so: nobody else speaks to it any more.
+    fn part(&mut self, out: &mut Outbox) {
+        let Some(agree) = self.agree() else { return };
+        let members = agree.settled_members();
+        let ids = self.peers.came.iter().filter_map(|(link, came)| Some((*link, came.hello.as_ref()?.id)));
+        let gone: Vec<(Link, Id)> = ids.filter(|(_, id)| members.retired.contains(id)).collect();
+        for (link, id) in gone {
+            self.refuse_retired(link, id, out);
+        }
     }
 
     /// A link's first word: who comes, and whether we speak with such a one.
@@ -256,29 +273,29 @@
         if hello.lowest > self.home.format || hello.highest < stands {
             let (lowest, highest) = (hello.lowest, hello.highest);
             let why = format!("speaks formats {lowest} to {highest}, we {stands} to {}", self.home.format);
-            return self.refuse(link, &why, false, out);
+            return self.refuse(link, Refuse::of(&why), out);
         }
         if hello.cluster != 0 && self.own.cluster != 0 && hello.cluster != self.own.cluster {
-            return self.refuse(link, "of another cluster", false, out);
+            return self.refuse(link, Refuse::of("of another cluster"), out);
         }
         let members = self.agree().map(|agree| agree.members().clone()).unwrap_or_default();
+        // Before its name is looked for: one that was taken out has none any more.
+        if members.retired.contains(&hello.id) {
+            return self.refuse_retired(link, hello.id, out);
+        }
         let known = members.named(&hello.name).is_some()
             || members.list.is_empty() && self.home.members.iter().any(|member| member.0 == hello.name);
         let known = known || !self.belongs() && self.hearsay.iter().any(|seat| seat.name == hello.name);
         if !known || hello.name == self.own.name {
-            return self.refuse(link, "a stranger: no member has this name", false, out);
-        }
-        if members.retired.contains(&hello.id) {
-            return self.refuse(
-                link,
-                "an older incarnation: its place was given to another disk",
-                false,
-                out,
-            );
+            return self.refuse(link, Refuse::of("a stranger: no member has this name"), out);
         }
         if let Some(seen) = self.seen.get(&hello.name).filter(|seen| seen.id == hello.id) {
             if (hello.start, hello.nonce) != (seen.start, seen.nonce) && hello.start <= seen.start {
-                return self.refuse(link, "its disk is an older copy of itself", true, out);
+                return self.refuse(
+                    link,
+                    Refuse { old_copy: true, ..Refuse::of("its disk is an older copy of itself") },
+                    out,
+                );
             }
         }
         let new =
@@ -314,6 +331,9 @@
             Heard::Refused(name, refuse) => {
                 let fields = vec![("by", name), ("why", refuse.reason)];
                 out.log(Level::Warn, "refused_by_member", fields);
+                if refuse.given_up {
+                    self.give_up(out);
+                }
                 if refuse.old_copy && !matches!(self.stage, Stage::Making | Stage::Ended) {
                     // What it has acknowledged since is not on this disk: as its old self it must say nothing more.
                     out.log(Level::Error, "record_is_an_old_copy", vec![("file", self.file())]);
@@ -367,7 +387,7 @@
         };
         let (from, kind) = match (from, kind) {
             (None, word::Kind::Hello(hello)) => return self.hello(now, link, hello, out),
-            (None, _) => return self.refuse(link, "the first word is no hello", false, out),
+            (None, _) => return self.refuse(link, Refuse::of("the first word is no hello"), out),
             (Some(from), kind) => (from, kind),
         };
         let Stage::Member(agree) = &mut self.stage else { return };
@@ -403,22 +423,14 @@
         out.wake(HOUSE, now + HOUSEKEEPING);
         self.know(now, out);
         self.peers.dial(now, out);
+        self.part(out);
         self.lead(now, out);
-        let commit = self.agree().map_or(0, Agree::commit);
-        if commit != self.committed {
-            self.committed = commit;
-            self.disk.add(vec![OnDisk::Committed(commit)], Kept::Note, out);
-        }
+        self.note_committed(out);
         let id = self.own.id;
         if let Stage::Member(agree) = &self.stage {
             let members = agree.settled_members();
-            if members.retired.contains(&id) && !self.stopping {
-                self.stopping = true;
-                out.log(
-                    Level::Error,
-                    "record_given_up",
-                    vec![("why", "its place was given to another disk".into())],
-                );
+            if members.retired.contains(&id) {
+                self.give_up(out);
             }
         }
         self.give_all(now, out);
@@ -495,6 +507,9 @@
                 }
             }
         }
+        if self.record.format() > self.home.format {
+            return self.too_new(out);
+        }
         self.proposed_by_no_leader();
         self.compact(out);
         self.answer(now, Moment(0));
@@ -532,7 +547,11 @@
             .map(|came| *came.0)
             .collect();
         for link in links {
-            self.refuse(link, "its disk lacks what it acknowledged", true, out);
+            self.refuse(
+                link,
+                Refuse { old_copy: true, ..Refuse::of("its disk lacks what it acknowledged") },
+                out,
+            );
         }
         if let Some(seen) = self.seen.values_mut().find(|seen| seen.id == id) {
             // Whatever start it comes with: this disk is an older copy.
@@ -572,6 +591,22 @@
         true
     }
 
+    fn note_committed(&mut self, out: &mut Outbox) {
+        let commit = self.agree().map_or(0, Agree::commit);
+        if commit != self.committed {
+            self.committed = commit;
+            self.disk.add(vec![OnDisk::Committed(commit)], Kept::Note, out);
+        }
+    }
+
+    /// It gives nothing to anybody any more; its planner goes on by what it knew.
+    fn give_up(&mut self, out: &mut Outbox) {
+        if !std::mem::replace(&mut self.stopping, true) {
+            let why = "its place was given up or to another disk";
+            out.log(Level::Error, "record_given_up", vec![("why", why.into())]);
+        }
+    }
+
     /// Leadership goes to another one, if there is one.
     pub fn stop(&mut self, now: Moment, out: &mut Outbox) {
         self.stopping = true;
@@ -580,6 +615,7 @@
                 out.log(Level::Info, "leadership_handed_over", Vec::new());
             }
         }
+        self.note_committed(out);
         self.carry_out(now, out);
     }
 
--- a/crates/member/src/member/opening.rs
+++ b/crates/member/src/member/opening.rs
@@ -107,6 +107,13 @@
         out.wake(HOUSE, now + HOUSEKEEPING);
     }
 
+    /// Started with settings, or as a build, from before the record was raised: it would read it wrongly.
+    pub(super) fn too_new(&mut self, out: &mut Outbox) {
+        let (stands, knows) = (self.record.format(), self.home.format);
+        let why = format!("the record stands at format {stands}, this one speaks up to {knows}");
+        self.end(out, "record_refused", &why);
+    }
+
     /// The machine begins with what is on disk.
     pub(super) fn join(&mut self, now: Moment, log: Log, committed: Index, out: &mut Outbox) {
         self.record = Record::default();
@@ -119,10 +126,7 @@
         let agree = Agree::new(now, self.own.id, self.home.times, self.rng.u64(..), log, committed);
         self.stage = Stage::Member(Box::new(agree));
         if self.record.format() > self.home.format {
-            // Started with settings, or as a build, from before the record was raised: it would read it wrongly.
-            let (stands, knows) = (self.record.format(), self.home.format);
-            let why = format!("the record stands at format {stands}, this one speaks up to {knows}");
-            return self.end(out, "record_refused", &why);
+            return self.too_new(out);
         }
         self.told.push(Told::Changed(None));
     }
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -297,7 +297,7 @@
             .collect();
         let age = age.0 / 1_000_000;
         let (applied, term) = self.member.agree().map_or((0, 0), |agree| (agree.applied(), agree.term()));
-        json!({ "fresh": fresh, "age_ms": age, "index": applied, "term": term, "number": record.number(),
+        json!({ "fresh": fresh, "age_ms": age, "index": applied, "term": term, "format": record.format(), "number": record.number(),
             "orders": orders, "drains": drains, "start": self.member.start_of_disk(),
             "id": format!("{:016x}", self.member.id()) })
         .to_string()
--- a/crates/member/src/words.rs
+++ b/crates/member/src/words.rs
@@ -81,6 +81,10 @@
     /// The disk is an older copy of what others have heard from.
     #[prost(bool, tag = "2")]
     pub old_copy: bool,
+    /// The place of this disk was given up, and a majority knows. Whoever is taken out hears it from nobody else: the
+    /// others stop dialling it.
+    #[prost(bool, tag = "3")]
+    pub given_up: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -300,6 +304,12 @@
     }
 }
 
+impl Refuse {
+    pub fn of(reason: &str) -> Refuse {
+        Refuse { reason: reason.into(), ..Refuse::default() }
+    }
+}
+
 impl Word {
     pub fn of(kind: word::Kind) -> Word {
         Word { kind: Some(kind) }
--- a/crates/pewtergap/src/cluster.rs
+++ b/crates/pewtergap/src/cluster.rs
@@ -2,8 +2,9 @@
 
 use crate::Ended;
 use clap::Args;
+use pewtergap_lab::cluster::drill::{day_of, DRILLS};
 use pewtergap_lab::cluster::measure::{bare_round_trip, bare_sync, with_cluster};
-use pewtergap_lab::cluster::{play, Came, ClusterDay, Planted, PLANTED};
+use pewtergap_lab::cluster::{play, play_with, Came, ClusterDay, Planted, PLANTED};
 use serde_json::json;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -26,6 +27,18 @@
     /// Plant a break in a cluster day that the audit must find: lost-order, stale-read, number-twice, vote-after-wipe.
     #[arg(long, value_parser = planted)]
     cluster_plant: Option<Planted>,
+    /// In place of drawn troubles one hard case: roll-out, pieces, full-disk, lost-in-a-change, places.
+    #[arg(long, value_parser = drill)]
+    drill: Option<String>,
+}
+
+fn drill(name: &str) -> Result<String, String> {
+    let names: Vec<&str> = DRILLS.iter().map(|drill| drill.0).collect();
+    if names.contains(&name) {
+        Ok(name.into())
+    } else {
+        Err(format!("one of {}", names.join(", ")))
+    }
 }
 
 fn planted(name: &str) -> Result<Planted, String> {
@@ -89,8 +102,13 @@
                     strikes: line.strikes,
                     only: Vec::new(),
                     planted: line.cluster_plant,
+                    format: None,
+                };
+                let came = match line.drill.as_deref().and_then(|drill| day_of(drill, day.clone())) {
+                    Some((day, act)) => play_with(&day, act),
+                    None => play(&day),
                 };
-                let ended = match play(&day) {
+                let ended = match came {
                     Ok(came) => {
                         tell(mine, line, &came, as_json);
                         (u8::from(!came.breaches.is_empty()), String::new())
--- a/crates/pewtergap/tests/cluster.rs
+++ b/crates/pewtergap/tests/cluster.rs
@@ -1,13 +1,15 @@
 //! Several planners as processes, their links cut, their disks lost, while operators give orders.
 
 use pewtergap_lab::ask::call;
-use pewtergap_lab::cluster::{play, ClusterDay, Planted, Trouble};
+use pewtergap_lab::cluster::drill::{day_of, DRILLS};
+use pewtergap_lab::cluster::{play, play_with, ClusterDay, Planted, Trouble};
 use std::path::Path;
 
 fn day(name: &str, seed: u64) -> ClusterDay<'static> {
     let dir = std::env::temp_dir().join(format!("pewtergap-cluster-{}-{name}", std::process::id()));
     let program = Path::new(env!("CARGO_BIN_EXE_pewtergap"));
-    ClusterDay { program, dir, members: 3, founders: 3, seed, strikes: 3, only: Vec::new(), planted: None }
+    let only = Vec::new();
+    ClusterDay { program, dir, members: 3, founders: 3, seed, strikes: 3, only, planted: None, format: None }
 }
 
 fn kept(day: &ClusterDay) {
@@ -34,6 +36,27 @@
     kept(&ClusterDay { members: 5, only: vec![Join], strikes: 2, ..day("join", 8) });
 }
 
+#[test]
+fn the_hard_cases_each_at_its_moment() {
+    // A roll-out of a newer format; kills at pieces of a snapshot; a full disk; a leader lost with its disk while
+    // members change; places taken, given up and replaced.
+    let played: Vec<_> = std::thread::scope(|scope| {
+        let one = |name: &'static str| {
+            let (day, act) = day_of(name, day(name, 3)).expect("a drill");
+            let came = play_with(&day, act);
+            let _ = came.as_ref().map(|_| std::fs::remove_dir_all(&day.dir));
+            (name, came)
+        };
+        let threads: Vec<_> = DRILLS.iter().map(|drill| scope.spawn(move || one(drill.0))).collect();
+        threads.into_iter().map(|thread| thread.join().expect("it is played")).collect()
+    });
+    for (name, came) in played {
+        let came = came.unwrap_or_else(|why| panic!("{name}: {why}"));
+        assert_eq!(came.breaches, [], "{name}");
+        assert!(came.kept > 5 && came.fresh > 3, "{name}: {came:?}");
+    }
+}
+
 #[test]
 fn each_break_that_is_planted_is_found_with_its_rule() {
     let planted = [
@@ -75,13 +98,42 @@
     let told = alone(&["--what-is-lost-is-lost"]);
     let text = String::from_utf8_lossy(&told.stdout);
     assert!(told.status.success() && text.contains("goes on alone from entry"), "{text}");
-    let (mut child, admin) = start(&settings);
+    let (mut child, doors) = start_doors(&settings);
+    let admin = doors.admin.expect("its admin address");
     let answer = call(admin, "POST", "/orders", Some(&order(78, "s8"))).expect("an answer");
     assert_eq!(answer.0, 200, "{}", answer.1);
     let (_, text) = call(admin, "GET", "/record", None).expect("an answer");
     let view: serde_json::Value = serde_json::from_str(&text).expect("a record");
     assert_eq!(view["fresh"], true);
     assert!(view["orders"].as_array().is_some_and(|orders| orders.len() > 1), "{text} after {came:?}");
+    // Others are added again, as an operator does it: what went on alone is with them too.
+    let members = doors.members.expect("its members' address");
+    let cluster = format!(
+        "cluster = cluster(listen = \"127.0.0.1:0\", election = \"300ms\", members = [member(\"m1\", address = \"{members}\")]),"
+    );
+    let (mut second, other) = alone_with(&day.dir.join("second"), "m9", &cluster);
+    let typed = |said: &[&str]| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_pewtergap"));
+        let told = command.arg("members").args(said).args(["--at", &admin.to_string()]).output();
+        let told = told.expect("it runs");
+        (told.status.code(), String::from_utf8_lossy(&told.stdout).into_owned())
+    };
+    let at = other.members.expect("its members' address").to_string();
+    let added = typed(&["add", "m9", &at]);
+    assert_eq!(added.0, Some(0), "{}", added.1);
+    let until = std::time::Instant::now() + std::time::Duration::from_secs(60);
+    let there = other.admin.expect("its admin address");
+    while !call(there, "GET", "/record", None).is_ok_and(|(_, text)| text.contains("drain s8")) {
+        assert!(std::time::Instant::now() < until, "{:?}", typed(&["list"]));
+    }
+    while typed(&["list"]).1.matches("\"votes\":true").count() < 2 {
+        assert!(std::time::Instant::now() < until, "{:?}", typed(&["list"]));
+    }
+    let removed = typed(&["remove", "m9"]);
+    assert_eq!(removed.0, Some(0), "{}", removed.1);
+    let answer = call(admin, "POST", "/orders", Some(&order(79, "s9"))).expect("an answer");
+    assert_eq!(answer.0, 200, "alone again: {}", answer.1);
+    second.kill();
     child.kill();
     let _ = std::fs::remove_dir_all(&day.dir);
 }
@@ -109,7 +161,7 @@
     }
 }
 
-fn start(settings: &Path) -> (Planner, std::net::SocketAddr) {
+fn start_doors(settings: &Path) -> (Planner, Doors) {
     use std::io::BufRead;
     let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_pewtergap"))
         .args(["--log", "error", "run", "--announce"])
@@ -118,17 +170,43 @@
         .spawn()
         .expect("a planner");
     let lines = std::io::BufReader::new(child.stdout.take().expect("its output")).lines();
-    let admin =
-        lines.map_while(Result::ok).find_map(|line| line.strip_prefix("listening admin ")?.parse().ok());
-    (Planner(child), admin.expect("its admin address"))
+    let mut doors = Doors::default();
+    for line in lines.map_while(Result::ok) {
+        // Members come in before the service begins.
+        match line.split(' ').collect::<Vec<_>>()[..] {
+            ["listening", "members", at] => doors.members = at.parse().ok(),
+            ["listening", "admin", at] => {
+                doors.admin = at.parse().ok();
+                break;
+            }
+            _ => {}
+        }
+    }
+    (Planner(child), doors)
+}
+
+#[derive(Default)]
+struct Doors {
+    admin: Option<std::net::SocketAddr>,
+    members: Option<std::net::SocketAddr>,
+}
+
+fn start(settings: &Path) -> (Planner, std::net::SocketAddr) {
+    let (planner, doors) = start_doors(settings);
+    (planner, doors.admin.expect("its admin address"))
 }
 
 /// A planner alone, told apart by its folder; its admin address.
 fn alone(dir: &Path) -> (Planner, std::net::SocketAddr) {
+    let (planner, doors) = alone_with(dir, "a", "");
+    (planner, doors.admin.expect("its admin address"))
+}
+
+fn alone_with(dir: &Path, name: &str, cluster: &str) -> (Planner, Doors) {
     std::fs::create_dir_all(dir).expect("a folder");
     std::fs::write(dir.join("servers.json"), "").expect("a list");
     let text = format!(
-        "service(name = \"a\", zones = [\"z\"], listen = \"127.0.0.1:0\", admin = \"127.0.0.1:0\",\n\
+        "service(name = \"{name}\", {cluster} zones = [\"z\"], listen = \"127.0.0.1:0\", admin = \"127.0.0.1:0\",\n\
          list = list_file(\"servers.json\"), state_dir = \"{}\",\n\
          routes = [route(\"r\", slo_time = \"400ms\", time_limit = \"2s\", repeats = \"repeatable\")],\n\
          fleet = fleet(proxies = 4), channel = channel(lines_per_s = 2000, most_waiting = 4000),\n\
@@ -137,7 +215,7 @@
     );
     let file = dir.join("a.star");
     std::fs::write(&file, text).expect("settings");
-    start(&file)
+    start_doors(&file)
 }
 
 #[test]
