--- a/crates/lab/src/cluster/links.rs
+++ b/crates/lab/src/cluster/links.rs
@@ -9,7 +9,7 @@
 use pewtergap_protocol::Frames;
 use pewtergap_time::{Moment, Span};
 use std::any::Any;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
@@ -87,6 +87,24 @@
         format!("link {from} {to}")
     }
 
+    /// What a member's settings say of the others, each reached by its own door of this relay.
+    pub fn settings(
+        listens: &HashMap<String, SocketAddr>,
+        at: usize,
+        names: &[String],
+        more: &str,
+    ) -> String {
+        let door = |to: usize| listens.get(&Links::door_name(at, to)).map(SocketAddr::to_string);
+        let member = |(to, name): (usize, &String)| {
+            format!("member(\"{name}\", address = \"{}\")", door(to).unwrap_or_default())
+        };
+        let members: Vec<String> = names.iter().enumerate().map(member).collect();
+        format!(
+            "cluster = cluster(listen = \"127.0.0.1:0\", election = \"300ms\", patience = \"2s\"{more}, members = [{}]),\n",
+            members.join(", ")
+        )
+    }
+
     fn word(&mut self, now: Moment, word: &str, out: &mut Outbox) {
         let parts: Vec<&str> = word.split(' ').collect();
         let number = |at: usize| parts.get(at).and_then(|text| text.parse::<usize>().ok()).unwrap_or(0);
--- a/crates/lab/src/cluster/measure.rs
+++ b/crates/lab/src/cluster/measure.rs
@@ -88,11 +88,17 @@
 
 /// So many operators, each giving one order after the other, at the leader's admin door.
 pub fn orders(at: SocketAddr, members: usize, operators: usize, each: usize) -> Orders {
+    orders_of(at, members, operators, each, Duration::ZERO)
+}
+
+/// Given so long ago: the record holds no more than 100,000 ids, those of the last quarter of an hour.
+fn orders_of(at: SocketAddr, members: usize, operators: usize, each: usize, ago: Duration) -> Orders {
     let begin = Instant::now();
     let one = |operator: usize| {
         let (mut client, mut all, mut failed) = (Client::new(at), Vec::new(), 0);
         for _ in 0..each {
             let ms = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+            let ms = ms.saturating_sub(ago);
             let body = json!({ "id": format!("{:016x}", fastrand::u64(1..)), "given": ms.as_millis() as u64,
                 "who": "lab", "why": "a measurement", "order": "weight", "server": format!("s{operator}"),
                 "weight": 1.0 });
@@ -171,7 +177,12 @@
         };
         let held = count(admin);
         let missing = (entries as u64).saturating_sub(held) as usize;
-        orders(admin, self.day.members, 32, missing / 32 + 1);
+        // Forgotten two seconds after they were given: more than a million ids have no place.
+        let ago = Duration::from_secs(15 * 60 - 2);
+        let put = orders_of(admin, self.day.members, 32, missing / 32 + 1, ago);
+        if put.failed > 0 {
+            return Err(format!("{} of {missing} orders were not kept", put.failed));
+        }
         let before = orders(admin, self.day.members, 1, 200).kept;
         let other = (leader + 1) % self.day.members;
         self.end(other, rustix::process::Signal::KILL);
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -371,10 +371,8 @@
     }
 
     fn text(&self, at: usize) -> String {
-        let links = (0..self.day.founders).map(|to| {
-            let door = self.listens[&Links::door_name(at, to)];
-            format!("        member(\"{}\", address = \"{door}\"),\n", name(to))
-        });
+        let names: Vec<String> = (0..self.day.founders).map(name).collect();
+        let more = self.formats[at].map(|format| format!(", format = {format}")).unwrap_or_default();
         format!(
             "service(\n    name = \"{}\", zones = [\"z\"], listen = \"127.0.0.1:0\", admin = \"127.0.0.1:0\",\n    \
              list = list_file(\"servers.json\"), state_dir = \"{}\",\n    \
@@ -382,12 +380,11 @@
              fleet = fleet(proxies = 4, planners = {}),\n    \
              channel = channel(lines_per_s = 2000, most_waiting = 4000),\n    \
              rules = rules(drain_grace = \"5s\", cold_for = \"20s\"),\n    \
-             cluster = cluster(listen = \"127.0.0.1:0\", election = \"300ms\", patience = \"2s\"{}, members = [\n{}    ]),\n)\n",
+             {})\n",
             name(at),
             self.day.dir.join(name(at)).display(),
             self.day.members,
-            self.formats[at].map(|format| format!(", format = {format}")).unwrap_or_default(),
-            links.collect::<String>()
+            Links::settings(&self.listens, at, &names, &more)
         )
     }
 
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -1,6 +1,8 @@
 //! Long measurements, run as commands of the program.
 
+use crate::ask::call;
 use crate::bell::{Bell, Rung};
+use crate::cluster::links::{Links, Sightings};
 use crate::list::List;
 use hdrhistogram::Histogram;
 use pewtergap_node::{Effect, Input, Node, Outbox};
@@ -10,7 +12,7 @@
 use pewtergap_time::{Moment, Span};
 use serde::Serialize;
 use std::any::Any;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -96,6 +98,92 @@
     }
 }
 
+/// Members beside the measured planner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Others {
+    /// It keeps its record alone.
+    None,
+    /// Two more, and all hear each other.
+    Whole,
+    /// Two more, and nobody hears anybody.
+    Cut,
+}
+
+const OTHERS: usize = 2;
+
+fn other_name(at: usize) -> String {
+    format!("other-{at}")
+}
+
+fn other_text(name: &str, dir: &Path, cluster: &str) -> String {
+    let home = dir.join(name);
+    format!(
+        "service(name = \"{name}\", {cluster} zones = [\"north\"], listen = \"127.0.0.1:0\", admin = \"127.0.0.1:0\",\n    \
+         list = list_file(\"servers.json\"), state_dir = \"{}\",\n    \
+         routes = [route(\"search\", slo_time = \"500ms\", time_limit = \"2s\", repeats = \"repeatable\")],\n    \
+         fleet = fleet(proxies = 4), channel = channel(lines_per_s = 1000, most_waiting = 1000),\n    \
+         rules = rules(drain_grace = \"5s\", cold_for = \"2s\"))\n",
+        home.display()
+    )
+}
+
+/// Starts a planner, until it listens for proxies; its doors by name.
+fn start(
+    program: &Path,
+    dir: &Path,
+    name: &str,
+    text: &str,
+) -> Result<(Planner, HashMap<String, SocketAddr>), String> {
+    let told = |e: std::io::Error| format!("{name}: {e}");
+    let (file, home) = (dir.join(format!("{name}.star")), dir.join(name));
+    if name != "measured" {
+        let _ = std::fs::remove_dir_all(&home);
+        std::fs::create_dir_all(&home).map_err(told)?;
+        std::fs::write(home.join("servers.json"), "").map_err(told)?;
+    }
+    std::fs::write(&file, text).map_err(told)?;
+    let log = File::create(dir.join(format!("{name}.log"))).map_err(told)?;
+    let mut child = Command::new(program)
+        .args(["--log", "warn", "run", "--announce"])
+        .arg(&file)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(log)
+        .spawn()
+        .map_err(told)?;
+    let out = child.stdout.take();
+    let planner = Planner(child);
+    let mut doors = HashMap::new();
+    // The last door that opens; with others it waits for its number, so they all have to be started first.
+    let last = if text.contains("admin =") { "admin" } else { "proxies" };
+    let last = if name == "measured" { last } else { "members" };
+    let mut lines = BufReader::new(out.ok_or("no output")?).lines().map_while(Result::ok);
+    for line in lines.by_ref() {
+        if let ["listening", door, at] = line.split_whitespace().collect::<Vec<_>>()[..] {
+            let at = at.parse().map_err(|_| format!("{name} listens at '{at}'"))?;
+            doors.insert(door.to_string(), at);
+        }
+        if doors.contains_key(last) {
+            // What else it says is read as well: it would wait for a reader, or end without one.
+            std::thread::spawn(move || lines.for_each(drop));
+            return Ok((planner, doors));
+        }
+    }
+    Err(format!("{name} did not start, see its log"))
+}
+
+/// Until the planner at this admin door and the others agree.
+fn whole(admin: SocketAddr) -> Result<(), String> {
+    let until = Instant::now() + CEILING;
+    while !call(admin, "GET", "/record", None).is_ok_and(|(_, text)| text.contains("\"fresh\":true")) {
+        if Instant::now() > until {
+            return Err("the members do not agree".into());
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    Ok(())
+}
+
 fn hear(rungs: &Receiver<Rung>, what: &str, mut done: impl FnMut(Rung) -> bool) -> Result<(), String> {
     let until = Instant::now() + CEILING;
     loop {
@@ -108,9 +196,9 @@
     }
 }
 
-fn planner_text(list: SocketAddr, proxies: usize, dir: &Path) -> String {
+fn planner_text(list: SocketAddr, proxies: usize, dir: &Path, cluster: &str) -> String {
     format!(
-        "service(name = \"measured\", zones = [\"north\", \"south\"], listen = \"127.0.0.1:0\",\n    \
+        "service(name = \"measured\", {cluster} zones = [\"north\", \"south\"], listen = \"127.0.0.1:0\",\n    \
          list = list_watch(address = \"{list}\"), state_dir = \"{}\", seed = 1,\n    \
          routes = [route(\"search\", slo_time = \"500ms\", time_limit = \"2s\", repeats = \"repeatable\")],\n    \
          fleet = fleet(proxies = {proxies}, crossing_price = 0.05), probes = probes(on = False),\n    \
@@ -126,12 +214,14 @@
     dir: &Path,
     proxies: usize,
     rounds: usize,
+    others: Others,
 ) -> Result<OrderToEffect, String> {
     let told = |e: std::io::Error| e.to_string();
     std::fs::create_dir_all(dir).map_err(told)?;
-    let kept = dir.join("measured.list.json");
-    if kept.exists() {
-        std::fs::remove_file(kept).map_err(told)?;
+    for kept in ["measured.list.json", "measured.record"].map(|kept| dir.join(kept)) {
+        if kept.exists() {
+            std::fs::remove_file(kept).map_err(told)?;
+        }
     }
     let (bell, rungs) = Bell::new();
     let clock = Clock::default();
@@ -139,42 +229,44 @@
     let mut reactor = Reactor::new(clock, 8 << 20, dir.into()).map_err(told)?;
     let lists = reactor.handle();
     let list = reactor.add(Box::new(List::new(bell.clone())));
+    let links = Links::new(1 + OTHERS, bell.clone(), Sightings::default());
+    let links = (others != Others::None).then(|| reactor.add(Box::new(links)));
     let list_thread = std::thread::spawn(move || reactor.run().is_ok());
-    let mut at = None;
+    let wanted = 1 + if links.is_some() { (1 + OTHERS) * (1 + OTHERS) } else { 0 };
+    let mut listens = HashMap::new();
     hear(&rungs, "the list to listen", |rung| {
-        if let Rung::Listens(_, address) = rung {
-            at = Some(address);
+        if let Rung::Listens(name, address) = rung {
+            listens.insert(name, address);
         }
-        at.is_some()
+        listens.len() == wanted
     })?;
-    let list_at = at.ok_or("the list does not listen")?;
+    let list_at = listens["list"];
     let server = |nth: usize| format!("127.0.50.{}:9", nth + 1);
     let put = |nth: usize| lists.tell(list, format!("put {} {} running 1 0", server(nth), ZONES[nth % 2]));
     for nth in 0..SERVERS {
         put(nth);
     }
 
-    let file = dir.join("measured.star");
-    std::fs::write(&file, planner_text(list_at, proxies, dir)).map_err(told)?;
-    let log = File::create(dir.join("measured.log")).map_err(told)?;
-    let mut child = Command::new(program)
-        .args(["--log", "warn", "run", "--announce"])
-        .arg(&file)
-        .stdin(Stdio::null())
-        .stdout(Stdio::piped())
-        .stderr(log)
-        .spawn()
-        .map_err(told)?;
-    let mut line = String::new();
-    if let Some(out) = child.stdout.take() {
-        BufReader::new(out).read_line(&mut line).map_err(told)?;
+    let tell = |word: String| links.map(|links| lists.tell(links, word)).unwrap_or(true);
+    let mut beside = Vec::new();
+    let mut cluster = String::new();
+    if links.is_some() {
+        let names: Vec<String> =
+            std::iter::once("measured".to_string()).chain((1..=OTHERS).map(other_name)).collect();
+        cluster = Links::settings(&listens, 0, &names, "") + "    admin = \"127.0.0.1:0\",";
+        for at in 1..=OTHERS {
+            let cluster = Links::settings(&listens, at, &names, "");
+            let (other, doors) = start(program, dir, &names[at], &other_text(&names[at], dir, &cluster))?;
+            tell(format!("target {at} {}", doors["members"]));
+            beside.push(other);
+        }
+    }
+    let (planner, doors) = start(program, dir, "measured", &planner_text(list_at, proxies, dir, &cluster))?;
+    let planner_at = doors["proxies"];
+    if let Some(members) = doors.get("members") {
+        tell(format!("target 0 {members}"));
+        whole(doors["admin"])?;
     }
-    let planner = Planner(child);
-    let planner_at: SocketAddr = line
-        .split_whitespace()
-        .last()
-        .and_then(|at| at.parse().ok())
-        .ok_or("the planner did not start, see its log")?;
     let (_, empty_kib) = planner.used();
 
     let mut reactor = Reactor::new(clock, 8 << 20, dir.into()).map_err(told)?;
@@ -221,6 +313,14 @@
     let (mut lasts, mut each) =
         (Histogram::<u64>::new(3).map_err(no)?, Histogram::<u64>::new(3).map_err(no)?);
     let (mut cpu, mut worst) = (0.0, Span(0));
+    if others == Others::Cut {
+        let pairs = (0..=OTHERS).flat_map(|from| (0..=OTHERS).map(move |to| (from, to)));
+        for (from, to) in pairs.filter(|(from, to)| from != to) {
+            tell(format!("cut {from} {to}"));
+        }
+        // Past an election: nobody leads any more.
+        std::thread::sleep(REST);
+    }
     for round in 0..rounds {
         let nth = round % SERVERS;
         let (before, _) = planner.used();
@@ -235,7 +335,7 @@
     }
     fleet.end();
     lists.end();
-    drop(planner);
+    drop((planner, beside));
     let _ = (fleet_thread.join(), list_thread.join());
     Ok(OrderToEffect {
         proxies,
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -428,16 +428,8 @@
         if !day.agreed {
             return String::new();
         }
-        let member = |to: usize| {
-            let door = self.listens[&Links::door_name(at, to)];
-            format!("member(\"{}\", address = \"{door}\")", planner_name(to))
-        };
-        let members: Vec<String> = (0..day.planners).map(member).collect();
-        format!(
-            "    admin = \"127.0.0.1:0\",\n    cluster = cluster(listen = \"127.0.0.1:0\", election = \"300ms\", patience = \"2s\", \
-             members = [{}]),\n",
-            members.join(", ")
-        )
+        let names: Vec<String> = (0..day.planners).map(planner_name).collect();
+        format!("    admin = \"127.0.0.1:0\",\n    {}", Links::settings(&self.listens, at, &names, ""))
     }
 
     fn proxy_text(&self, at: usize) -> String {
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -2,6 +2,7 @@
 
 use crate::{cluster, drive, operator, rehearse, Ended};
 use clap::Subcommand;
+use pewtergap_lab::measure::Others;
 use pewtergap_reactor::Clock;
 use pewtergap_settings::{proxy_file, run, service_file, Faults, Script};
 use std::path::{Path, PathBuf};
@@ -55,6 +56,9 @@
         proxies: Vec<usize>,
         #[arg(long, default_value_t = 20)]
         rounds: usize,
+        /// With two more members beside it: none, whole, cut (nobody hears anybody).
+        #[arg(long, value_parser = others, default_value = "none")]
+        others: Others,
         #[arg(long)]
         json: bool,
     },
@@ -83,7 +87,9 @@
         Front::Members { what } => operator::members(what),
         Front::Record(line) => operator::record(line),
         Front::Rehearse(wanted) => rehearse::rehearse(wanted),
-        Front::Measure { what: Measured::Order { proxies, rounds, json } } => order(&proxies, rounds, json),
+        Front::Measure { what: Measured::Order { proxies, rounds, others, json } } => {
+            order(&proxies, rounds, others, json)
+        }
         Front::Measure { what: Measured::Record { members, orders, kills, entries } } => {
             cluster::measure(&members, orders, kills, &entries)
         }
@@ -139,14 +145,20 @@
     Ok(0)
 }
 
-fn order(counts: &[usize], rounds: usize, json: bool) -> Ended {
+fn others(name: &str) -> Result<Others, String> {
+    let known = [("none", Others::None), ("whole", Others::Whole), ("cut", Others::Cut)];
+    let found = known.iter().find(|known| known.0 == name).map(|known| known.1);
+    found.ok_or("one of none, whole, cut".into())
+}
+
+fn order(counts: &[usize], rounds: usize, others: Others, json: bool) -> Ended {
     let program = std::env::current_exe().map_err(|e| (3, e.to_string()))?;
     let dir = std::env::temp_dir().join(format!("pewtergap-measure-{}", std::process::id()));
     if !json {
         println!("proxies  rounds  last ACK p50, worst  each ACK p50, p99  all joined  channel's pace  CPU a round  a stream");
     }
     for proxies in counts {
-        let m = pewtergap_lab::measure::order_to_effect(&program, &dir, *proxies, rounds)
+        let m = pewtergap_lab::measure::order_to_effect(&program, &dir, *proxies, rounds, others)
             .map_err(|e| (3, format!("the measurement failed: {e}")))?;
         if json {
             println!("{}", serde_json::to_string(&m).unwrap_or_default());
