--- a/crates/lab/src/cluster/drill.rs
+++ b/crates/lab/src/cluster/drill.rs
@@ -22,6 +22,7 @@
     ("full-disk", 3, 3, |director| director.full_disk()),
     ("lost-in-a-change", 5, 3, |director| director.lost_in_a_change()),
     ("places", 5, 3, |director| director.places()),
+    ("duties", 3, 3, |director| director.struck_duties()),
 ];
 
 /// A snapshot's pieces are of this many bytes.
@@ -34,7 +35,10 @@
     let (_, members, founders, act) = DRILLS.iter().find(|known| known.0 == drill)?;
     // A record that was raised does not go back: this one begins as what came before.
     let format = (drill == "roll-out").then_some(1);
-    Some((ClusterDay { members: *members, founders: *founders, format, ..like }, *act))
+    Some((
+        ClusterDay { members: *members, founders: *founders, format, duties: drill == "duties", ..like },
+        *act,
+    ))
 }
 
 impl Director<'_> {
--- /dev/null
+++ b/crates/lab/src/cluster/duties.rs
@@ -0,0 +1,202 @@
+//! Duties of a cluster day, struck while they are held; what the receiver saw is what counts.
+
+use super::receiver::{Became, Sent};
+use super::{name, record_file, Director, CEILING};
+use crate::ask;
+use rustix::process::Signal;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+
+/// The lease that members of such a day have.
+pub const LEASE_MS: u64 = 1_000;
+pub const SETTINGS: &str =
+    "duties = duties(lease = \"1s\", renew = \"200ms\", pause = \"250ms\", drift = 0.02, steady = \"1s\")";
+pub const PERIOD: &str = "100ms";
+
+/// What strikes a holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Struck {
+    Killed,
+    Stopped,
+    CutOff,
+    Terminated,
+}
+
+pub const STRUCK: [Struck; 4] = [Struck::Killed, Struck::Stopped, Struck::CutOff, Struck::Terminated];
+
+impl Director<'_> {
+    fn sent(&self) -> Vec<Sent> {
+        self.ledger.lock().map(|ledger| ledger.clone()).unwrap_or_default()
+    }
+
+    fn duties(&self, at: usize) -> Value {
+        let answer = self.admin(at).and_then(|admin| ask::call(admin, "GET", "/duties", None).ok());
+        answer.and_then(|(_, text)| serde_json::from_str(&text).ok()).unwrap_or_default()
+    }
+
+    /// Who acts on a duty by its own word, and under which number.
+    fn acts(&self, duty: &str) -> Option<(usize, u64)> {
+        (0..self.day.members)
+            .filter(|at| self.running[*at].as_ref().is_some_and(|running| !running.stopped))
+            .find_map(|at| {
+                let view = self.duties(at);
+                let mine = view["duties"]
+                    .as_array()?
+                    .iter()
+                    .find(|d| d["duty"] == duty && d["acts"] == true)?
+                    .clone();
+                Some((at, mine["number"].as_u64()?))
+            })
+    }
+
+    pub fn holder(&mut self, duty: &str) -> Result<(usize, u64), String> {
+        let end = Instant::now() + CEILING;
+        loop {
+            if let Some(holder) = self.acts(duty) {
+                return Ok(holder);
+            }
+            if Instant::now() > end {
+                return Err(format!(
+                    "nobody holds {duty}: {:?}",
+                    (0..self.day.members).map(|at| self.duties(at)).collect::<Vec<_>>()
+                ));
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Until, of what came in from there on, something is taken under a number above this one; how long it took.
+    fn until_taken(&self, from: usize, number: u64) -> Result<Duration, String> {
+        let begin = Instant::now();
+        while !self.sent()[from..].iter().any(|sent| sent.number > number && sent.became == Became::Taken) {
+            if begin.elapsed() > CEILING {
+                return Err(format!("nobody goes on with the books after {number}"));
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        Ok(begin.elapsed())
+    }
+
+    /// Strikes whoever keeps the books; from then until another goes on with them. Whole again afterwards.
+    pub fn strike_holder(&mut self, struck: Struck) -> Result<Duration, String> {
+        let (one, number) = self.holder("books")?;
+        let from = self.sent().len();
+        match struck {
+            Struck::Killed => self.end(one, Signal::KILL),
+            Struck::Stopped => self.signal(one, Signal::STOP),
+            Struck::Terminated => self.signal(one, Signal::TERM),
+            Struck::CutOff => {
+                for other in (0..self.belong).filter(|other| *other != one) {
+                    self.tell(format!("cut {one} {other}"));
+                    self.tell(format!("cut {other} {one}"));
+                }
+            }
+        }
+        let took = self.until_taken(from, number)?;
+        match struck {
+            Struck::Killed => self.start(one)?,
+            Struck::Stopped => self.signal(one, Signal::CONT),
+            Struck::CutOff => self.tell("open-all".into()),
+            Struck::Terminated => {
+                self.end(one, Signal::TERM);
+                self.start(one)?;
+            }
+        }
+        self.wait_up(one)?;
+        self.wait_all_fresh()?;
+        Ok(took)
+    }
+
+    /// The hard cases of duties, one after the other; milliseconds without the books for each.
+    pub fn struck_duties(&mut self) -> Result<Vec<u64>, String> {
+        let mut gaps = Vec::new();
+        for struck in STRUCK {
+            let took = self.strike_holder(struck)?.as_millis() as u64;
+            // Not before the lease is over: it may still act.
+            let least = if struck == Struck::Terminated { 0 } else { LEASE_MS * 7 / 10 };
+            if took < least {
+                return Err(format!("{struck:?}: gone on after {took} ms, the lease is {LEASE_MS} ms"));
+            }
+            gaps.push(took);
+        }
+        // Stopped for less than its lease, and about as long.
+        for pause in [LEASE_MS / 2, LEASE_MS] {
+            let (one, _) = self.holder("books")?;
+            self.signal(one, Signal::STOP);
+            std::thread::sleep(Duration::from_millis(pause));
+            self.signal(one, Signal::CONT);
+            self.holder("books")?;
+        }
+        // Its holder and the record's leader at once.
+        let (one, number) = self.holder("books")?;
+        let leader = self.leader_admin()?.0;
+        let both = if one == leader { vec![one] } else { vec![one, leader] };
+        let from = self.sent().len();
+        both.iter().for_each(|at| self.signal(*at, Signal::KILL));
+        for at in both {
+            self.end(at, Signal::KILL);
+            self.start(at)?;
+            self.wait_up(at)?;
+        }
+        // Back on the same disk within its lease it goes on under its number.
+        self.until_taken(from, number - 1)?;
+        self.wait_all_fresh()?;
+        // Confirmed, the confirmation lost, and the holder with it.
+        let (one, number) = self.holder("books")?;
+        let seen = self.sent().len();
+        self.relay.0.tell(self.receiver.ok_or("there is no receiver")?, "lose 1000000");
+        let begin = Instant::now();
+        while self.sent().len() <= seen {
+            if begin.elapsed() > CEILING {
+                return Err("nothing is sent any more".into());
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        self.end(one, Signal::KILL);
+        self.relay.0.tell(self.receiver.ok_or("there is no receiver")?, "lose 0");
+        self.until_taken(seen, number)?;
+        self.start(one)?;
+        self.wait_up(one)?;
+        self.wait_all_fresh()?;
+        // A majority lost while duties are held, and found again.
+        let (one, number) = self.holder("books")?;
+        let others: Vec<usize> = (0..self.belong).filter(|at| *at != one).collect();
+        others.iter().for_each(|at| self.signal(*at, Signal::STOP));
+        std::thread::sleep(Duration::from_millis(2 * LEASE_MS));
+        let rests =
+            self.duties(one)["duties"].as_array().is_some_and(|all| all.iter().all(|d| d["acts"] != true));
+        if !rests {
+            return Err(format!("{} acts without a majority past its lease", name(one)));
+        }
+        let from = self.sent().len();
+        others.iter().for_each(|at| self.signal(*at, Signal::CONT));
+        self.until_taken(from, number - 1)?;
+        self.wait_all_fresh()?;
+        // All restarted one after the other, one of them with an empty disk.
+        for at in 0..self.belong {
+            self.end(at, Signal::TERM);
+            if at == 1 {
+                std::fs::remove_file(record_file(&self.day.dir, at)).map_err(|e| e.to_string())?;
+            }
+            self.start(at)?;
+            self.wait_up(at)?;
+            self.wait_all_fresh()?;
+        }
+        let (_, number) = self.holder("books")?;
+        let from = self.sent().len();
+        // An operator moves it.
+        let to = name((self.holder("books")?.0 + 1) % self.belong);
+        let body = json!({ "id": format!("{:016x}", fastrand::u64(1..)), "given": self.clock.now().0 / 1_000_000,
+            "who": "lab", "why": "a drill", "duty": "books", "to": to });
+        let (_, admin) = self.leader_admin()?;
+        let told = ask::call(admin, "POST", "/duties", Some(&body.to_string())).map_err(|e| e.1)?;
+        if told.0 != 200 {
+            return Err(format!("handing on was refused: {}", told.1));
+        }
+        self.until_taken(from, number)?;
+        match self.holder("books")? {
+            (at, _) if name(at) == to => Ok(gaps),
+            (at, _) => Err(format!("the books are at {} and not at {to}", name(at))),
+        }
+    }
+}
--- a/crates/lab/src/cluster/measure.rs
+++ b/crates/lab/src/cluster/measure.rs
@@ -216,6 +216,7 @@
         only: Vec::new(),
         planted: None,
         format: None,
+        duties: false,
     };
     let mut started = Started::new(&day)?;
     started.director.bring_up()?;
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -2,10 +2,12 @@
 //! operators that give orders and read all the time.
 
 pub mod drill;
+pub mod duties;
 pub mod judge;
 pub mod links;
 pub mod measure;
 mod operators;
+pub mod receiver;
 
 use crate::ask;
 use crate::bell::{Bell, Rung};
@@ -13,6 +15,7 @@
 use links::{Links, Sightings};
 use operators::{operate, order, read};
 use pewtergap_reactor::{Clock, Handle, Place, Reactor};
+use receiver::{judge_books, Ledger};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap};
@@ -44,6 +47,10 @@
     NumberTwice,
     /// A member whose disk was lost votes again as its old self.
     VoteAfterWipe,
+    /// The receiver takes in what comes under a lower number; takes a period twice; a holder goes on after its lease.
+    NoFence,
+    SentTwice,
+    GoesOn,
 }
 
 pub const PLANTED: &[(&str, Planted)] = &[
@@ -51,6 +58,9 @@
     ("stale-read", Planted::StaleRead),
     ("number-twice", Planted::NumberTwice),
     ("vote-after-wipe", Planted::VoteAfterWipe),
+    ("no-fence", Planted::NoFence),
+    ("sent-twice", Planted::SentTwice),
+    ("goes-on", Planted::GoesOn),
 ];
 
 /// What strikes. Each day has some of them.
@@ -94,6 +104,8 @@
     pub planted: Option<Planted>,
     /// The newest format that all may speak at first.
     pub format: Option<u32>,
+    /// Duties are held, and the books go to a receiver.
+    pub duties: bool,
 }
 
 #[derive(Debug)]
@@ -138,6 +150,8 @@
     formats: Vec<Option<u32>>,
     most_blocks: Vec<Option<u64>>,
     sightings: Sightings,
+    receiver: Option<Place>,
+    ledger: Ledger,
     /// Members that belong now.
     belong: usize,
 }
@@ -168,6 +182,9 @@
         let sightings: Sightings = Arc::default();
         let mut reactor = Reactor::new(clock, 16 * 1024 * 1024, day.dir.clone()).map_err(told)?;
         let relay = reactor.add(Box::new(Links::new(day.members, bell.clone(), sightings.clone())));
+        let ledger = Ledger::default();
+        let receiver = receiver::Receiver::new(bell.clone(), ledger.clone());
+        let receiver = day.duties.then(|| reactor.add(Box::new(receiver)));
         let handle = reactor.handle();
         let thread = std::thread::spawn(move || drop(reactor.run()));
         let shared = Arc::new(Shared {
@@ -191,6 +208,8 @@
             formats: vec![day.format; day.members],
             most_blocks: vec![None; day.members],
             sightings: sightings.clone(),
+            receiver,
+            ledger,
             belong: day.founders,
         };
         Ok(Started { director, sightings, handle, thread: Some(thread) })
@@ -220,11 +239,15 @@
     let handed_ms = started.director.run(middle)?;
     let troubles = std::mem::take(&mut started.director.troubles);
     let (shared, sightings) = (started.director.shared.clone(), started.sightings.clone());
+    let ledger = started.director.ledger.clone();
     drop(started);
     let mut ops = shared.ops.lock().map_err(|_| "an operator failed")?.clone();
     let mut seen = sightings.lock().map_err(|_| "the relay failed")?.clone();
     plant(day.planted, &mut ops, &mut seen);
-    let breaches = judge(&ops, &seen);
+    let mut ledger = ledger.lock().map_err(|_| "the receiver failed")?.clone();
+    plant_books(day.planted, &mut ledger);
+    let mut breaches = judge(&ops, &seen);
+    breaches.extend(judge_books(&ledger));
     let count = |fits: fn(&Op) -> bool| ops.iter().filter(|op| fits(op)).count();
     Ok(Came {
         breaches,
@@ -239,11 +262,26 @@
     })
 }
 
+fn plant_books(planted: Option<Planted>, ledger: &mut Vec<receiver::Sent>) {
+    use receiver::Became;
+    let Some(first) = ledger.first().cloned() else { return };
+    let Some(last) = ledger.last().cloned() else { return };
+    match planted {
+        Some(Planted::NoFence) => ledger.push(receiver::Sent { number: first.number - 1, ..last }),
+        Some(Planted::SentTwice) => ledger.push(receiver::Sent { became: Became::Taken, ..last }),
+        Some(Planted::GoesOn) => {
+            let late = receiver::Sent { became: Became::Fenced, number: first.number, ..last };
+            ledger.extend([late.clone(), late]);
+        }
+        _ => {}
+    }
+}
+
 /// What a wrong program would have left in the recording.
 fn plant(planted: Option<Planted>, ops: &mut [Op], seen: &mut Vec<(pewtergap_time::Moment, links::Seen)>) {
     use links::Seen;
     match planted {
-        None => {}
+        None | Some(Planted::NoFence | Planted::SentTwice | Planted::GoesOn) => {}
         Some(Planted::LostOrder) => {
             // The last order on a key, and all reads from then on do without it.
             let last = ops.iter().filter(|op| matches!(op.done, Done::Kept(_))).max_by_key(|op| op.called);
@@ -293,6 +331,9 @@
                 self.wait(&Links::door_name(from, to))?;
             }
         }
+        if self.receiver.is_some() {
+            self.wait("receiver")?;
+        }
         (0..self.belong).try_for_each(|at| self.start(at))?;
         (0..self.belong).try_for_each(|at| self.wait_up(at))?;
         self.wait_all_fresh()
@@ -384,10 +425,18 @@
             name(at),
             self.day.dir.join(name(at)).display(),
             self.day.members,
-            Links::settings(&self.listens, at, &names, &more)
+            Links::settings(&self.listens, at, &names, &more) + &self.duties_text()
         )
     }
 
+    fn duties_text(&self) -> String {
+        let Some(receiver) = self.listens.get("receiver").filter(|_| self.day.duties) else {
+            return String::new();
+        };
+        let (settings, period) = (duties::SETTINGS, duties::PERIOD);
+        format!("    {settings}, books = books(receiver = \"{receiver}\", period = \"{period}\"),\n")
+    }
+
     fn start(&mut self, at: usize) -> Result<(), String> {
         let told = |e: std::io::Error| e.to_string();
         let home = self.day.dir.join(name(at));
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 mod alone;
+mod books;
 mod disk;
 mod member;
 mod peers;
@@ -12,5 +13,6 @@
 pub mod words;
 
 pub use alone::{alone, GoesOn};
-pub use member::{Member, Post, Reply, Request, SeatView, Told, MOST_MEMBERS};
+pub use books::Receiver;
+pub use member::{Duties, Member, Post, Reply, Request, SeatView, Told, MOST_MEMBERS};
 pub use together::Together;
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -4,6 +4,7 @@
 //! majority has it on disk. A command is given to the leader again and again until then; its id keeps it from being
 //! made twice. What ran out of time is `Unknown` if it was ever given to anybody, `NoMajority` if not.
 
+use crate::books::Receiver;
 use crate::disk::{self, Disk, Kept};
 use crate::peers::{Heard, Lane, Peers};
 use crate::words::{self, word, Change, Hello, OnDisk, Place, ReadAt, Refuse, Seat, Word, FORMATS};
@@ -20,6 +21,10 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 
+pub use duties::Duties;
+use duties::Office;
+
+mod duties;
 mod leading;
 mod opening;
 mod requests;
@@ -57,6 +62,10 @@
     pub seed: u64,
     /// The newest format that is spoken: an older one for as long as a roll-out may have to go back.
     pub format: u32,
+    /// None: there are no duties.
+    pub duties: Option<Duties>,
+    /// Where the books go, if they are kept.
+    pub receiver: Option<Receiver>,
 }
 
 #[derive(Clone, Debug)]
@@ -138,6 +147,7 @@
     proposed: BTreeMap<u64, Index>,
     cleaned: Moment,
     raised: Moment,
+    office: Option<Office>,
     /// Who belongs, by others: for as long as this one does not.
     hearsay: Vec<Seat>,
     /// As far as the disk says that entries are committed.
@@ -171,6 +181,7 @@
             proposed: BTreeMap::new(),
             cleaned: Moment(0),
             raised: Moment(0),
+            office: home.duties.clone().map(Office::new),
             hearsay: Vec::new(),
             committed: 0,
             tick_set: None,
@@ -410,11 +421,16 @@
                 }
             }
             word::Kind::ReadAt(read) => {
+                if self.office.as_mut().is_some_and(|office| office.read_at(read.token, read.index)) {
+                    return self.tend(now, out);
+                }
                 let waiting = self.waiting.iter_mut().find(|waiting| waiting.token == read.token);
                 if let Some(waiting) = waiting.filter(|waiting| matches!(waiting.what, Request::Fresh)) {
                     waiting.read_at = Some(read.index);
                 }
             }
+            word::Kind::Renew(renew) => self.renews(now, from, renew),
+            word::Kind::HandOn(asked) => self.hand_on(now, &asked, out),
             word::Kind::Hello(_) | word::Kind::Welcome(_) | word::Kind::Refuse(_) => {}
         }
     }
@@ -433,6 +449,8 @@
                 self.give_up(out);
             }
         }
+        self.turn(now, out);
+        self.tend(now, out);
         self.give_all(now, out);
         self.carry_out(now, out);
         self.answer(now, now);
@@ -441,6 +459,7 @@
     /// Carries out what the machine wants.
     fn carry_out(&mut self, now: Moment, out: &mut Outbox) {
         let mut touched = Some(BTreeSet::new());
+        let mut applied = false;
         loop {
             let Stage::Member(agree) = &mut self.stage else { return };
             let effects = agree.take(now);
@@ -474,6 +493,7 @@
                         if let Body::Command(bytes) = entry.body {
                             if let Ok(command) = Command::decode(bytes.as_slice()) {
                                 self.record.apply(index, &command);
+                                applied = true;
                                 self.proposed.remove(&command.id);
                                 let whole = matches!(command.what, Some(What::Clean(_)));
                                 touched = touched.filter(|_| !whole);
@@ -487,6 +507,9 @@
                     },
                     Does::Readable { token, index } => match self.reads.remove(&token) {
                         Some((from, token)) if from == self.own.id => {
+                            if self.office.as_mut().is_some_and(|office| office.read_at(token, index)) {
+                                continue;
+                            }
                             let waiting = self.waiting.iter_mut().find(|waiting| waiting.token == token);
                             waiting.into_iter().for_each(|waiting| waiting.read_at = Some(index));
                         }
@@ -516,6 +539,11 @@
         if touched.as_ref().is_none_or(|touched| !touched.is_empty()) {
             self.told.push(Told::Changed(touched));
         }
+        if applied {
+            self.tend(now, out);
+            // What came of it goes out at once; it ends when nothing more is committed.
+            return self.carry_out(now, out);
+        }
         self.set_tick(now, out);
     }
 
@@ -610,6 +638,7 @@
     /// Leadership goes to another one, if there is one.
     pub fn stop(&mut self, now: Moment, out: &mut Outbox) {
         self.stopping = true;
+        self.hand_all(now, out);
         if let Stage::Member(agree) = &mut self.stage {
             if agree.hand_over(now) {
                 out.log(Level::Info, "leadership_handed_over", Vec::new());
--- /dev/null
+++ b/crates/member/src/member/duties.rs
@@ -0,0 +1,306 @@
+//! Duties round the record: a member renews its lease, acts on what it holds, and as the leader gives.
+//!
+//! A renewal is a read of the record that the leader confirms by a round; nothing is written for it. While a duty is on
+//! its way from a planner to another, the leader answers that planner no renewal: it would go on under a lease that is
+//! newer than the decision.
+
+use super::*;
+use crate::words::{HandOn, Renew};
+use pewtergap_duty::{Desk, Does as Done, Giver, Held, Lease, Move, Planner};
+use pewtergap_record::{Give, Release, CLEANING};
+
+/// Renewals under way; older ones are given up.
+const MOST_RENEWALS: usize = 8;
+
+/// Which duties there are, and how they are held.
+#[derive(Clone, Debug)]
+pub struct Duties {
+    pub lease: Lease,
+    /// Whoever comes back gets none until it has been heard for so long without a gap.
+    pub steady: Span,
+    pub names: Vec<String>,
+}
+
+struct Renewal {
+    token: u64,
+    asked: Moment,
+    read_at: Option<Index>,
+}
+
+/// What a member that has duties keeps of them.
+pub(super) struct Office {
+    duties: Duties,
+    desk: Desk,
+    giver: Option<(Giver, (Moment, u64))>,
+    renewals: Vec<Renewal>,
+    renew_at: Moment,
+    /// Of whom the lease was renewed.
+    leader: Option<Id>,
+    /// Duties on their way, by the command that gives them: from whom.
+    giving: BTreeMap<u64, Id>,
+    /// Commands that release, by duty: number, id, when it was given last.
+    releasing: BTreeMap<String, (u64, u64, Moment)>,
+    /// Slow by its own measure: until then it takes no duties.
+    slow_until: Moment,
+    due: Moment,
+    /// Since when a duty was without an acting holder here, as far as this one sees; for its log.
+    pub acts: BTreeMap<String, u64>,
+}
+
+impl Office {
+    pub(super) fn new(duties: Duties) -> Office {
+        let desk = Desk::new(duties.lease);
+        Office {
+            duties,
+            desk,
+            giver: None,
+            renewals: Vec::new(),
+            renew_at: Moment(0),
+            leader: None,
+            giving: BTreeMap::new(),
+            releasing: BTreeMap::new(),
+            slow_until: Moment(0),
+            due: Moment(0),
+            acts: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn read_at(&mut self, token: u64, index: Index) -> bool {
+        let renewal = self.renewals.iter_mut().find(|renewal| renewal.token == token);
+        renewal.map(|renewal| renewal.read_at = Some(index)).is_some()
+    }
+}
+
+impl Member {
+    /// The number under which this planner may do a duty at this very moment.
+    pub fn may(&self, now: Moment, duty: &str) -> Option<u64> {
+        self.office.as_ref()?.desk.may(now, duty)
+    }
+
+    /// What this planner holds by its own reckoning, and how long its lease lasts.
+    pub fn held(&self, now: Moment) -> Vec<(String, u64, bool)> {
+        let Some(office) = &self.office else { return Vec::new() };
+        let acts = |duty: &str| office.desk.may(now, duty).is_some();
+        office.desk.held().map(|(duty, number, _)| (duty.to_string(), number, acts(duty))).collect()
+    }
+
+    /// Every so often, and after each change of the record.
+    pub(super) fn tend(&mut self, now: Moment, out: &mut Outbox) {
+        let Some(mut office) = self.office.take() else { return };
+        if self.record.format() >= 2 && !matches!(self.stage, Stage::Opening | Stage::Ended) {
+            self.renew(now, &mut office, out);
+            self.hold(now, &mut office, out);
+            self.give_out(now, &mut office, out);
+            self.release(now, &mut office, out);
+            self.clean(now, &office, out);
+        }
+        self.office = Some(office);
+    }
+
+    /// A turn that comes late by more than the pause that is borne: whatever is done here is done late. It hands on.
+    pub(super) fn turn(&mut self, now: Moment, out: &mut Outbox) {
+        let Some(office) = &mut self.office else { return };
+        let late = now.since(office.due);
+        if office.due > Moment(0) && late > office.duties.lease.pause {
+            office.slow_until = now + office.duties.steady;
+            office.renew_at = now;
+            office.desk.tick(now);
+            office.desk.hand(None);
+            out.log(Level::Warn, "duties_given_up", vec![("late", late.to_string())]);
+        }
+        office.due = now + HOUSEKEEPING;
+    }
+
+    fn renew(&mut self, now: Moment, office: &mut Office, out: &mut Outbox) {
+        let Some(agree) = self.agree() else { return };
+        let (leads, leader, applied) = (agree.role() == Role::Leader, agree.leader(), agree.applied());
+        let belongs = agree.settled_members().find(self.own.id).is_some();
+        let (done, open): (Vec<_>, Vec<_>) = std::mem::take(&mut office.renewals)
+            .into_iter()
+            .partition(|renewal| renewal.read_at.is_some_and(|at| at <= applied));
+        office.renewals = open;
+        done.iter().for_each(|renewal| office.desk.renewed(now, renewal.asked));
+        if leader != office.leader {
+            // Whoever leads now has heard of nobody yet.
+            (office.leader, office.renew_at) = (leader, now);
+        }
+        if now < office.renew_at || !belongs || leader.is_none() {
+            return;
+        }
+        office.renew_at = now + office.duties.lease.renew;
+        self.tokens += 1;
+        // From before the request leaves.
+        let (token, asked) = ((1 << 63) + self.tokens, now);
+        let leaves = self.stopping || now < office.slow_until;
+        let over = office.renewals.len().saturating_sub(MOST_RENEWALS - 1);
+        office.renewals.drain(..over);
+        office.renewals.push(Renewal { token, asked, read_at: None });
+        match leader {
+            _ if leads => self.renewed_by(now, self.own.id, Renew { token, leaves }, office),
+            Some(leader) => {
+                let word = word::Kind::Renew(Renew { token, leaves });
+                self.peers.send(leader, Lane::Urgent, word, out);
+            }
+            None => {}
+        }
+    }
+
+    /// As the leader: a member asks for its lease.
+    pub(super) fn renews(&mut self, now: Moment, from: Id, renew: Renew) {
+        let Some(mut office) = self.office.take() else { return };
+        self.renewed_by(now, from, renew, &mut office);
+        self.office = Some(office);
+    }
+
+    fn renewed_by(&mut self, now: Moment, from: Id, renew: Renew, office: &mut Office) {
+        let Stage::Member(agree) = &mut self.stage else { return };
+        if office.giving.values().any(|holder| *holder == from) {
+            return;
+        }
+        let Some((giver, _)) = &mut office.giver else { return };
+        giver.renews(now, from);
+        if renew.leaves {
+            giver.leaves(from);
+        }
+        self.tokens += 1;
+        if self.reads.len() < MOST_WAITING && agree.read(now, self.tokens).is_ok() {
+            self.reads.insert(self.tokens, (from, renew.token));
+        }
+    }
+
+    /// What the record says that is ours, and what of it begins, rests and stops.
+    fn hold(&mut self, now: Moment, office: &mut Office, out: &mut Outbox) {
+        let own = self.own.id;
+        let ours = self.record.duties().iter().filter(|(_, duty)| duty.holder == own);
+        office.desk.hold(now, ours.map(|(name, duty)| (name.as_str(), duty.number)));
+        for (duty, number, does) in office.desk.take() {
+            let event = match does {
+                Done::Begin => "duty_begun",
+                Done::GoOn => "duty_goes_on",
+                Done::Rest => "duty_rests",
+                Done::HandOn => "duty_handed_on",
+                Done::Stop => "duty_stopped",
+                Done::Nothing => continue,
+            };
+            match does {
+                Done::Begin | Done::GoOn => drop(office.acts.insert(duty.clone(), number)),
+                _ => drop(office.acts.remove(&duty)),
+            }
+            let fields = vec![("duty", duty), ("number", number.to_string())];
+            out.log(if does == Done::Rest { Level::Warn } else { Level::Info }, event, fields);
+        }
+    }
+
+    fn give_out(&mut self, now: Moment, office: &mut Office, out: &mut Outbox) {
+        let proposed = &self.proposed;
+        office.giving.retain(|command, _| proposed.contains_key(command));
+        let Some(led) = self.agree().and_then(|agree| agree.leads_since()) else {
+            office.giver = None;
+            office.giving.clear();
+            return;
+        };
+        if office.giver.as_ref().is_none_or(|giver| giver.1 != led) {
+            // From when it led, not from now: nobody counts more than that.
+            let giver = Giver::new(now, office.duties.lease, office.duties.steady);
+            office.giver = Some((giver, led));
+            office.giving.clear();
+        }
+        if !office.giving.is_empty() || self.stopping {
+            return;
+        }
+        let members = self.agree().map(|agree| agree.settled_members()).unwrap_or_default();
+        let id_of = |name: &str| members.named(name).map(|member| member.id).filter(|id| *id != 0);
+        let held: BTreeMap<String, Held> = self
+            .record
+            .duties()
+            .iter()
+            .map(|(name, duty)| {
+                let wanted = id_of(&duty.wanted);
+                (name.clone(), Held { holder: duty.holder, number: duty.number, wanted })
+            })
+            .collect();
+        let planners: Vec<Planner> = members
+            .list
+            .iter()
+            .filter(|member| member.votes && member.id != 0)
+            .map(|member| Planner { id: member.id, name: member.name.clone() })
+            .collect();
+        let frozen = self.record.order_on(&Subject::Duties).is_some();
+        let Some((giver, _)) = &mut office.giver else { return };
+        for one in giver.plan(now, &office.duties.names, &held, &planners, frozen) {
+            match one {
+                Move::Give { duty, to, number } => {
+                    let name =
+                        planners.iter().find(|p| p.id == to).map(|p| p.name.clone()).unwrap_or_default();
+                    let from = held.get(&duty).map_or(0, |held| held.holder);
+                    let id = self.rng.u64(1..);
+                    let what = Some(What::Give(Give { duty: duty.clone(), to, name: name.clone(), number }));
+                    if self.propose(&Command { id, given: now.0 / 1_000_000, what }) {
+                        office.giving.insert(id, from);
+                        out.log(Level::Info, "duty_given", vec![("duty", duty), ("to", name)]);
+                    }
+                }
+                Move::Ask { duty, holder, .. } if holder == self.own.id => office.desk.hand(Some(&duty)),
+                Move::Ask { duty, holder, number } => {
+                    let word = word::Kind::HandOn(HandOn { duty, number });
+                    self.peers.send(holder, Lane::Urgent, word, out);
+                }
+            }
+        }
+    }
+
+    /// The leader asks for a duty.
+    pub(super) fn hand_on(&mut self, now: Moment, asked: &HandOn, out: &mut Outbox) {
+        if let Some(office) = &mut self.office {
+            if office.desk.held().any(|held| held.0 == asked.duty && held.1 == asked.number) {
+                office.desk.hand(Some(&asked.duty));
+            }
+        }
+        self.tend(now, out);
+    }
+
+    /// All duties at the end; the record is told before leadership goes.
+    pub(super) fn hand_all(&mut self, now: Moment, out: &mut Outbox) {
+        if let Some(office) = &mut self.office {
+            office.desk.hand(None);
+            office.renew_at = now;
+        }
+        self.tend(now, out);
+    }
+
+    fn release(&mut self, now: Moment, office: &mut Office, out: &mut Outbox) {
+        let handing = office.desk.handing();
+        office.releasing.retain(|duty, kept| handing.iter().any(|h| h.0 == *duty && h.1 == kept.0));
+        for (duty, number) in handing {
+            let id = self.rng.u64(1..);
+            let kept = office.releasing.entry(duty.clone()).or_insert((number, id, Moment(0)));
+            if now.since(kept.2) < AGAIN {
+                continue;
+            }
+            kept.2 = now;
+            let what = Some(What::Release(Release { duty, number }));
+            let command = Command { id: kept.1, given: now.0 / 1_000_000, what };
+            self.pass_on(&command, out);
+        }
+    }
+
+    /// To whoever leads; whether it is kept is seen in the record.
+    fn pass_on(&mut self, command: &Command, out: &mut Outbox) {
+        let leader = self.agree().and_then(Agree::leader);
+        if !self.propose_late(command) {
+            if let Some(leader) = leader.filter(|leader| *leader != self.own.id) {
+                self.peers.send(leader, Lane::Bulk, word::Kind::Command(command.encode_to_vec()), out);
+            }
+        }
+    }
+
+    fn clean(&mut self, now: Moment, office: &Office, out: &mut Outbox) {
+        let ms = now.0 / 1_000_000;
+        let due = now.since(self.cleaned) >= Span::millis(1_000) && self.record.has_run_out(ms);
+        let Some(number) = office.desk.may(now, CLEANING).filter(|_| due) else { return };
+        self.cleaned = now;
+        let id = self.rng.u64(1..);
+        let clean = Command { id, given: ms, what: Some(What::Clean(Clean { now: ms, number })) };
+        self.pass_on(&clean, out);
+    }
+}
--- a/crates/member/src/member/leading.rs
+++ b/crates/member/src/member/leading.rs
@@ -1,6 +1,7 @@
 //! What a leader does for the others: lets them in, gives votes, changes who belongs, cleans.
 
 use super::*;
+use pewtergap_record::CLEANING;
 
 impl Member {
     /// An operator's change of members. What is so already is no change.
@@ -83,10 +84,13 @@
         }
         self.raise(now, out);
         let ms = now.0 / 1_000_000;
-        if now.since(self.cleaned) >= Span::millis(1_000) && self.record.has_run_out(ms) {
+        // Where it is a duty, its holder does it.
+        let duty = self.office.is_some() && self.record.format() >= 2;
+        if !duty && now.since(self.cleaned) >= Span::millis(1_000) && self.record.has_run_out(ms) {
             self.cleaned = now;
             let id = self.rng.u64(1..);
-            let clean = Command { id, given: ms, what: Some(What::Clean(Clean { now: ms })) };
+            let number = self.record.duties().get(CLEANING).map_or(0, |duty| duty.number);
+            let clean = Command { id, given: ms, what: Some(What::Clean(Clean { now: ms, number })) };
             self.propose(&clean);
         }
     }
--- a/crates/member/src/member/requests.rs
+++ b/crates/member/src/member/requests.rs
@@ -30,6 +30,14 @@
         heard.map_or(Span(u64::MAX / 4), |heard| now.since(heard))
     }
 
+    /// Also by one that is about to end: what it hands on.
+    pub(super) fn propose_late(&mut self, command: &Command) -> bool {
+        let stopping = std::mem::replace(&mut self.stopping, false);
+        let proposed = self.propose(command);
+        self.stopping = stopping;
+        proposed
+    }
+
     pub(super) fn propose(&mut self, command: &Command) -> bool {
         let Stage::Member(agree) = &mut self.stage else { return false };
         if agree.role() != Role::Leader || self.stopping || self.proposed.len() >= 4 * MOST_WAITING {
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -3,12 +3,13 @@
 //! The service never waits for the member, but once: before its first word to any proxy it takes the number of its
 //! start from the record. Where none comes in time it counts on from its own last number and the calendar.
 
+use crate::books::Books;
 use crate::member::{Member, Post, Reply, Request, Told, DOOR, TIMERS};
 use crate::words::Change;
 use pewtergap_control::{Asked, Service, Standing, Stands};
 use pewtergap_node::{Effect, Input, Level, Link, Node, Outbox};
 use pewtergap_record::{
-    Cap, Clean, Command, Drain, Order, Standing as Kept, Subject, TakeNumber, Weight, What, Wish,
+    Cap, Clean, Command, Drain, Hand, Order, Standing as Kept, Subject, TakeNumber, Weight, What, Wish, BOOKS,
 };
 use pewtergap_time::{Moment, Span};
 use serde::Deserialize;
@@ -25,7 +26,10 @@
 /// Drains that wait to be kept, and those given at once.
 const MOST_DRAINS: usize = 1_024;
 const DRAINS_AT_ONCE: usize = 64;
-const ELSEWHERE: &[&str] = &["/orders", "/record", "/members"];
+const ELSEWHERE: &[&str] = &["/orders", "/record", "/members", "/duties"];
+/// Between two looks at the books.
+const LOOK: Span = Span::millis(50);
+const BOOKKEEPING: u64 = TIMERS + 102;
 
 #[derive(Clone, Debug)]
 enum Purpose {
@@ -34,6 +38,7 @@
     Look(Link),
     Number,
     Drain,
+    Books,
 }
 
 /// An order as it is given at the admin door.
@@ -70,11 +75,34 @@
     replace: bool,
 }
 
+/// A duty that an operator wants at a planner; with no planner wherever it falls.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Handed {
+    id: String,
+    given: u64,
+    who: String,
+    why: String,
+    duty: String,
+    #[serde(default)]
+    to: String,
+}
+
+impl Handed {
+    fn command(self) -> Result<Command, String> {
+        let hand = Hand { duty: self.duty, to: self.to, who: self.who, why: self.why };
+        Ok(Command { id: id_of(&self.id)?, given: self.given, what: Some(What::Hand(hand)) })
+    }
+}
+
+fn id_of(text: &str) -> Result<u64, String> {
+    u64::from_str_radix(text, 16).map_err(|_| format!("id: '{text}' is not 16 hexadecimal digits"))
+}
+
 impl Given {
     fn command(self) -> Result<Command, String> {
-        let id = u64::from_str_radix(&self.id, 16)
-            .map_err(|_| format!("id: '{}' is not 16 hexadecimal digits", self.id))?;
-        let nothing = Clean { now: 0 };
+        let id = id_of(&self.id)?;
+        let nothing = Clean::default();
         let wish = match self.order.as_str() {
             "drain" => Wish::Drain(self.server),
             "take-back" => Wish::TakeBack(self.server),
@@ -82,6 +110,8 @@
             "free-weight" => Wish::FreeWeight(self.server),
             "cap" => Wish::Cap(Cap { route: self.route, level: self.level }),
             "uncap" => Wish::Uncap(self.route),
+            "hold-duties" => Wish::HoldDuties(nothing),
+            "let-duties" => Wish::LetDuties(nothing),
             "hold-releases" => Wish::HoldReleases(nothing),
             "let-releases" => Wish::LetReleases(nothing),
             other => return Err(format!("order: '{other}' is none")),
@@ -109,6 +139,7 @@
     purposes: BTreeMap<u64, Purpose>,
     /// Drains that are not yet known to be kept, and the id under which each is given.
     drains: Vec<Command>,
+    books: Option<Books>,
 }
 
 impl Together {
@@ -117,7 +148,7 @@
         Together {
             service,
             name: home.name.clone(),
-            member: Member::new(home),
+            member: Member::new(home.clone()),
             drain_grace,
             numbered: false,
             started: false,
@@ -125,6 +156,7 @@
             tokens: 0,
             purposes: BTreeMap::new(),
             drains: Vec::new(),
+            books: home.receiver.map(|receiver| Books::new(receiver, home.from)),
         }
     }
 
@@ -197,7 +229,7 @@
         let record = &self.member.record;
         let stands = |subject: &Subject| {
             let wish = record.order_on(subject).and_then(|kept| in_force(kept, now));
-            match (subject, wish) {
+            Some(match (subject, wish) {
                 (Subject::Server(at), wish) => {
                     let runs = record.drain_of(at).is_some_and(|drain| self.runs(drain, now));
                     Stands::Drained(at.clone(), wish.is_some() || runs)
@@ -209,9 +241,10 @@
                 }
                 (Subject::Route(route), _) => Stands::Capped(route.clone(), None),
                 (Subject::Releases, wish) => Stands::Held(wish.is_some()),
-            }
+                (Subject::Duties, _) => return None,
+            })
         };
-        let stands: Vec<Stands> = subjects.iter().map(stands).collect();
+        let stands: Vec<Stands> = subjects.iter().filter_map(stands).collect();
         self.service.stand_by(now, &stands, out);
     }
 
@@ -226,6 +259,17 @@
                     Err(why) => self.service.answer(link, 400, &refuse(why), out),
                 }
             }
+            ("POST", "/duties") => {
+                let given = serde_json::from_slice::<Handed>(&body).map_err(|e| e.to_string());
+                match given.and_then(Handed::command) {
+                    Ok(command) => self.ask(now, Purpose::Answer(link), Request::Command(command), out),
+                    Err(why) => self.service.answer(link, 400, &refuse(why), out),
+                }
+            }
+            ("GET", "/duties") => {
+                let view = self.duties_view(now);
+                self.service.answer(link, 200, &view, out);
+            }
             ("POST", "/members") => match serde_json::from_slice::<Changed>(&body) {
                 Ok(changed) => {
                     let seats = self.member.seats(now);
@@ -248,7 +292,7 @@
             }
             _ => {
                 let why =
-                    "there are POST /orders, POST /members, GET /members, GET /record and /record?stale";
+                    "there are POST /orders, /members, /duties, GET /members, /duties, /record and /record?stale";
                 self.service.answer(link, 404, &refuse(why.into()), out);
             }
         }
@@ -276,7 +320,54 @@
             (Some(Purpose::Look(link)), _) => {
                 self.service.answer(link, 503, &json!({ "answer": "too much waits" }).to_string(), out);
             }
-            (Some(Purpose::Drain) | None, _) => {}
+            (Some(Purpose::Drain | Purpose::Books) | None, _) => {}
+        }
+    }
+
+    /// Who holds what by the record, and what of it this planner acts on.
+    fn duties_view(&self, now: Moment) -> String {
+        let held = self.member.held(now);
+        let ms = now.0 / 1_000_000;
+        let view = |(duty, known): (&String, &pewtergap_record::Duty)| {
+            let here = held.iter().find(|held| held.0 == *duty && held.1 == known.number);
+            json!({ "duty": duty, "holder": if known.holder == 0 { "" } else { known.name.as_str() },
+                "number": known.number, "age_ms": ms.saturating_sub(known.since), "wanted": known.wanted,
+                "here": here.is_some(), "acts": here.is_some_and(|held| held.2) })
+        };
+        let duties: Vec<serde_json::Value> = self.member.record.duties().iter().map(view).collect();
+        let (books, _) = self.member.record.books();
+        json!({ "name": self.name, "duties": duties, "books": { "closed": books.closed, "arrived": books.arrived } })
+            .to_string()
+    }
+
+    /// The books, where they are ours to keep.
+    fn keep_books(&mut self, now: Moment, out: &mut Outbox) {
+        let Some(books) = &mut self.books else { return };
+        let Some(number) = self.member.may(now, BOOKS) else { return books.give_up(now, out) };
+        let what = books.keep(now, number, self.member.record.books().0, out);
+        self.tell_record(now, what, out);
+    }
+
+    fn tell_record(&mut self, now: Moment, what: Option<What>, out: &mut Outbox) {
+        let Some(what) = what else { return };
+        let command = Command { id: self.member.draw(), given: now.0 / 1_000_000, what: Some(what) };
+        self.ask(now, Purpose::Books, Request::Command(command), out);
+    }
+
+    fn books_input(&mut self, now: Moment, input: Input<'_>, out: &mut Outbox) {
+        let Some(books) = &mut self.books else { return };
+        match input {
+            // The link took its time: asked again at the effect itself.
+            Input::Opened { .. } if self.member.may(now, BOOKS).is_some() => {
+                books.opened(self.member.record.books().1, out);
+            }
+            Input::Opened { .. } => books.give_up(now, out),
+            Input::Bytes { bytes, .. } => {
+                let what = books.bytes(now, bytes, out);
+                self.tell_record(now, what, out);
+            }
+            Input::Closed { .. } => books.closed(now),
+            _ => {}
         }
     }
 
@@ -375,6 +466,13 @@
                 self.member.handle(now, Input::Start, out);
                 self.take_number(now, out);
                 out.wake(NUMBERED, now + NUMBER);
+                if self.books.is_some() {
+                    out.wake(BOOKKEEPING, now + LOOK);
+                }
+            }
+            Input::Due { timer: BOOKKEEPING } => {
+                self.keep_books(now, out);
+                out.wake(BOOKKEEPING, now + LOOK);
             }
             Input::Due { timer: NUMBERED } => {
                 // The time of orders that end is looked at now and then.
@@ -388,6 +486,11 @@
             Input::Listening { door: DOOR, .. }
             | Input::NotListening { door: DOOR, .. }
             | Input::Accepted { door: DOOR, .. } => self.member.handle(now, input, out),
+            Input::Opened { link } | Input::Bytes { link, .. } | Input::Closed { link, .. }
+                if self.books.as_ref().is_some_and(|books| books.has(link)) =>
+            {
+                self.books_input(now, input, out)
+            }
             Input::Opened { link } | Input::Bytes { link, .. } | Input::Closed { link, .. }
                 if self.member.has(link) =>
             {
--- a/crates/member/src/words.rs
+++ b/crates/member/src/words.rs
@@ -15,7 +15,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Word {
-    #[prost(oneof = "word::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "word::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: Option<word::Kind>,
 }
 
@@ -41,6 +41,12 @@
         ReadAsk(u64),
         #[prost(message, tag = "8")]
         ReadAt(super::ReadAt),
+        /// From format 2 on: a lease is asked for; answered by a read's place.
+        #[prost(message, tag = "9")]
+        Renew(super::Renew),
+        /// The leader asks for a duty; answered by a command that releases it.
+        #[prost(message, tag = "10")]
+        HandOn(super::HandOn),
     }
 }
 
@@ -121,6 +127,23 @@
     pub old: Id,
 }
 
+#[derive(Clone, PartialEq, Message)]
+pub struct Renew {
+    #[prost(uint64, tag = "1")]
+    pub token: u64,
+    /// It takes no more duties.
+    #[prost(bool, tag = "2")]
+    pub leaves: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct HandOn {
+    #[prost(string, tag = "1")]
+    pub duty: String,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+}
+
 #[derive(Clone, PartialEq, Message)]
 pub struct ReadAt {
     #[prost(uint64, tag = "1")]
@@ -298,6 +321,7 @@
                 }
                 Ok(())
             }
+            word::Kind::HandOn(asked) => named(&asked.duty),
             word::Kind::Agree(agreeing) => told(agreeing.clone()).map(drop),
             _ => Ok(()),
         }
--- a/crates/member/tests/hand.rs
+++ b/crates/member/tests/hand.rs
@@ -33,6 +33,8 @@
             patience: Span::millis(1_000),
             seed: if file.is_some() { 10 } else { 9 },
             format: 2,
+            duties: None,
+            receiver: None,
         };
         let member = Member::new(post);
         let (out, due, seen) = (Outbox::default(), Vec::new(), Vec::new());
--- a/crates/pewtergap/src/cluster.rs
+++ b/crates/pewtergap/src/cluster.rs
@@ -24,10 +24,12 @@
     /// Cluster days at the same time.
     #[arg(long, default_value_t = 1)]
     jobs: usize,
-    /// Plant a break in a cluster day that the audit must find: lost-order, stale-read, number-twice, vote-after-wipe.
+    /// Plant a break in a cluster day that the audit must find: lost-order, stale-read, number-twice, vote-after-wipe,
+    /// and where duties are held no-fence, sent-twice, goes-on.
     #[arg(long, value_parser = planted)]
     cluster_plant: Option<Planted>,
-    /// In place of drawn troubles one hard case: roll-out, pieces, full-disk, lost-in-a-change, places.
+    /// In place of drawn troubles one hard case: roll-out, pieces, full-disk, lost-in-a-change, places,
+    /// duties.
     #[arg(long, value_parser = drill)]
     drill: Option<String>,
 }
@@ -103,6 +105,7 @@
                     only: Vec::new(),
                     planted: line.cluster_plant,
                     format: None,
+                    duties: false,
                 };
                 let came = match line.drill.as_deref().and_then(|drill| day_of(drill, day.clone())) {
                     Some((day, act)) => play_with(&day, act),
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -33,6 +33,11 @@
     },
     /// What the record holds.
     Record(operator::RecordLine),
+    /// What one planner at a time does for all.
+    Duties {
+        #[command(subcommand)]
+        what: operator::DutiesLine,
+    },
     /// Play a day against stand-ins on loopback and judge the five rules.
     Rehearse(rehearse::Wanted),
     /// Measure, with figures as ratios within one run.
@@ -86,6 +91,7 @@
         Front::Order(line) => operator::order(line),
         Front::Members { what } => operator::members(what),
         Front::Record(line) => operator::record(line),
+        Front::Duties { what } => operator::duties(what),
         Front::Rehearse(wanted) => rehearse::rehearse(wanted),
         Front::Measure { what: Measured::Order { proxies, rounds, others, json } } => {
             order(&proxies, rounds, others, json)
--- a/crates/pewtergap/src/operator.rs
+++ b/crates/pewtergap/src/operator.rs
@@ -100,6 +100,43 @@
     },
 }
 
+#[derive(Subcommand)]
+pub enum DutiesLine {
+    /// Who holds which duty, under which number, and since when.
+    List {
+        #[command(flatten)]
+        at: At,
+    },
+    /// A duty goes to this planner and stays there; with no planner wherever it falls.
+    Hand {
+        duty: String,
+        to: Option<String>,
+        #[arg(long)]
+        by: String,
+        #[arg(long)]
+        why: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// No duty moves but what is lost.
+    Hold {
+        #[arg(long)]
+        by: String,
+        #[arg(long)]
+        why: String,
+        #[command(flatten)]
+        at: At,
+    },
+    Let {
+        #[arg(long)]
+        by: String,
+        #[arg(long)]
+        why: String,
+        #[command(flatten)]
+        at: At,
+    },
+}
+
 #[derive(Args)]
 pub struct RecordLine {
     #[command(flatten)]
@@ -182,6 +219,30 @@
     ask(&at, "POST", "/members", Some(&body))
 }
 
+pub fn duties(line: DutiesLine) -> Ended {
+    let fields = |by: String, why: String| {
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let id = format!("{:016x}", fastrand::u64(1..));
+        eprintln!("order {id}");
+        json!({ "id": id, "given": now.as_millis() as u64, "who": by, "why": why })
+    };
+    let (at, target, mut body, more) = match line {
+        DutiesLine::List { at } => return ask(&at, "GET", "/duties", None),
+        DutiesLine::Hand { duty, to, by, why, at } => {
+            let more = json!({ "duty": duty, "to": to.unwrap_or_default() });
+            (at, "/duties", fields(by, why), more)
+        }
+        DutiesLine::Hold { by, why, at } => {
+            (at, "/orders", fields(by, why), json!({ "order": "hold-duties" }))
+        }
+        DutiesLine::Let { by, why, at } => (at, "/orders", fields(by, why), json!({ "order": "let-duties" })),
+    };
+    if let (Value::Object(body), Value::Object(more)) = (&mut body, more) {
+        body.extend(more);
+    }
+    ask(&at, "POST", target, Some(&body.to_string()))
+}
+
 pub fn record(line: RecordLine) -> Ended {
     ask(&line.at, "GET", if line.stale { "/record?stale" } else { "/record" }, None)
 }
--- a/crates/pewtergap/tests/cluster.rs
+++ b/crates/pewtergap/tests/cluster.rs
@@ -9,7 +9,18 @@
     let dir = std::env::temp_dir().join(format!("pewtergap-cluster-{}-{name}", std::process::id()));
     let program = Path::new(env!("CARGO_BIN_EXE_pewtergap"));
     let only = Vec::new();
-    ClusterDay { program, dir, members: 3, founders: 3, seed, strikes: 3, only, planted: None, format: None }
+    ClusterDay {
+        program,
+        dir,
+        members: 3,
+        founders: 3,
+        seed,
+        strikes: 3,
+        only,
+        planted: None,
+        format: None,
+        duties: false,
+    }
 }
 
 fn kept(day: &ClusterDay) {
--- a/crates/record/src/commands.rs
+++ b/crates/record/src/commands.rs
@@ -13,7 +13,7 @@
     pub id: u64,
     #[prost(uint64, tag = "2")]
     pub given: u64,
-    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7")]
+    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub what: Option<What>,
 }
 
@@ -33,6 +33,64 @@
     /// From here on commands mean what this format says; all who belong speak it.
     #[prost(uint32, tag = "7")]
     Raise(u32),
+    /// A duty gets a holder. From format 2 on, as all that follow.
+    #[prost(message, tag = "8")]
+    Give(Give),
+    /// Its holder has stopped and hands it on.
+    #[prost(message, tag = "9")]
+    Release(Release),
+    /// An operator wants a duty at a planner, or no longer anywhere.
+    #[prost(message, tag = "10")]
+    Hand(Hand),
+    /// A period of the books is closed, what it says is fixed from here on; or it has arrived.
+    #[prost(message, tag = "11")]
+    Close(Close),
+    #[prost(message, tag = "12")]
+    Arrived(Close),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Give {
+    #[prost(string, tag = "1")]
+    pub duty: String,
+    /// The disk's number and the name of the planner.
+    #[prost(fixed64, tag = "2")]
+    pub to: u64,
+    #[prost(string, tag = "3")]
+    pub name: String,
+    /// The number that it had when this was decided; another one: decided too late.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Release {
+    #[prost(string, tag = "1")]
+    pub duty: String,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Hand {
+    #[prost(string, tag = "1")]
+    pub duty: String,
+    /// Empty: wherever it falls.
+    #[prost(string, tag = "2")]
+    pub to: String,
+    #[prost(string, tag = "3")]
+    pub who: String,
+    #[prost(string, tag = "4")]
+    pub why: String,
+}
+
+/// A period of the books by its id, under the number of whoever keeps them.
+#[derive(Clone, PartialEq, Message)]
+pub struct Close {
+    #[prost(uint64, tag = "1")]
+    pub period: u64,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
 }
 
 /// An operator's order. The newest on a subject is in force.
@@ -45,7 +103,7 @@
     /// In milliseconds of the calendar; 0: until it is taken back.
     #[prost(uint64, tag = "3")]
     pub until: u64,
-    #[prost(oneof = "Wish", tags = "4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Wish", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub wish: Option<Wish>,
 }
 
@@ -70,6 +128,11 @@
     HoldReleases(Clean),
     #[prost(message, tag = "11")]
     LetReleases(Clean),
+    /// No duty moves but what is lost.
+    #[prost(message, tag = "12")]
+    HoldDuties(Clean),
+    #[prost(message, tag = "13")]
+    LetDuties(Clean),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -116,6 +179,9 @@
 pub struct Clean {
     #[prost(uint64, tag = "1")]
     pub now: u64,
+    /// Under which number of the duty, where there is one.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
 }
 
 /// What an order is about: two on one subject don't stand beside each other.
@@ -125,6 +191,7 @@
     Weight(String),
     Route(String),
     Releases,
+    Duties,
 }
 
 impl Wish {
@@ -139,6 +206,8 @@
             Wish::Uncap(route) => (Subject::Route(route.clone()), false),
             Wish::HoldReleases(_) => (Subject::Releases, true),
             Wish::LetReleases(_) => (Subject::Releases, false),
+            Wish::HoldDuties(_) => (Subject::Duties, true),
+            Wish::LetDuties(_) => (Subject::Duties, false),
         }
     }
 
@@ -152,6 +221,8 @@
             Wish::Uncap(route) => format!("uncap {route}"),
             Wish::HoldReleases(_) => "hold-releases".into(),
             Wish::LetReleases(_) => "let-releases".into(),
+            Wish::HoldDuties(_) => "hold-duties".into(),
+            Wish::LetDuties(_) => "let-duties".into(),
         }
     }
 }
@@ -159,7 +230,7 @@
 impl What {
     /// Given by planners themselves, not by operators.
     pub(crate) fn is_own(&self) -> bool {
-        matches!(self, What::TakeNumber(_) | What::Drain(_))
+        !matches!(self, What::Order(_) | What::Hand(_) | What::Clean(_) | What::Raise(_))
     }
 }
 
@@ -201,12 +272,19 @@
                 match wish.subject().0 {
                     Subject::Server(text) | Subject::Weight(text) => name("server", &text, MOST_NAME),
                     Subject::Route(text) => name("route", &text, MOST_NAME),
-                    Subject::Releases => Ok(()),
+                    Subject::Releases | Subject::Duties => Ok(()),
                 }
             }
             What::TakeNumber(take) => name("planner", &take.planner, MOST_NAME),
             What::Drain(drain) => name("server", &drain.server, MOST_NAME),
-            What::Clean(_) | What::Raise(_) => Ok(()),
+            What::Give(give) => name("duty", &give.duty, MOST_NAME),
+            What::Release(release) => name("duty", &release.duty, MOST_NAME),
+            What::Hand(hand) => {
+                name("duty", &hand.duty, MOST_NAME)?;
+                name("who", &hand.who, MOST_NAME)?;
+                name("why", &hand.why, MOST_WHY)
+            }
+            What::Clean(_) | What::Raise(_) | What::Close(_) | What::Arrived(_) => Ok(()),
         }
     }
 }
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -14,6 +14,13 @@
 //! | | number | one more is taken | `Kept`, the number |
 //! | no drain of that start | drain | it runs from when it was told | `Kept` |
 //! | a drain of that start | drain | as it is: a grace never begins anew | `Kept`, the number of the first |
+//! | a duty under that number | give | held by that planner, under the place in the log as its number | `Kept`, the number |
+//! | a duty under another | give, release | as it is: decided too late | `Refused` |
+//! | held under that number | release | nobody's, the number stays | `Kept` |
+//! | | hand | where it goes when it is free next | `Kept` |
+//! | the period after the last closed, under the books' number | close | closed, not arrived | `Kept` |
+//! | closed, under the books' number | arrived | arrived; again: as it is | `Kept` |
+//! | under an older number | clean, close, arrived | as it is | `Refused` |
 //! | | raise | the format of the commands that follow, never a lower one | `Kept` |
 //! | | clean | what ran out is gone, the horizon rises, never falls | `Kept` |
 #![forbid(unsafe_code)]
@@ -21,7 +28,8 @@
 mod commands;
 
 pub use commands::{
-    Cap, Clean, Command, Drain, Order, Subject, TakeNumber, Weight, What, Wish, MOST_NAME, MOST_WHY,
+    Cap, Clean, Close, Command, Drain, Give, Hand, Order, Release, Subject, TakeNumber, Weight, What, Wish,
+    MOST_NAME, MOST_WHY,
 };
 
 use prost::Message;
@@ -34,6 +42,11 @@
 /// Of planners' own commands the last so many are remembered: given again after that, a drain changes nothing and a
 /// number is one more. In format 1 they took the places of operators' orders, and more than 111 a second filled them.
 pub const MOST_OWN: usize = 4_096;
+/// Duties that are known; more get no holder.
+pub const MOST_DUTIES: usize = 1_024;
+/// Duties that the record itself is touched by.
+pub const CLEANING: &str = "cleaning";
+pub const BOOKS: &str = "books";
 /// Formats of commands that this build can carry out.
 pub const FORMATS: (u32, u32) = (1, 2);
 /// An id is remembered for so long after it was given, in milliseconds: longer than anybody goes on asking.
@@ -77,6 +90,41 @@
     format: u32,
     #[prost(message, repeated, tag = "7")]
     own: Vec<Own>,
+    #[prost(btree_map = "string, message", tag = "8")]
+    duties: BTreeMap<String, Duty>,
+    #[prost(message, optional, tag = "9")]
+    books: Option<Books>,
+    /// What the closed period says, fixed when it was closed.
+    #[prost(string, tag = "10")]
+    extract: String,
+}
+
+/// A duty; holder 0: nobody's. The number only rises.
+#[derive(Clone, PartialEq, Message)]
+pub struct Duty {
+    #[prost(fixed64, tag = "1")]
+    pub holder: u64,
+    #[prost(string, tag = "2")]
+    pub name: String,
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// Where an operator wants it.
+    #[prost(string, tag = "4")]
+    pub wanted: String,
+    /// When it was given or handed on, by the calendar of whoever said so.
+    #[prost(uint64, tag = "5")]
+    pub since: u64,
+}
+
+/// The books: the last period that was closed, at which place of the log, and the last that arrived.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Books {
+    #[prost(uint64, tag = "1")]
+    pub closed: u64,
+    #[prost(uint64, tag = "2")]
+    pub at: u64,
+    #[prost(uint64, tag = "3")]
+    pub arrived: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -110,6 +158,9 @@
     /// Planners' own commands, in their order.
     own: VecDeque<u64>,
     own_ids: BTreeMap<u64, Past>,
+    duties: BTreeMap<String, Duty>,
+    books: Books,
+    extract: String,
 }
 
 impl Record {
@@ -137,7 +188,15 @@
                 self.format = self.format().max(*format);
                 return Answer::Kept(index);
             }
+            Some(What::Give(give)) => self.give(index, command.given, give),
+            Some(What::Release(release)) => self.release(index, command.given, release),
+            Some(What::Hand(hand)) => self.hand(index, hand),
+            Some(What::Close(close)) => self.close(index, close),
+            Some(What::Arrived(close)) => self.arrived(index, close),
             Some(What::Clean(clean)) => {
+                if let Err(why) = self.fenced(CLEANING, clean.number) {
+                    return Answer::Refused(why);
+                }
                 self.clean(clean.now);
                 return Answer::Kept(index);
             }
@@ -187,6 +246,94 @@
         Answer::Kept(index)
     }
 
+    /// What is done under a number that is not the duty's any more is refused. Without the duty there is none.
+    fn fenced(&self, duty: &str, number: u64) -> Result<(), String> {
+        match self.duties.get(duty).map_or(0, |duty| duty.number) {
+            known if known == number => Ok(()),
+            known => Err(format!("{duty} is done under number {known} by now, not {number}")),
+        }
+    }
+
+    fn give(&mut self, index: u64, given: u64, give: &Give) -> Answer {
+        if let Err(why) = self.fenced(&give.duty, give.number) {
+            return Answer::Refused(why);
+        }
+        if !self.duties.contains_key(&give.duty) && self.duties.len() >= MOST_DUTIES {
+            return Answer::Refused(format!("{MOST_DUTIES} duties are known"));
+        }
+        let duty = self.duties.entry(give.duty.clone()).or_default();
+        (duty.holder, duty.name, duty.number, duty.since) = (give.to, give.name.clone(), index, given);
+        Answer::Kept(index)
+    }
+
+    fn release(&mut self, index: u64, given: u64, release: &Release) -> Answer {
+        if let Err(why) = self.fenced(&release.duty, release.number) {
+            return Answer::Refused(why);
+        }
+        if let Some(duty) = self.duties.get_mut(&release.duty) {
+            (duty.holder, duty.since) = (0, given);
+        }
+        Answer::Kept(index)
+    }
+
+    fn hand(&mut self, index: u64, hand: &Hand) -> Answer {
+        match self.duties.get_mut(&hand.duty) {
+            Some(duty) => duty.wanted = hand.to.clone(),
+            None => return Answer::Refused(format!("there is no duty '{}'", hand.duty)),
+        }
+        Answer::Kept(index)
+    }
+
+    /// Closed only when the last one arrived: what it says is kept until then, so whoever sends it sends the same.
+    fn close(&mut self, index: u64, close: &Close) -> Answer {
+        if let Err(why) = self.fenced(BOOKS, close.number) {
+            return Answer::Refused(why);
+        }
+        match self.books {
+            books if close.period <= books.closed => Answer::Kept(index),
+            books if books.arrived < books.closed => {
+                Answer::Refused(format!("period {} has not arrived", books.closed))
+            }
+            books => {
+                self.books = Books { closed: close.period, at: index, ..books };
+                self.extract = self.extract_now(close.period, index);
+                Answer::Kept(index)
+            }
+        }
+    }
+
+    fn arrived(&mut self, index: u64, close: &Close) -> Answer {
+        if let Err(why) = self.fenced(BOOKS, close.number) {
+            return Answer::Refused(why);
+        }
+        if close.period > self.books.closed {
+            return Answer::Refused(format!("period {} is not closed", close.period));
+        }
+        self.books.arrived = self.books.arrived.max(close.period);
+        Answer::Kept(index)
+    }
+
+    /// What the record holds, as the receiver gets it: the same bytes from whoever sends it.
+    fn extract_now(&self, period: u64, index: u64) -> String {
+        let orders: Vec<serde_json::Value> = self
+            .orders
+            .values()
+            .filter_map(|standing| {
+                let order = standing.order.as_ref()?;
+                Some(serde_json::json!({ "number": standing.number, "order": order.wish.as_ref()?.words(),
+                    "who": order.who, "why": order.why, "until": order.until, "given": standing.given }))
+            })
+            .collect();
+        let drains: Vec<serde_json::Value> = self
+            .drains
+            .values()
+            .map(|d| serde_json::json!({ "server": d.server, "started": d.started, "told": d.told, "grace": d.grace }))
+            .collect();
+        serde_json::json!({ "period": period, "index": index, "number": self.number, "orders": orders,
+            "drains": drains })
+        .to_string()
+    }
+
     fn clean(&mut self, now: u64) {
         self.orders.retain(|_, standing| {
             standing.order.as_ref().is_some_and(|order| order.until == 0 || order.until > now)
@@ -210,6 +357,15 @@
         self.orders.iter()
     }
 
+    pub fn duties(&self) -> &BTreeMap<String, Duty> {
+        &self.duties
+    }
+
+    /// The books, and what the last closed period says.
+    pub fn books(&self) -> (Books, &str) {
+        (self.books, &self.extract)
+    }
+
     pub fn order_on(&self, subject: &Subject) -> Option<&Standing> {
         self.orders.get(subject)
     }
@@ -252,6 +408,9 @@
             horizon: self.horizon,
             format: self.format,
             own: own.collect(),
+            duties: self.duties.clone(),
+            books: Some(self.books),
+            extract: self.extract.clone(),
         };
         image.encode_to_vec()
     }
@@ -264,13 +423,26 @@
             let (subject, _) = wish.ok_or("an order in the image wishes for nothing")?.subject();
             orders.insert(subject, standing);
         }
-        let Image { ids, number, drains, horizon, format, own, .. } = image;
+        let books = image.books.unwrap_or_default();
+        let Image { ids, number, drains, horizon, format, own, duties, extract, .. } = image;
         if format > FORMATS.1 {
             return Err(format!("the record stands at format {format}, this build knows {}", FORMATS.1));
         }
         let ids_of_own = own.iter().map(|own| own.id).collect();
         let own_ids = own.into_iter().map(|own| (own.id, own.past)).collect();
-        Ok(Record { orders, ids, number, drains, horizon, format, own: ids_of_own, own_ids })
+        Ok(Record {
+            orders,
+            ids,
+            number,
+            drains,
+            horizon,
+            format,
+            own: ids_of_own,
+            own_ids,
+            duties,
+            books,
+            extract,
+        })
     }
 }
 
--- a/crates/record/tests/table.rs
+++ b/crates/record/tests/table.rs
@@ -25,7 +25,7 @@
 }
 
 fn clean(now: u64) -> Command {
-    Command { id: 99, given: now, what: Some(What::Clean(Clean { now })) }
+    Command { id: 99, given: now, what: Some(What::Clean(Clean { now, number: 0 })) }
 }
 
 #[test]
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -5,12 +5,14 @@
 use pewtergap_agree::Times;
 use pewtergap_control::channel::Channel as Queue;
 use pewtergap_control::{Charge, Doors, Probing, Reports, Service, Source};
+use pewtergap_duty::Lease;
 use pewtergap_member::words::FORMATS;
-use pewtergap_member::{Post, Together, MOST_MEMBERS};
+use pewtergap_member::{Duties, Post, Receiver, Together, MOST_MEMBERS};
 use pewtergap_planner::{
     Channel, Fleet, KeyScope, Planner, Pledge, Reach, Repeats, Route, Slicing, Throttle,
 };
 use pewtergap_proxy::{Front, Home, Proxy, Shunning};
+use pewtergap_record::{BOOKS, CLEANING};
 use pewtergap_time::{Moment, Span};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -174,7 +176,40 @@
     if !(FORMATS.0..=FORMATS.1).contains(&format) {
         part.fault("format", format!("{format}: this build speaks {} to {}", FORMATS.0, FORMATS.1));
     }
-    Post { name: String::new(), listen, members, from: None, times, patience, seed: 0, format }
+    Post {
+        name: String::new(),
+        listen,
+        members,
+        from: None,
+        times,
+        patience,
+        seed: 0,
+        format,
+        duties: None,
+        receiver: None,
+    }
+}
+
+/// Duties that one planner holds at a time; left out, there are none and each does all for itself.
+fn duties(part: &Section) -> (Lease, Span) {
+    let lease = Lease {
+        length: part.or("lease", Span::millis(3_000)),
+        renew: part.or("renew", Span::millis(500)),
+        pause: part.or("pause", Span::millis(500)),
+        drift: part.or("drift", Share(0.02)).0,
+    };
+    if let Err(why) = lease.check() {
+        part.clash("lease", why);
+    }
+    (lease, part.or("steady", Span::millis(5_000)))
+}
+
+fn books(part: &Section) -> Receiver {
+    let receiver = Receiver { at: part.need("receiver"), period: part.or("period", Span::millis(60_000)) };
+    if receiver.period < Span::millis(100) {
+        part.fault("period", "at least 100ms were expected");
+    }
+    receiver
 }
 
 pub fn service_file(script: &Script) -> Result<ServiceFile, Faults> {
@@ -247,6 +282,15 @@
         if !post.members.is_empty() && post.listen.is_none() {
             part.fault("cluster", "listen is missing: where do the other members come in?");
         }
+        let receiver = part.maybe_part("books", "books", books);
+        let duties = part.maybe_part("duties", "duties", duties).map(|(lease, steady)| {
+            let names = [Some(CLEANING), receiver.map(|_| BOOKS)];
+            let names = names.into_iter().flatten().map(str::to_string).collect();
+            Duties { lease, steady, names }
+        });
+        if receiver.is_some() && duties.is_none() {
+            part.fault("books", "duties() is missing: one planner at a time keeps them");
+        }
         let deaf_after = Span(pledge.drain_grace.0.saturating_mul(4).max(Span::millis(5_000).0));
         ServiceFile {
             charge: Charge {
@@ -267,7 +311,7 @@
             slicing: Slicing { slices: 0, exclusive: false, keeps_writing: Span(0), lingers: Span(0) },
             reports,
             probing: probing.2,
-            post: Post { name: name.clone(), from: doors.from, ..post },
+            post: Post { name: name.clone(), from: doors.from, duties, receiver, ..post },
             seed: part.maybe("seed"),
             dir: part.or("state_dir", ".".to_string()).into(),
         }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -250,6 +250,12 @@
         value
     }
 
+    /// A part that may be left out.
+    pub fn maybe_part<T>(&self, name: &str, kind: &str, read: impl FnOnce(&Section) -> T) -> Option<T> {
+        self.find(name)?;
+        Some(self.within(name, kind, read))
+    }
+
     /// A part that must be there, of one of some kinds.
     pub fn need_part<T>(&self, name: &str, kinds: &[&str], read: impl FnOnce(&Section) -> T) -> Option<T> {
         let Some(value) = self.find(name) else {
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -23,6 +23,8 @@
     "probes",
     "reports",
     "cluster",
+    "duties",
+    "books",
     "member",
     "shunning",
     "servers",
