--- a/crates/duty/src/giver.rs
+++ b/crates/duty/src/giver.rs
@@ -91,7 +91,8 @@
 
     fn ready(&self, now: Moment, planner: u64) -> bool {
         self.heard(now, planner)
-            && self.known.get(&planner).is_some_and(|known| now.since(known.since) >= self.steady)
+            // By what was heard: silence had made it steady, and one that flaps got duties in its gaps.
+            && self.known.get(&planner).is_some_and(|known| known.heard.since(known.since) >= self.steady)
     }
 
     /// What is to be done now. `wanted`: the duties there are; `frozen`: an operator lets nothing move but what is lost.
