Probes by slice: one planner asks a server for all, doubt costs probes and not health

Need: every planner probed every server, so probes grew with planners. Servers are sliced by zone and hash, each slice is a duty; what a module wants asked goes to the holder, which asks once and tells all under its number.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,8 +17,9 @@
 pub mod tables;
 pub mod watch;
 
+pub use pewtergap_planner::ProbeEnd;
 pub use probes::Probing;
-pub use service::{Asked, Charge, Doors, DrainTold, Service};
+pub use service::{Asked, Charge, Doors, DrainTold, ProbeOver, Service};
 pub use standing::{Standing, Stands};
 pub use streams::Reports;
 pub use watch::Source;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -12,11 +12,11 @@
 use pewtergap_http::{answer, Bounds, First, Part, Reader, Side};
 use pewtergap_node::{Effect, Ended, Input, Level, Link, Node, Outbox};
 use pewtergap_planner::door::Door;
-use pewtergap_planner::{Entry, Event, ListKind, Listed, Load, Order, Planner};
+use pewtergap_planner::{Entry, Event, ListKind, Listed, Load, Order, Planner, ProbeEnd};
 use pewtergap_protocol::{down, encode, up, Beat, Bye, Down, Hello, Nack, Sums, Update, Welcome, VERSION};
 use pewtergap_time::{Moment, Span};
 use std::any::Any;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 
 /// Who this planner is, and whom it serves.
@@ -88,6 +88,14 @@
     pub body: Vec<u8>,
 }
 
+/// How a probe from here ended: utilization and calls in hand, where they were told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProbeOver {
+    pub server: String,
+    pub end: ProbeEnd,
+    pub load: (Option<f64>, Option<f64>),
+}
+
 /// A drain that was told, which start of the server it is of, and when.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DrainTold {
@@ -122,6 +130,12 @@
     intake: Intake,
     intake_set: bool,
     probes: Probes,
+    /// Probes are asked for, and told, by who stands beside: what the module wants goes to `probe_asks`, what came of those
+    /// from here to `probe_ends`.
+    pub probes_shared: bool,
+    probes_wanted: BTreeSet<usize>,
+    pub probe_asks: Vec<String>,
+    pub probe_ends: Vec<ProbeOver>,
     admin: BTreeMap<Link, (Reader, Option<Asked>)>,
     /// Prefixes of what is answered by others, and what waits for them.
     pub elsewhere: &'static [&'static str],
@@ -167,6 +181,10 @@
             intake: Intake::new(reports.intake_per_s),
             intake_set: false,
             probes: Probes::new(probing),
+            probes_shared: false,
+            probes_wanted: BTreeSet::new(),
+            probe_asks: Vec::new(),
+            probe_ends: Vec::new(),
             admin: BTreeMap::new(),
             elsewhere: &[],
             asked: Vec::new(),
@@ -336,6 +354,10 @@
         let orders = self.planner.turn(now, &events);
         for order in &orders {
             match order {
+                Order::Probe { server } if self.probes_shared => {
+                    self.probes_wanted.insert(*server);
+                    self.probe_asks.push(self.servers.name(*server).clone());
+                }
                 Order::Probe { server } => self.probes.ask(*server),
                 Order::Wake { at } => out.wake(timer::WOKEN, *at),
                 Order::Note { text } => out.log(Level::Info, "planner", vec![("text", text.clone())]),
@@ -343,6 +365,7 @@
                     if let Some(link) = self.probes.forget(*server) {
                         out.cut(link);
                     }
+                    self.probes_wanted.remove(server);
                     self.intake.forget_server(*server);
                     self.servers.forget(*server);
                 }
@@ -621,11 +644,49 @@
         }
     }
 
+    /// The end of a probe from here.
+    fn probe_ended(&mut self, now: Moment, server: usize, end: ProbeEnd, load: Load, out: &mut Outbox) {
+        if self.probes_shared {
+            let at = self.servers.name(server).clone();
+            self.probe_ends.push(ProbeOver { server: at, end, load: (load.util, load.in_hand) });
+            if !self.probes_wanted.remove(&server) {
+                return;
+            }
+        }
+        self.event(now, Event::Probed { server, end, load }, out);
+    }
+
+    /// Asks a server from here, for whomever.
+    pub fn probe(&mut self, now: Moment, at: &str, out: &mut Outbox) {
+        if let Some(server) = self.servers.find(&at.to_string()) {
+            self.probes.ask(server);
+            self.ask_next(now, out);
+        }
+    }
+
+    /// What another planner saw; the module hears it if it wanted to know.
+    pub fn probed(
+        &mut self,
+        now: Moment,
+        at: &str,
+        end: ProbeEnd,
+        (util, in_hand): (Option<f64>, Option<f64>),
+        out: &mut Outbox,
+    ) {
+        let Some(server) = self.servers.find(&at.to_string()) else { return };
+        if self.probes_wanted.remove(&server) {
+            self.event(now, Event::Probed { server, end, load: Load { util, in_hand } }, out);
+        }
+    }
+
+    pub fn zone_of(&self, at: &str) -> Option<&str> {
+        self.roll.known().get(at).map(|known| known.zone.as_str())
+    }
+
     fn late_probes(&mut self, now: Moment, out: &mut Outbox) {
         for (link, server) in self.probes.late(now) {
             out.cut(link);
-            let (end, load) = (pewtergap_planner::ProbeEnd::Silent, Load::default());
-            self.event(now, Event::Probed { server, end, load }, out);
+            self.probe_ended(now, server, ProbeEnd::Silent, Load::default(), out);
         }
         self.ask_next(now, out);
     }
@@ -844,7 +905,7 @@
             self.follow(now, told.unwrap_or_default(), out);
         } else if self.probes.knows(link) {
             if let Some((server, end, load)) = self.probes.closed(link, why) {
-                self.event(now, Event::Probed { server, end, load }, out);
+                self.probe_ended(now, server, end, load, out);
             }
             self.ask_next(now, out);
         } else if self.admin.remove(&link).is_none() {
@@ -862,7 +923,7 @@
         } else if self.probes.knows(link) {
             if let Some((server, end, load)) = self.probes.bytes(link, bytes) {
                 out.cut(link);
-                self.event(now, Event::Probed { server, end, load }, out);
+                self.probe_ended(now, server, end, load, out);
                 self.ask_next(now, out);
             }
         } else if self.admin.contains_key(&link) {
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -60,6 +60,9 @@
     /// Drains by order that a planner went by, and orders that were kept.
     pub drains_ordered: usize,
     pub orders_kept: usize,
+    /// Probes of servers, and the most planners that probed one of them within a second.
+    pub probes: usize,
+    pub most_probers: usize,
     pub cold_starts: usize,
     pub messages: usize,
     /// The highest, as part of its limit.
@@ -126,6 +129,7 @@
         updates: BTreeMap::new(),
         told: HashMap::new(),
         counts: [0; 6],
+        probers: HashMap::new(),
     };
     judge.audit.looked.rows = rows.len();
     let mut ordered: Vec<&Row> = rows.iter().collect();
@@ -153,6 +157,8 @@
     /// When each proxy was sent messages by a planner.
     told: HashMap<(String, String), VecDeque<i64>>,
     counts: [usize; 6],
+    /// By server: when probed by whom, the last second.
+    probers: HashMap<String, VecDeque<(i64, String)>>,
 }
 
 impl Judge<'_> {
@@ -184,6 +190,7 @@
             }
             Kind::Listed => self.listed(row),
             Kind::Ordered => self.ordered(row),
+            Kind::Probed => self.probed(row),
             Kind::Capacity => self.capacity(row),
             Kind::Answered => self.answered(row),
             Kind::Sent => self.sent(row),
@@ -215,6 +222,19 @@
         *told = Told { running, started, left, ordered: told.ordered, at: row.at };
     }
 
+    fn probed(&mut self, row: &Row) {
+        self.audit.looked.probes += 1;
+        let by = self.probers.entry(row.to.clone()).or_default();
+        by.push_back((row.at, row.from.clone()));
+        while by.front().is_some_and(|first| first.0 <= row.at - 1_000_000_000) {
+            by.pop_front();
+        }
+        let mut names: Vec<&String> = by.iter().map(|probe| &probe.1).collect();
+        names.sort_unstable();
+        names.dedup();
+        self.audit.looked.most_probers = self.audit.looked.most_probers.max(names.len());
+    }
+
     fn ordered(&mut self, row: &Row) {
         if row.route == "kept" {
             self.audit.looked.orders_kept += 1;
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -118,6 +118,8 @@
     pub planners: usize,
     /// Planners are members of one cluster, and operators give them orders all day.
     pub agreed: bool,
+    /// And hold duties: slices of probes, cleaning.
+    pub duties: bool,
     pub standing: usize,
     pub routes: Vec<RouteFile>,
     pub asked: Vec<Asked>,
@@ -193,6 +195,10 @@
         }
         let planners: usize = part.or("planners", 2);
         let agreed: bool = part.or("agreed", false);
+        let duties: bool = part.or("duties", false);
+        if duties && !agreed {
+            part.clash("duties", "only planners that agree have them: agreed = True");
+        }
         if agreed && ![1, 3, 5, 7].contains(&planners) {
             part.clash("planners", "1, 3, 5 or 7 of them agree");
         }
@@ -231,6 +237,7 @@
             proxies: part.or("proxies", 8),
             planners,
             agreed,
+            duties,
             standing: part.or("standing", 4),
             routes,
             asked,
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -42,6 +42,9 @@
     ("members", "trouble(\"member_cut\", at = \"1s\", lasts = \"2s\"), trouble(\"leader_killed\", at = \"3500ms\", lasts = \"1s\"), \
                  trouble(\"deploy\", at = \"1s\", lasts = \"6s\", share = 0.34), trouble(\"disk_lost\", at = \"5500ms\", lasts = \"1s\"), \
                  trouble(\"majority_lost\", at = \"7500ms\", lasts = \"1500ms\")"),
+    ("duties_silent_server", "trouble(\"silent_server\", at = \"4s\", lasts = \"4s\", share = 0.3)"),
+    ("duties_members", "trouble(\"member_cut\", at = \"3s\", lasts = \"2s\"), trouble(\"leader_killed\", at = \"6s\", lasts = \"1s\"), \
+                 trouble(\"dead_server\", at = \"3500ms\", lasts = \"4s\", share = 0.2), trouble(\"planner_stopped\", at = \"7500ms\", lasts = \"1500ms\")"),
     ("majority_lost", "trouble(\"majority_lost\", at = \"2s\", lasts = \"5s\"), \
                        trouble(\"deploy\", at = \"1s\", lasts = \"7s\", share = 0.34)"),
     ("leader_killed", "trouble(\"leader_killed\", at = \"2s\", lasts = \"1500ms\"), \
@@ -62,9 +65,11 @@
     let troubles = SHORT.iter().find(|day| day.0 == name)?.1;
     let binds = if name == "wrong_list" { "False" } else { "True" };
     let agreed = ["members_cut", "majority_lost", "leader_killed", "disk_lost", "members"].contains(&name);
-    let agreed = if agreed { "True" } else { "False" };
+    let duties = name.starts_with("duties_");
+    let truth = |so: bool| if so { "True" } else { "False" };
+    let (agreed, duties) = (truth(agreed || duties), truth(duties));
     let later = if name == "growth" { 2 } else { 0 };
-    Some(format!("{FLEET}\nday(**short(\"{name}\", [{troubles}], binds = {binds}, later = {later}, agreed = {agreed}))\n"))
+    Some(format!("{FLEET}\nday(**short(\"{name}\", [{troubles}], binds = {binds}, later = {later}, agreed = {agreed}, duties = {duties}))\n"))
 }
 
 pub fn built_in(name: &str) -> Option<Result<Day, Faults>> {
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -40,6 +40,8 @@
     /// An operator's order on a server, `route` drain or take-back, as it was seen at a planner; or `route` kept: an
     /// order was answered so.
     Ordered,
+    /// A planner asked a server how it is.
+    Probed,
     /// The day's script struck: `text` says what.
     Fault,
 }
@@ -59,6 +61,7 @@
     (Kind::Listed, "listed"),
     (Kind::Capacity, "capacity"),
     (Kind::Ordered, "ordered"),
+    (Kind::Probed, "probed"),
     (Kind::Fault, "fault"),
 ];
 
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -429,7 +429,12 @@
             return String::new();
         }
         let names: Vec<String> = (0..day.planners).map(planner_name).collect();
-        format!("    admin = \"127.0.0.1:0\",\n    {}", Links::settings(&self.listens, at, &names, ""))
+        let duties =
+            if day.duties { format!("    {},\n", crate::cluster::duties::SETTINGS) } else { String::new() };
+        format!(
+            "    admin = \"127.0.0.1:0\",\n    {}{duties}",
+            Links::settings(&self.listens, at, &names, "")
+        )
     }
 
     fn proxy_text(&self, at: usize) -> String {
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -405,6 +405,10 @@
                 (Way::In, Part::End) => {
                     let Some(head) = head.take() else { continue };
                     let (First::Request { target, .. }, Some(id)) = (&head.first, head.header(CALL)) else {
+                        // No client's call: a planner asks how the server is.
+                        if door.passes == Passes::Work {
+                            self.row(Row::new(now.0, Kind::Probed, &party.name, &door.name));
+                        }
                         continue;
                     };
                     let kind = if door.passes == Passes::Work { Kind::Sent } else { Kind::Asked };
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -9,10 +9,12 @@
 mod disk;
 mod member;
 mod peers;
+mod slices;
 mod together;
 pub mod words;
 
 pub use alone::{alone, GoesOn};
 pub use books::Receiver;
 pub use member::{Duties, Member, Post, Reply, Request, SeatView, Told, MOST_MEMBERS};
+pub use slices::names as slice_names;
 pub use together::Together;
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -66,6 +66,8 @@
     pub duties: Option<Duties>,
     /// Where the books go, if they are kept.
     pub receiver: Option<Receiver>,
+    /// Slices of each zone's servers, 0: every planner asks all of them; and how long a probe may take.
+    pub slices: (usize, Span),
 }
 
 #[derive(Clone, Debug)]
@@ -100,6 +102,8 @@
     Changed(Option<BTreeSet<Subject>>),
     /// The number of this start is on disk.
     Numbered(u64),
+    /// About probes, from a member.
+    Probes(Id, word::Kind),
 }
 
 struct Waiting {
@@ -429,6 +433,12 @@
                     waiting.read_at = Some(read.index);
                 }
             }
+            kind @ (word::Kind::ProbeAsk(_) | word::Kind::ProbeTaken(_) | word::Kind::Probed(_)) => {
+                // Told and lost, the one who asked asks for itself.
+                if self.told.len() < MOST_WAITING {
+                    self.told.push(Told::Probes(from, kind));
+                }
+            }
             word::Kind::Renew(renew) => self.renews(now, from, renew),
             word::Kind::HandOn(asked) => self.hand_on(now, &asked, out),
             word::Kind::Hello(_) | word::Kind::Welcome(_) | word::Kind::Refuse(_) => {}
--- a/crates/member/src/member/duties.rs
+++ b/crates/member/src/member/duties.rs
@@ -77,6 +77,24 @@
         self.office.as_ref()?.desk.may(now, duty)
     }
 
+    /// Who holds a duty by the record, and whether it can be told something now.
+    pub fn holder(&self, duty: &str) -> (Id, bool) {
+        let Some(duty) = self.record.duties().get(duty) else { return (0, false) };
+        let linked = self.peers.welcome(&duty.name).is_some_and(|hello| hello.id == duty.holder);
+        (duty.holder, duty.holder != 0 && linked)
+    }
+
+    pub fn tell(&self, to: Id, kind: word::Kind, out: &mut Outbox) {
+        self.peers.send(to, Lane::Urgent, kind, out);
+    }
+
+    pub fn tell_all(&self, kind: &word::Kind, out: &mut Outbox) {
+        let members = self.agree().map(|agree| agree.settled_members()).unwrap_or_default();
+        for member in members.list.iter().filter(|member| member.id != 0 && member.id != self.own.id) {
+            self.peers.send(member.id, Lane::Urgent, kind.clone(), out);
+        }
+    }
+
     /// What this planner holds by its own reckoning, and how long its lease lasts.
     pub fn held(&self, now: Moment) -> Vec<(String, u64, bool)> {
         let Some(office) = &self.office else { return Vec::new() };
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -5,8 +5,9 @@
 
 use crate::books::Books;
 use crate::member::{Member, Post, Reply, Request, Told, DOOR, TIMERS};
-use crate::words::Change;
-use pewtergap_control::{Asked, Service, Standing, Stands};
+use crate::slices::{Holder, Slices, Wants};
+use crate::words::{word, Change};
+use pewtergap_control::{Asked, ProbeOver, Service, Standing, Stands};
 use pewtergap_node::{Effect, Input, Level, Link, Node, Outbox};
 use pewtergap_record::{
     Cap, Clean, Command, Drain, Hand, Order, Standing as Kept, Subject, TakeNumber, Weight, What, Wish, BOOKS,
@@ -140,13 +141,16 @@
     /// Drains that are not yet known to be kept, and the id under which each is given.
     drains: Vec<Command>,
     books: Option<Books>,
+    slices: Option<Slices>,
 }
 
 impl Together {
     pub fn new(mut service: Service, home: Post, drain_grace: Span) -> Together {
         service.elsewhere = ELSEWHERE;
+        service.probes_shared = home.slices.0 > 0;
         Together {
             service,
+            slices: (home.slices.0 > 0).then(|| Slices::new(home.slices.0, home.slices.1)),
             name: home.name.clone(),
             member: Member::new(home.clone()),
             drain_grace,
@@ -336,7 +340,8 @@
         };
         let duties: Vec<serde_json::Value> = self.member.record.duties().iter().map(view).collect();
         let (books, _) = self.member.record.books();
-        json!({ "name": self.name, "duties": duties, "books": { "closed": books.closed, "arrived": books.arrived } })
+        json!({ "name": self.name, "duties": duties, "books": { "closed": books.closed, "arrived": books.arrived },
+            "probes": self.slices.as_ref().map(|slices| json!({ "doubts": slices.doubts, "fenced": slices.fenced() })) })
             .to_string()
     }
 
@@ -371,6 +376,61 @@
         }
     }
 
+    // ---- probes by slice
+
+    fn slice_of(&self, server: &str) -> Option<String> {
+        Some(self.slices.as_ref()?.duty(self.service.zone_of(server)?, server))
+    }
+
+    /// What the module wants asked, and what came of probes from here.
+    fn probes_wanted(&mut self, now: Moment, out: &mut Outbox) {
+        let (asks, ends) =
+            (std::mem::take(&mut self.service.probe_asks), std::mem::take(&mut self.service.probe_ends));
+        for server in asks {
+            let Some(duty) = self.slice_of(&server) else {
+                self.service.probe(now, &server, out);
+                continue;
+            };
+            let (ours, (id, linked)) = (self.member.may(now, &duty), self.member.holder(&duty));
+            let holder = Holder { id, linked };
+            let wants = self.slices.as_mut().and_then(|all| all.wanted(now, duty, server, ours, holder));
+            wants.into_iter().for_each(|wants| self.do_probes(now, wants, out));
+        }
+        for ProbeOver { server, end, load } in ends {
+            let Some(duty) = self.slice_of(&server) else { continue };
+            let ours = self.member.may(now, &duty);
+            let wants = self.slices.as_mut().and_then(|all| all.ended(now, duty, server, end, load, ours));
+            wants.into_iter().for_each(|wants| self.do_probes(now, wants, out));
+        }
+    }
+
+    fn probes_told(&mut self, now: Moment, from: u64, kind: word::Kind, out: &mut Outbox) {
+        let Some(slices) = &mut self.slices else { return };
+        let wants = match kind {
+            word::Kind::ProbeAsk(asked) => match self.member.may(now, &asked.duty) {
+                Some(number) => slices.asked_for(now, from, asked, number),
+                // Ours no more: who asked finds out in time.
+                None => Vec::new(),
+            },
+            word::Kind::ProbeTaken(taken) => {
+                slices.taken(now, &taken);
+                Vec::new()
+            }
+            word::Kind::Probed(told) => slices.told(told).into_iter().collect(),
+            _ => Vec::new(),
+        };
+        wants.into_iter().for_each(|wants| self.do_probes(now, wants, out));
+    }
+
+    fn do_probes(&mut self, now: Moment, wants: Wants, out: &mut Outbox) {
+        match wants {
+            Wants::Here(server) => self.service.probe(now, &server, out),
+            Wants::Tell(to, kind) => self.member.tell(to, kind, out),
+            Wants::TellAll(kind) => self.member.tell_all(&kind, out),
+            Wants::Heard { server, end, load } => self.service.probed(now, &server, end, load, out),
+        }
+    }
+
     fn view(&self, fresh: bool, age: Span) -> String {
         let record = &self.member.record;
         let orders: Vec<serde_json::Value> = record
@@ -451,10 +511,12 @@
                     Told::Changed(None) => self.stand_by(now, out),
                     Told::Changed(Some(subjects)) => self.stand_by_these(now, &subjects, out),
                     Told::Numbered(number) => self.begin(now, number, out),
+                    Told::Probes(from, kind) => self.probes_told(now, from, kind, out),
                 }
             }
         }
         self.keep_drains(now, out);
+        self.probes_wanted(now, out);
     }
 }
 
@@ -466,12 +528,14 @@
                 self.member.handle(now, Input::Start, out);
                 self.take_number(now, out);
                 out.wake(NUMBERED, now + NUMBER);
-                if self.books.is_some() {
+                if self.books.is_some() || self.slices.is_some() {
                     out.wake(BOOKKEEPING, now + LOOK);
                 }
             }
             Input::Due { timer: BOOKKEEPING } => {
                 self.keep_books(now, out);
+                let late = self.slices.as_mut().map(|slices| slices.tick(now)).unwrap_or_default();
+                late.into_iter().for_each(|wants| self.do_probes(now, wants, out));
                 out.wake(BOOKKEEPING, now + LOOK);
             }
             Input::Due { timer: NUMBERED } => {
--- a/crates/member/src/words.rs
+++ b/crates/member/src/words.rs
@@ -15,7 +15,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Word {
-    #[prost(oneof = "word::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "word::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub kind: Option<word::Kind>,
 }
 
@@ -47,6 +47,13 @@
         /// The leader asks for a duty; answered by a command that releases it.
         #[prost(message, tag = "10")]
         HandOn(super::HandOn),
+        /// A server is to be asked how it is, by whoever holds its slice; that it takes it; what came.
+        #[prost(message, tag = "11")]
+        ProbeAsk(super::ProbeAsk),
+        #[prost(message, tag = "12")]
+        ProbeTaken(super::ProbeTaken),
+        #[prost(message, tag = "13")]
+        Probed(super::Probed),
     }
 }
 
@@ -144,6 +151,43 @@
     pub number: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+pub struct ProbeAsk {
+    #[prost(string, tag = "1")]
+    pub duty: String,
+    #[prost(string, tag = "2")]
+    pub server: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct ProbeTaken {
+    #[prost(string, tag = "1")]
+    pub duty: String,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    #[prost(string, tag = "3")]
+    pub server: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Probed {
+    #[prost(string, tag = "1")]
+    pub duty: String,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    #[prost(string, tag = "3")]
+    pub server: String,
+    /// 0 answered, 1 refused, 2 an error, 3 silent, 4 dead.
+    #[prost(uint32, tag = "4")]
+    pub end: u32,
+    #[prost(double, optional, tag = "5")]
+    pub util: Option<f64>,
+    #[prost(double, optional, tag = "6")]
+    pub in_hand: Option<f64>,
+    #[prost(uint64, tag = "7")]
+    pub age_ms: u64,
+}
+
 #[derive(Clone, PartialEq, Message)]
 pub struct ReadAt {
     #[prost(uint64, tag = "1")]
@@ -322,6 +366,9 @@
                 Ok(())
             }
             word::Kind::HandOn(asked) => named(&asked.duty),
+            word::Kind::ProbeAsk(asked) => named(&asked.duty).and(named(&asked.server)),
+            word::Kind::ProbeTaken(taken) => named(&taken.duty).and(named(&taken.server)),
+            word::Kind::Probed(told) => named(&told.duty).and(named(&told.server)),
             word::Kind::Agree(agreeing) => told(agreeing.clone()).map(drop),
             _ => Ok(()),
         }
--- a/crates/member/tests/hand.rs
+++ b/crates/member/tests/hand.rs
@@ -35,6 +35,7 @@
             format: 2,
             duties: None,
             receiver: None,
+            slices: (0, Span(0)),
         };
         let member = Member::new(post);
         let (out, due, seen) = (Outbox::default(), Vec::new(), Vec::new());
--- a/crates/pewtergap/src/rehearse.rs
+++ b/crates/pewtergap/src/rehearse.rs
@@ -129,6 +129,7 @@
         "looked at {} calls, {} sent ({} mutating, {} answers lost), {} drains told, {} cold starts, {} messages",
         l.calls, l.sent, l.mutating_sent, l.answers_lost, l.drains_told, l.cold_starts, l.messages
     );
+    println!("{} probes of servers, by at most {} planners within a second", l.probes, l.most_probers);
     if l.orders_kept > 0 {
         println!(
             "{} orders kept, {} drains by order that a planner went by",
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -7,7 +7,7 @@
 use pewtergap_control::{Charge, Doors, Probing, Reports, Service, Source};
 use pewtergap_duty::Lease;
 use pewtergap_member::words::FORMATS;
-use pewtergap_member::{Duties, Post, Receiver, Together, MOST_MEMBERS};
+use pewtergap_member::{slice_names, Duties, Post, Receiver, Together, MOST_MEMBERS};
 use pewtergap_planner::{
     Channel, Fleet, KeyScope, Planner, Pledge, Reach, Repeats, Route, Slicing, Throttle,
 };
@@ -187,11 +187,12 @@
         format,
         duties: None,
         receiver: None,
+        slices: (0, Span(0)),
     }
 }
 
 /// Duties that one planner holds at a time; left out, there are none and each does all for itself.
-fn duties(part: &Section) -> (Lease, Span) {
+fn duties(part: &Section) -> (Lease, Span, usize) {
     let lease = Lease {
         length: part.or("lease", Span::millis(3_000)),
         renew: part.or("renew", Span::millis(500)),
@@ -201,7 +202,11 @@
     if let Err(why) = lease.check() {
         part.clash("lease", why);
     }
-    (lease, part.or("steady", Span::millis(5_000)))
+    let slices = part.or("slices", 1);
+    if slices > 100 {
+        part.fault("slices", format!("{slices} of each zone: 0 to 100 were expected"));
+    }
+    (lease, part.or("steady", Span::millis(5_000)), slices)
 }
 
 fn books(part: &Section) -> Receiver {
@@ -283,11 +288,14 @@
             part.fault("cluster", "listen is missing: where do the other members come in?");
         }
         let receiver = part.maybe_part("books", "books", books);
-        let duties = part.maybe_part("duties", "duties", duties).map(|(lease, steady)| {
+        let duties = part.maybe_part("duties", "duties", duties).map(|(lease, steady, slices)| {
             let names = [Some(CLEANING), receiver.map(|_| BOOKS)];
-            let names = names.into_iter().flatten().map(str::to_string).collect();
-            Duties { lease, steady, names }
+            let names = names.into_iter().flatten().map(str::to_string);
+            let names = names.chain(slice_names(&zones, slices)).collect();
+            (Duties { lease, steady, names }, slices)
         });
+        let slices = (duties.as_ref().map_or(0, |duties| duties.1), probing.2.within);
+        let duties = duties.map(|duties| duties.0);
         if receiver.is_some() && duties.is_none() {
             part.fault("books", "duties() is missing: one planner at a time keeps them");
         }
@@ -311,7 +319,7 @@
             slicing: Slicing { slices: 0, exclusive: false, keeps_writing: Span(0), lingers: Span(0) },
             reports,
             probing: probing.2,
-            post: Post { name: name.clone(), from: doors.from, duties, receiver, ..post },
+            post: Post { name: name.clone(), from: doors.from, duties, receiver, slices, ..post },
             seed: part.maybe("seed"),
             dir: part.or("state_dir", ".".to_string()).into(),
         }
