--- a/crates/lab/src/cluster/drill.rs
+++ b/crates/lab/src/cluster/drill.rs
@@ -36,7 +36,13 @@
     // A record that was raised does not go back: this one begins as what came before.
     let format = (drill == "roll-out").then_some(1);
     Some((
-        ClusterDay { members: *members, founders: *founders, format, duties: drill == "duties", ..like },
+        ClusterDay {
+            members: *members,
+            founders: *founders,
+            format,
+            duties: (drill == "duties").then_some(2),
+            ..like
+        },
         *act,
     ))
 }
--- a/crates/lab/src/cluster/duties.rs
+++ b/crates/lab/src/cluster/duties.rs
@@ -1,5 +1,6 @@
 //! Duties of a cluster day, struck while they are held; what the receiver saw is what counts.
 
+use super::measure::{times, Times};
 use super::receiver::{Became, Sent};
 use super::{name, record_file, Director, CEILING};
 use crate::ask;
@@ -9,8 +10,12 @@
 
 /// The lease that members of such a day have.
 pub const LEASE_MS: u64 = 1_000;
-pub const SETTINGS: &str =
-    "duties = duties(lease = \"1s\", renew = \"200ms\", pause = \"250ms\", drift = 0.02, steady = \"1s\")";
+pub fn settings(slices: usize) -> String {
+    format!(
+        "duties = duties(lease = \"1s\", renew = \"200ms\", pause = \"250ms\", drift = 0.02, steady = \"1s\", slices = {slices})"
+    )
+}
+
 pub const PERIOD: &str = "100ms";
 
 /// What strikes a holder.
@@ -200,3 +205,49 @@
         }
     }
 }
+
+/// Milliseconds until another goes on, for each kind of strike.
+impl Director<'_> {
+    pub fn measure_strikes(&mut self, struck: Struck, rounds: usize) -> Result<Times, String> {
+        let took: Result<Vec<Duration>, String> = (0..rounds).map(|_| self.strike_holder(struck)).collect();
+        Ok(times(&took?))
+    }
+
+    /// With so many duties at rest: entries of the log in so many seconds, and what each planner used of a processor.
+    pub fn measure_at_rest(&mut self, seconds: u64) -> Result<Value, String> {
+        let (_, admin) = self.leader_admin()?;
+        let view = |target: &str| -> Value {
+            let answer = ask::call(admin, "GET", target, None).ok();
+            answer.and_then(|(_, text)| serde_json::from_str(&text).ok()).unwrap_or_default()
+        };
+        let end = Instant::now() + CEILING;
+        let counts = loop {
+            let duties = view("/duties")["duties"].as_array().cloned().unwrap_or_default();
+            let mut counts = std::collections::BTreeMap::<String, usize>::new();
+            for duty in &duties {
+                *counts.entry(duty["holder"].as_str().unwrap_or_default().into()).or_default() += 1;
+            }
+            let (least, most) = (counts.values().min().copied(), counts.values().max().copied());
+            let even = least.zip(most).is_some_and(|(least, most)| most <= least + 1);
+            if even && counts.len() == self.day.members {
+                break counts;
+            }
+            if Instant::now() > end {
+                return Err(format!("duties do not settle: {counts:?}"));
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        };
+        let index = |view: Value| view["index"].as_u64().unwrap_or(0);
+        let (before, periods) = (index(view("/record?stale")), self.sent().len());
+        let used = |director: &Self| -> f64 {
+            director.running.iter().flatten().map(|running| crate::measure::used(running.child.id()).0).sum()
+        };
+        let cpu = used(self);
+        std::thread::sleep(Duration::from_secs(seconds));
+        let entries = index(view("/record?stale")) - before;
+        let cpu = (used(self) - cpu) / seconds as f64 / self.day.members as f64 / 10.0;
+        Ok(json!({ "duties": counts.values().sum::<usize>(), "members": self.day.members, "holders": counts,
+            "seconds": seconds, "entries": entries, "periods_sent": self.sent().len() - periods,
+            "cpu_percent_a_planner": cpu }))
+    }
+}
--- a/crates/lab/src/cluster/measure.rs
+++ b/crates/lab/src/cluster/measure.rs
@@ -21,7 +21,7 @@
     pub worst: f64,
 }
 
-fn times(all: &[Duration]) -> Times {
+pub fn times(all: &[Duration]) -> Times {
     let Ok(mut histogram) = Histogram::<u64>::new(3) else { return Times::default() };
     for one in all {
         let _ = histogram.record((one.as_nanos() as u64).max(1));
@@ -204,6 +204,7 @@
     program: &Path,
     dir: &Path,
     members: usize,
+    duties: Option<usize>,
     act: impl FnOnce(&mut Director) -> Result<T, String>,
 ) -> Result<T, String> {
     let day = super::ClusterDay {
@@ -216,7 +217,7 @@
         only: Vec::new(),
         planted: None,
         format: None,
-        duties: false,
+        duties,
     };
     let mut started = Started::new(&day)?;
     started.director.bring_up()?;
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -104,8 +104,8 @@
     pub planted: Option<Planted>,
     /// The newest format that all may speak at first.
     pub format: Option<u32>,
-    /// Duties are held, and the books go to a receiver.
-    pub duties: bool,
+    /// Duties are held, and the books go to a receiver: so many slices of probes.
+    pub duties: Option<usize>,
 }
 
 #[derive(Debug)]
@@ -184,7 +184,7 @@
         let relay = reactor.add(Box::new(Links::new(day.members, bell.clone(), sightings.clone())));
         let ledger = Ledger::default();
         let receiver = receiver::Receiver::new(bell.clone(), ledger.clone());
-        let receiver = day.duties.then(|| reactor.add(Box::new(receiver)));
+        let receiver = day.duties.is_some().then(|| reactor.add(Box::new(receiver)));
         let handle = reactor.handle();
         let thread = std::thread::spawn(move || drop(reactor.run()));
         let shared = Arc::new(Shared {
@@ -430,10 +430,10 @@
     }
 
     fn duties_text(&self) -> String {
-        let Some(receiver) = self.listens.get("receiver").filter(|_| self.day.duties) else {
+        let (Some(receiver), Some(slices)) = (self.listens.get("receiver"), self.day.duties) else {
             return String::new();
         };
-        let (settings, period) = (duties::SETTINGS, duties::PERIOD);
+        let (settings, period) = (duties::settings(slices), duties::PERIOD);
         format!("    {settings}, books = books(receiver = \"{receiver}\", period = \"{period}\"),\n")
     }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 mod list;
 pub mod measure;
 mod members;
+pub mod probing;
 pub mod record;
 pub mod rehearse;
 mod relay;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -85,19 +85,23 @@
 impl Planner {
     /// Time of a processor so far, and memory in use, as the system counts them.
     fn used(&self) -> (f64, f64) {
-        let read =
-            |name: &str| std::fs::read_to_string(format!("/proc/{}/{name}", self.0.id())).unwrap_or_default();
-        let stat = read("stat");
-        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split_whitespace().collect();
-        let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
-        let status = read("status");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kib = line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0.0);
-        // Clock ticks are hundredths of a second on Linux.
-        ((ticks(11) + ticks(12)) * 10.0, kib)
+        used(self.0.id())
     }
 }
 
+/// Milliseconds of a processor so far, and memory in use in KiB, as the system counts them for a process.
+pub fn used(process: u32) -> (f64, f64) {
+    let read = |name: &str| std::fs::read_to_string(format!("/proc/{}/{name}", process)).unwrap_or_default();
+    let stat = read("stat");
+    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split_whitespace().collect();
+    let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
+    let status = read("status");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0.0);
+    // Clock ticks are hundredths of a second on Linux.
+    ((ticks(11) + ticks(12)) * 10.0, kib)
+}
+
 /// Members beside the measured planner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Others {
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -429,8 +429,11 @@
             return String::new();
         }
         let names: Vec<String> = (0..day.planners).map(planner_name).collect();
-        let duties =
-            if day.duties { format!("    {},\n", crate::cluster::duties::SETTINGS) } else { String::new() };
+        let duties = if day.duties {
+            format!("    {},\n", crate::cluster::duties::settings(1))
+        } else {
+            String::new()
+        };
         format!(
             "    admin = \"127.0.0.1:0\",\n    {}{duties}",
             Links::settings(&self.listens, at, &names, "")
--- a/crates/member/src/books.rs
+++ b/crates/member/src/books.rs
@@ -20,6 +20,7 @@
 /// An answer that takes longer is none.
 const ANSWER: Span = Span::millis(2_000);
 const AGAIN: Span = Span::millis(500);
+const CLOSES: Span = Span::millis(100);
 const BOUNDS: Bounds = Bounds { head: 4 * 1024, body: 64 * 1024 };
 
 /// Where the books go, and how long a period is.
@@ -73,8 +74,12 @@
         }
         // Periods that nobody closed are not made up for: one extract says all that is in force.
         let over = now.0 / self.receiver.period.0.max(1);
-        self.rests_until = now + AGAIN;
-        (over > kept.closed).then_some(What::Close(Close { period: over, number }))
+        if over <= kept.closed {
+            return None;
+        }
+        // Until the record has it.
+        self.rests_until = now + CLOSES;
+        Some(What::Close(Close { period: over, number }))
     }
 
     pub fn give_up(&mut self, now: Moment, out: &mut Outbox) {
@@ -121,7 +126,7 @@
         let (status, period, number) = (sending.status, sending.period, sending.number);
         self.give_up(now, out);
         if (200..300).contains(&status) {
-            self.rests_until = now;
+            self.rests_until = now + CLOSES;
             return Some(What::Arrived(Close { period, number }));
         }
         self.refused += 1;
--- a/crates/member/src/slices.rs
+++ b/crates/member/src/slices.rs
@@ -6,6 +6,7 @@
 //!
 //! | state | input | next | effect |
 //! | --- | --- | --- | --- |
+//! | | wanted, seen by anybody a moment ago | | the module hears that |
 //! | | wanted, slice is ours | | ask the server |
 //! | | wanted, holder is linked | asked | to the holder |
 //! | | wanted, nobody to ask | doubt, from the last own probe on | |
@@ -28,8 +29,9 @@
 const WAY: Span = Span::millis(150);
 /// Between two own probes of a server by one that has nobody to ask.
 const DOUBT: Span = Span::millis(1_000);
-/// What came of a probe is told again instead of asking anew, for so long.
-const FRESH: Span = Span::millis(50);
+/// What came of a probe is gone by instead of asking anew, for so long: by so much may a server's fall be seen later. With
+/// 50 ms planners that ask at times of their own shared next to nothing (1.63 probes a server and second for 1.92).
+const FRESH: Span = Span::millis(300);
 /// Servers that are kept in mind; beyond, probes are asked here.
 const MOST: usize = 100_000;
 
@@ -90,6 +92,9 @@
         ours: Option<u64>,
         holder: Holder,
     ) -> Option<Wants> {
+        if let Some((_, end, load)) = self.last.get(&server).filter(|last| now.since(last.0) <= FRESH) {
+            return Some(Wants::Heard { server, end: *end, load: *load });
+        }
         if ours.is_some() || self.asked.len() >= MOST {
             return Some(Wants::Here(server));
         }
@@ -135,13 +140,17 @@
         }
     }
 
-    pub fn told(&mut self, told: Probed) -> Option<Wants> {
+    pub fn told(&mut self, now: Moment, told: Probed) -> Option<Wants> {
         self.fence.pass(&told.duty, told.number).ok()?;
         self.asked.remove(&told.server);
         let end = *ENDS.get(told.end as usize)?;
         // What is no number says nothing.
         let number = |value: Option<f64>| value.filter(|value| value.is_finite());
         let load = (number(told.util), number(told.in_hand));
+        if self.last.len() < MOST {
+            let seen = now - Span::millis(told.age_ms.min(60_000));
+            self.last.insert(told.server.clone(), (seen, end, load));
+        }
         Some(Wants::Heard { server: told.server, end, load })
     }
 
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -416,7 +416,7 @@
                 slices.taken(now, &taken);
                 Vec::new()
             }
-            word::Kind::Probed(told) => slices.told(told).into_iter().collect(),
+            word::Kind::Probed(told) => slices.told(now, told).into_iter().collect(),
             _ => Vec::new(),
         };
         wants.into_iter().for_each(|wants| self.do_probes(now, wants, out));
--- a/crates/pewtergap/src/cluster.rs
+++ b/crates/pewtergap/src/cluster.rs
@@ -3,8 +3,10 @@
 use crate::Ended;
 use clap::Args;
 use pewtergap_lab::cluster::drill::{day_of, DRILLS};
+use pewtergap_lab::cluster::duties::{LEASE_MS, STRUCK};
 use pewtergap_lab::cluster::measure::{bare_round_trip, bare_sync, with_cluster};
 use pewtergap_lab::cluster::{play, play_with, Came, ClusterDay, Planted, PLANTED};
+use pewtergap_lab::probing::probing;
 use serde_json::json;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -28,6 +30,9 @@
     /// and where duties are held no-fence, sent-twice, goes-on.
     #[arg(long, value_parser = planted)]
     cluster_plant: Option<Planted>,
+    /// Duties are held meanwhile, and the books go to a receiver.
+    #[arg(long)]
+    duties: bool,
     /// In place of drawn troubles one hard case: roll-out, pieces, full-disk, lost-in-a-change, places,
     /// duties.
     #[arg(long, value_parser = drill)]
@@ -105,7 +110,7 @@
                     only: Vec::new(),
                     planted: line.cluster_plant,
                     format: None,
-                    duties: false,
+                    duties: line.duties.then_some(2),
                 };
                 let came = match line.drill.as_deref().and_then(|drill| day_of(drill, day.clone())) {
                     Some((day, act)) => play_with(&day, act),
@@ -145,21 +150,50 @@
     println!("{}", json!({ "append_and_sync_ms": bare_sync(&dir, each).map_err(bare)? }));
     println!("{}", json!({ "round_trip_ms": bare_round_trip(each).map_err(bare)? }));
     for count in members {
-        let orders =
-            with_cluster(&program, &dir, *count, |director| director.measure_orders(each)).map_err(failed)?;
+        let orders = with_cluster(&program, &dir, *count, None, |director| director.measure_orders(each))
+            .map_err(failed)?;
         orders.iter().for_each(|orders| println!("{}", json!({ "orders": orders })));
     }
     println!("{}", json!({ "append_and_sync_ms": bare_sync(&dir, each).map_err(bare)? }));
     if kills > 0 {
-        let kills =
-            with_cluster(&program, &dir, 3, |director| director.measure_kills(kills)).map_err(failed)?;
+        let kills = with_cluster(&program, &dir, 3, None, |director| director.measure_kills(kills))
+            .map_err(failed)?;
         println!("{}", json!({ "kill_of_the_leader_to_kept_ms": kills }));
     }
     for count in entries {
-        let up = with_cluster(&program, &dir, 3, |director| director.measure_bringing_up(*count))
+        let up = with_cluster(&program, &dir, 3, None, |director| director.measure_bringing_up(*count))
             .map_err(failed)?;
         println!("{}", json!({ "brought_up": up }));
     }
     let _ = std::fs::remove_dir_all(&dir);
     Ok(0)
 }
+
+/// What duties cost and how they are handed on, one line of JSON for each figure.
+pub fn measure_duties(rounds: usize, planners: &[usize], many: usize) -> Ended {
+    let program = std::env::current_exe().map_err(|e| (3, e.to_string()))?;
+    let dir = std::env::temp_dir().join(format!("pewtergap-duties-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).map_err(|e| (3, e.to_string()))?;
+    let failed = |why: String| (3, format!("the measurement failed: {why}"));
+    for struck in STRUCK {
+        let took =
+            with_cluster(&program, &dir, 3, Some(2), |director| director.measure_strikes(struck, rounds));
+        println!(
+            "{}",
+            json!({ "struck": format!("{struck:?}"), "lease_ms": LEASE_MS, "gone_on_ms": took.map_err(failed)? })
+        );
+    }
+    if many > 0 {
+        let rest = with_cluster(&program, &dir, 7, Some(many), |director| director.measure_at_rest(10));
+        println!("{}", json!({ "at_rest": rest.map_err(failed)? }));
+    }
+    // Off, on, on, off: what else the machine does falls on both.
+    for count in planners {
+        for on in [false, true, true, false] {
+            let seen = probing(&program, &dir.join("probes"), *count, on).map_err(failed)?;
+            println!("{}", json!({ "probing": seen }));
+        }
+    }
+    let _ = std::fs::remove_dir_all(&dir);
+    Ok(0)
+}
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -67,6 +67,16 @@
         #[arg(long)]
         json: bool,
     },
+    /// Duties: handed on after each kind of strike, the record's load, probes with and without slices.
+    Duties {
+        #[arg(long, default_value_t = 10)]
+        rounds: usize,
+        #[arg(long, value_delimiter = ',', default_value = "1,3,5,7")]
+        planners: Vec<usize>,
+        /// Slices of probes at rest, 7 planners.
+        #[arg(long, default_value_t = 198)]
+        many: usize,
+    },
     /// What the record costs: orders to kept, kills of the leader, an empty member brought up.
     Record {
         #[arg(long, value_delimiter = ',', default_value = "1,3,5")]
@@ -96,6 +106,9 @@
         Front::Measure { what: Measured::Order { proxies, rounds, others, json } } => {
             order(&proxies, rounds, others, json)
         }
+        Front::Measure { what: Measured::Duties { rounds, planners, many } } => {
+            cluster::measure_duties(rounds, &planners, many)
+        }
         Front::Measure { what: Measured::Record { members, orders, kills, entries } } => {
             cluster::measure(&members, orders, kills, &entries)
         }
--- a/crates/pewtergap/tests/cluster.rs
+++ b/crates/pewtergap/tests/cluster.rs
@@ -19,7 +19,7 @@
         only,
         planted: None,
         format: None,
-        duties: false,
+        duties: None,
     }
 }
 
@@ -44,6 +44,7 @@
     kept(&ClusterDay { only: vec![Kill, Stop, Terminate, Reset], strikes: 5, ..day("processes", 4) });
     kept(&ClusterDay { only: vec![Isolate, Mute, Deaf, OneWay, Chain, Slow], strikes: 5, ..day("links", 5) });
     kept(&ClusterDay { members: 5, founders: 5, strikes: 5, ..day("five", 6) });
+    kept(&ClusterDay { duties: Some(2), strikes: 5, ..day("duties", 10) });
     kept(&ClusterDay { members: 5, only: vec![Join], strikes: 2, ..day("join", 8) });
 }
 
@@ -75,10 +76,14 @@
         (Planted::StaleRead, "one order"),
         (Planted::NumberTwice, "a number twice"),
         (Planted::VoteAfterWipe, "a vote from an old disk"),
+        (Planted::NoFence, "a number that fell"),
+        (Planted::SentTwice, "a period once"),
+        (Planted::GoesOn, "two holders"),
     ];
     for (planted, rule) in planted {
         let day = ClusterDay {
             planted: Some(planted),
+            duties: Some(1),
             only: vec![Trouble::Terminate],
             strikes: 2,
             ..day(&format!("{planted:?}"), 7)
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -203,8 +203,8 @@
         part.clash("lease", why);
     }
     let slices = part.or("slices", 1);
-    if slices > 100 {
-        part.fault("slices", format!("{slices} of each zone: 0 to 100 were expected"));
+    if slices > 200 {
+        part.fault("slices", format!("{slices} of each zone: 0 to 200 were expected"));
     }
     (lease, part.or("steady", Span::millis(5_000)), slices)
 }
