--- a/crates/lab/src/cluster/drill.rs
+++ b/crates/lab/src/cluster/drill.rs
@@ -23,6 +23,7 @@
     ("lost-in-a-change", 5, 3, |director| director.lost_in_a_change()),
     ("places", 5, 3, |director| director.places()),
     ("duties", 3, 3, |director| director.struck_duties()),
+    ("duty-at-the-effect", 3, 3, |director| director.held_at_the_effect()),
 ];
 
 /// A snapshot's pieces are of this many bytes.
@@ -40,7 +41,7 @@
             members: *members,
             founders: *founders,
             format,
-            duties: (drill == "duties").then_some(2),
+            duties: drill.starts_with("dut").then_some(2),
             ..like
         },
         *act,
--- a/crates/lab/src/cluster/duties.rs
+++ b/crates/lab/src/cluster/duties.rs
@@ -42,7 +42,10 @@
     /// Who acts on a duty by its own word, and under which number.
     fn acts(&self, duty: &str) -> Option<(usize, u64)> {
         (0..self.day.members)
-            .filter(|at| self.running[*at].as_ref().is_some_and(|running| !running.stopped))
+            .filter(|at| {
+                let runs = self.running[*at].as_ref().is_some_and(|running| !running.stopped);
+                runs || self.threads.contains_key(at)
+            })
             .find_map(|at| {
                 let view = self.duties(at);
                 let mine = view["duties"]
@@ -112,6 +115,53 @@
         Ok(took)
     }
 
+    /// A holder is held between its check and its effect for longer than its lease: another goes on, and what the first
+    /// sends then is refused by its number.
+    pub fn held_at_the_effect(&mut self) -> Result<Vec<u64>, String> {
+        let one = self.holder("books")?.0;
+        self.end(one, Signal::TERM);
+        self.start_here(one)?;
+        self.wait_up(one)?;
+        self.wait_all_fresh()?;
+        let given = self.clock.now().0 / 1_000_000;
+        let body = json!({ "id": format!("{:016x}", fastrand::u64(1..)), "given": given, "who": "lab",
+            "why": "a drill", "duty": "books", "to": name(one) });
+        let (_, admin) = self.leader_admin()?;
+        ask::call(admin, "POST", "/duties", Some(&body.to_string())).map_err(|e| e.1)?;
+        let begin = Instant::now();
+        let number = loop {
+            match self.holder("books")? {
+                (at, number) if at == one => break number,
+                _ if begin.elapsed() > CEILING => return Err("the books do not come here".into()),
+                _ => std::thread::sleep(Duration::from_millis(20)),
+            }
+        };
+        let from = self.sent().len();
+        let (handle, place, _) = self.threads.get(&one).ok_or("it does not run here")?;
+        handle.tell(*place, "hold");
+        // Cut off as a stopped process would be; its links stay as they are.
+        for other in (0..self.belong).filter(|other| *other != one) {
+            self.tell(format!("cut {one} {other}"));
+        }
+        self.until_taken(from, number)?;
+        let begin = Instant::now();
+        while !self.sent()[from..].iter().any(|sent| sent.number == number && sent.became == Became::Fenced) {
+            if begin.elapsed() > CEILING {
+                return Err(format!(
+                    "what was held under {number} was not refused: {:?}",
+                    &self.sent()[from..]
+                ));
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        self.tell("open-all".into());
+        self.end(one, Signal::TERM);
+        self.start(one)?;
+        self.wait_up(one)?;
+        self.wait_all_fresh()?;
+        Ok(Vec::new())
+    }
+
     /// The hard cases of duties, one after the other; milliseconds without the books for each.
     pub fn struck_duties(&mut self) -> Result<Vec<u64>, String> {
         let mut gaps = Vec::new();
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod drill;
 pub mod duties;
+mod held;
 pub mod judge;
 pub mod links;
 pub mod measure;
@@ -152,6 +153,8 @@
     sightings: Sightings,
     receiver: Option<Place>,
     ledger: Ledger,
+    /// Members that run in this process, to be held where no signal can.
+    threads: BTreeMap<usize, (Handle, Place, JoinHandle<()>)>,
     /// Members that belong now.
     belong: usize,
 }
@@ -210,6 +213,7 @@
             sightings: sightings.clone(),
             receiver,
             ledger,
+            threads: BTreeMap::new(),
             belong: day.founders,
         };
         Ok(Started { director, sightings, handle, thread: Some(thread) })
@@ -493,6 +497,34 @@
         Ok(())
     }
 
+    /// The same planner in this process.
+    fn start_here(&mut self, at: usize) -> Result<(), String> {
+        let home = self.day.dir.join(name(at));
+        let file = pewtergap_settings::run(&name(at), &self.text(at))
+            .and_then(|script| pewtergap_settings::service_file(&script))
+            .map_err(|faults| faults.to_string())?;
+        let mut reactor = Reactor::new(self.clock, 16 * 1024 * 1024, home).map_err(|e| e.to_string())?;
+        let (bell, shared, relay, me) =
+            (self.bell.clone(), self.shared.clone(), self.relay.clone(), name(at));
+        for door in ["admin", "members"] {
+            self.listens.remove(&format!("{me} {door}"));
+        }
+        let announce = move |door: &str, heard: SocketAddr| {
+            match door {
+                "admin" => shared.admin.lock().into_iter().for_each(|mut known| known[at] = Some(heard)),
+                "members" => drop(relay.0.tell(relay.1, format!("target {at} {heard}"))),
+                _ => {}
+            }
+            bell.listens(&format!("{me} {door}"), heard);
+        };
+        let planner = Box::new(file.planner(self.clock.now(), self.day.seed + at as u64));
+        let place = reactor.add(Box::new(held::Held::new(planner, Box::new(announce))));
+        let handle = reactor.handle();
+        let thread = std::thread::spawn(move || drop(reactor.run()));
+        self.threads.insert(at, (handle, place, thread));
+        Ok(())
+    }
+
     fn wait_up(&mut self, at: usize) -> Result<(), String> {
         self.wait(&format!("{} admin", name(at))).map(drop)
     }
@@ -539,6 +571,10 @@
     }
 
     fn end(&mut self, at: usize, signal: Signal) {
+        if let Some((handle, _, thread)) = self.threads.remove(&at) {
+            handle.end();
+            let _ = thread.join();
+        }
         self.go_on(at);
         self.signal(at, signal);
         if let Some(mut running) = self.running[at].take() {
