Orders in steps: one planner lets them go on or takes them back; drain of a zone

Need: an order on the whole fleet bound everywhere at once. Steps under an older number are refused by the record. Drill: the releaser is killed in the middle.

--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -141,6 +141,7 @@
     pub elsewhere: &'static [&'static str],
     pub asked: Vec<Asked>,
     standing: Standing,
+    tried: (u64, u64),
     pub drains: Vec<DrainTold>,
     events: Vec<Event>,
     turn_set: bool,
@@ -189,6 +190,7 @@
             elsewhere: &[],
             asked: Vec::new(),
             standing: Standing::default(),
+            tried: (0, 0),
             drains: Vec::new(),
             events: vec![Event::Tick],
             turn_set: false,
@@ -590,6 +592,8 @@
         for row in &sums.rows {
             // A server that no list of ours ever named is another planner's affair.
             let Some(server) = self.servers.find(&row.server) else { continue };
+            self.tried.0 = self.tried.0.saturating_add(row.tries);
+            self.tried.1 = self.tried.1.saturating_add(row.dropped);
             let load = Load { util: row.util, in_hand: row.in_hand };
             let (mean, over) = (Span::micros(row.mean_us), Span::micros(sums.over_us));
             self.intake.sums(server, zone, row.tries, row.dropped, mean, over, load);
@@ -679,6 +683,19 @@
         }
     }
 
+    /// Tries of proxies here, and those dropped by servers, since the start.
+    pub fn tried(&self) -> (u64, u64) {
+        self.tried
+    }
+
+    pub fn listed(&self, at: &str) -> Option<&crate::roll::Endpoint> {
+        self.roll.known().get(at)
+    }
+
+    pub fn in_zone<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a String> + 'a {
+        self.roll.known().iter().filter(move |known| known.1.zone == zone).map(|known| known.0)
+    }
+
     pub fn zone_of(&self, at: &str) -> Option<&str> {
         self.roll.known().get(at).map(|known| known.zone.as_str())
     }
--- a/crates/duty/src/giver.rs
+++ b/crates/duty/src/giver.rs
@@ -117,6 +117,10 @@
                 self.ready(now, p.id) || self.heard(now, p.id) && wanted.iter().any(|d| holder(d) == p.id)
             })
             .collect();
+        // After a leader's end nobody may be known to be steady, and what was handed on lay there for all of that time.
+        // At the very first all are waited for, or the first one heard would get everything.
+        let heard = || planners.iter().filter(|planner| self.heard(now, planner.id)).collect();
+        let fit = if fit.is_empty() && !held.is_empty() { heard() } else { fit };
         if fit.is_empty() {
             return Vec::new();
         }
--- a/crates/lab/src/cluster/duties.rs
+++ b/crates/lab/src/cluster/duties.rs
@@ -162,6 +162,45 @@
         Ok(Vec::new())
     }
 
+    /// An order in steps whose releaser is killed in the middle: it goes on, never back.
+    pub fn steps(&mut self) -> Result<Vec<u64>, String> {
+        let body = json!({ "id": format!("{:016x}", fastrand::u64(1..)), "given": self.clock.now().0 / 1_000_000,
+            "who": "lab", "why": "a drill", "order": "cap", "route": "r", "level": 0.5, "steps": 5, "pause_ms": 300 });
+        let (_, admin) = self.leader_admin()?;
+        let told = ask::call(admin, "POST", "/orders", Some(&body.to_string())).map_err(|e| e.1)?;
+        if told.0 != 200 {
+            return Err(format!("the order was refused: {}", told.1));
+        }
+        let (begin, mut reached, mut killed) = (Instant::now(), vec![0; self.day.members], false);
+        while reached.iter().any(|reached| *reached < 1_000) {
+            for (at, reached) in reached.iter_mut().enumerate() {
+                let answer = self.admin(at).and_then(|admin| ask::call(admin, "GET", "/record", None).ok());
+                let view: Value =
+                    answer.and_then(|(_, text)| serde_json::from_str(&text).ok()).unwrap_or_default();
+                let orders = view["orders"].as_array().cloned().unwrap_or_default();
+                let Some(order) = orders.iter().find(|order| order["order"] == "cap r 0.5") else { continue };
+                let now = order["reached"].as_u64().unwrap_or(0);
+                if now < *reached && view["fresh"] == true {
+                    return Err(format!("{} says {now} after {reached}", name(at)));
+                }
+                *reached = (*reached).max(now);
+            }
+            if !killed && reached.iter().any(|reached| *reached >= 400) {
+                killed = true;
+                let (one, _) = self.holder("release")?;
+                self.end(one, Signal::KILL);
+                self.start(one)?;
+                self.wait_up(one)?;
+            }
+            if begin.elapsed() > CEILING {
+                return Err(format!("the order stays at {reached:?}"));
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        self.wait_all_fresh()?;
+        Ok(vec![begin.elapsed().as_millis() as u64])
+    }
+
     /// The hard cases of duties, one after the other; milliseconds without the books for each.
     pub fn struck_duties(&mut self) -> Result<Vec<u64>, String> {
         let mut gaps = Vec::new();
--- /dev/null
+++ b/crates/member/src/orders.rs
@@ -0,0 +1,93 @@
+//! What the record's orders say to the service beside it, as far as each has been let.
+//!
+//! An order in steps binds by the part that its releaser has reached: a cap by that part of the way to its level, a weight
+//! by that part of the way from the listed one, a zone's drain by that part of its servers, the same ones everywhere.
+
+use pewtergap_control::{Service, Standing, Stands};
+use pewtergap_record::{Record, Standing as Kept, Subject, Wish};
+use pewtergap_time::Moment;
+use std::collections::BTreeSet;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// What is wished for, unless its time is over or it was taken back; and which part of it.
+fn in_force(kept: &Kept, now: Moment) -> Option<(&Wish, f64)> {
+    let order = kept.order.as_ref().filter(|order| order.until == 0 || order.until > now.0 / 1_000_000)?;
+    let part = if order.steps == 0 { 1.0 } else { f64::from(kept.reached.min(1_000)) / 1e3 };
+    order.wish.as_ref().map(|wish| (wish, part)).filter(|_| part > 0.0)
+}
+
+fn weight(service: &Service, at: &str, wished: f64, part: f64) -> f64 {
+    let listed = service.listed(at).map_or(wished, |listed| listed.weight);
+    listed + (wished - listed) * part
+}
+
+/// That part of a zone's servers, by a hash of their names: who joins the list moves nobody else in or out.
+fn of_zone(service: &Service, zone: &str, part: f64) -> BTreeSet<String> {
+    let mut all: Vec<&String> = service.in_zone(zone).collect();
+    all.sort_by_key(|at| xxh3_64(at.as_bytes()));
+    let most = (all.len() as f64 * part).ceil() as usize;
+    all.into_iter().take(most).cloned().collect()
+}
+
+fn runs(record: &Record, service: &Service, now: Moment, at: &str) -> bool {
+    let drain = record.drain_of(at).filter(|drain| drain.told + drain.grace > now.0 / 1_000_000);
+    drain.is_some_and(|drain| service.knows_start(&drain.server, drain.started))
+}
+
+/// All of it.
+pub fn whole(record: &Record, service: &Service, now: Moment) -> Standing {
+    let mut standing = Standing::default();
+    for (subject, kept) in record.orders() {
+        let Some((wish, part)) = in_force(kept, now) else { continue };
+        match (subject, wish) {
+            (Subject::Server(server), _) => drop(standing.drained.insert(server.clone())),
+            (Subject::Zone(zone), _) => standing.drained.extend(of_zone(service, zone, part)),
+            (Subject::Weight(server), Wish::Weight(w)) => {
+                standing.weights.insert(server.clone(), weight(service, server, w.weight, part));
+            }
+            (Subject::Route(route), Wish::Cap(cap)) => {
+                standing.caps.insert(route.clone(), 1.0 - (1.0 - cap.level) * part);
+            }
+            (Subject::Releases, _) => standing.held = true,
+            _ => {}
+        }
+    }
+    // A grace that another planner began runs on here, also where this one's list is behind.
+    let running = record.drains().filter(|drain| runs(record, service, now, &drain.server));
+    standing.drained.extend(running.map(|drain| drain.server.clone()));
+    standing
+}
+
+/// What is said of these, and no more: with 10,000 orders in force each commit went through all of them. None: only
+/// the whole tells.
+pub fn of(
+    record: &Record,
+    service: &Service,
+    now: Moment,
+    subjects: &BTreeSet<Subject>,
+) -> Option<Vec<Stands>> {
+    let zones = record.orders().rev().take_while(|(subject, _)| **subject > Subject::Releases);
+    let zones = zones.filter(|(subject, _)| matches!(subject, Subject::Zone(_))).count();
+    let mut all = Vec::new();
+    for subject in subjects {
+        let wish = record.order_on(subject).and_then(|kept| in_force(kept, now));
+        all.push(match (subject, wish) {
+            (Subject::Server(_), _) if zones > 0 => return None,
+            (Subject::Server(at), wish) => {
+                Stands::Drained(at.clone(), wish.is_some() || runs(record, service, now, at))
+            }
+            (Subject::Weight(at), Some((Wish::Weight(w), part))) => {
+                Stands::Weighs(at.clone(), Some(weight(service, at, w.weight, part)))
+            }
+            (Subject::Weight(at), _) => Stands::Weighs(at.clone(), None),
+            (Subject::Route(route), Some((Wish::Cap(cap), part))) => {
+                Stands::Capped(route.clone(), Some(1.0 - (1.0 - cap.level) * part))
+            }
+            (Subject::Route(route), _) => Stands::Capped(route.clone(), None),
+            (Subject::Releases, wish) => Stands::Held(wish.is_some()),
+            (Subject::Zone(_), _) => return None,
+            (Subject::Duties, _) => continue,
+        });
+    }
+    Some(all)
+}
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -5,12 +5,14 @@
 
 use crate::books::Books;
 use crate::member::{Member, Post, Reply, Request, Told, DOOR, TIMERS};
+use crate::orders;
+use crate::releaser::Releaser;
 use crate::slices::{Holder, Slices, Wants};
 use crate::words::{word, Change};
-use pewtergap_control::{Asked, ProbeOver, Service, Standing, Stands};
+use pewtergap_control::{Asked, ProbeOver, Service};
 use pewtergap_node::{Effect, Input, Level, Link, Node, Outbox};
 use pewtergap_record::{
-    Cap, Clean, Command, Drain, Hand, Order, Standing as Kept, Subject, TakeNumber, Weight, What, Wish, BOOKS,
+    Cap, Clean, Command, Drain, Hand, Order, Subject, TakeNumber, Weight, What, Wish, BOOKS, RELEASE,
 };
 use pewtergap_time::{Moment, Span};
 use serde::Deserialize;
@@ -63,6 +65,13 @@
     weight: f64,
     #[serde(default)]
     level: f64,
+    #[serde(default)]
+    zone: String,
+    /// 0: it binds at once.
+    #[serde(default)]
+    steps: u32,
+    #[serde(default)]
+    pause_ms: u64,
 }
 
 #[derive(Deserialize)]
@@ -111,23 +120,20 @@
             "free-weight" => Wish::FreeWeight(self.server),
             "cap" => Wish::Cap(Cap { route: self.route, level: self.level }),
             "uncap" => Wish::Uncap(self.route),
+            "drain-zone" => Wish::DrainZone(self.zone),
+            "take-back-zone" => Wish::TakeBackZone(self.zone),
             "hold-duties" => Wish::HoldDuties(nothing),
             "let-duties" => Wish::LetDuties(nothing),
             "hold-releases" => Wish::HoldReleases(nothing),
             "let-releases" => Wish::LetReleases(nothing),
             other => return Err(format!("order: '{other}' is none")),
         };
-        let order = Order { who: self.who, why: self.why, until: self.until, wish: Some(wish) };
+        let (steps, pause) = (self.steps, self.pause_ms);
+        let order = Order { who: self.who, why: self.why, until: self.until, wish: Some(wish), steps, pause };
         Ok(Command { id, given: self.given, what: Some(What::Order(order)) })
     }
 }
 
-/// What is wished for, unless its time is over.
-fn in_force(kept: &Kept, now: Moment) -> Option<&Wish> {
-    let order = kept.order.as_ref().filter(|order| order.until == 0 || order.until > now.0 / 1_000_000);
-    order.and_then(|order| order.wish.as_ref())
-}
-
 pub struct Together {
     service: Service,
     member: Member,
@@ -142,6 +148,8 @@
     drains: Vec<Command>,
     books: Option<Books>,
     slices: Option<Slices>,
+    releaser: Releaser,
+    has_duties: bool,
 }
 
 impl Together {
@@ -150,6 +158,8 @@
         service.probes_shared = home.slices.0 > 0;
         Together {
             service,
+            releaser: Releaser::default(),
+            has_duties: home.duties.is_some(),
             slices: (home.slices.0 > 0).then(|| Slices::new(home.slices.0, home.slices.1)),
             name: home.name.clone(),
             member: Member::new(home.clone()),
@@ -191,65 +201,27 @@
         }
         self.service.count_as(number);
         self.service.handle(now, Input::Start, out);
-        self.stand_by(now, out);
+        self.stand_by(now, None, out);
     }
 
-    /// What the record says, told to the service.
-    fn stand_by(&mut self, now: Moment, out: &mut Outbox) {
+    /// What the record says, told to the service: of these subjects, or all of it.
+    fn stand_by(&mut self, now: Moment, subjects: Option<&BTreeSet<Subject>>, out: &mut Outbox) {
         if !self.started {
             return;
         }
-        let mut standing = Standing::default();
-        for (subject, kept) in self.member.record.orders() {
-            let Some(wish) = in_force(kept, now) else { continue };
-            match (subject, wish) {
-                (Subject::Server(server), _) => drop(standing.drained.insert(server.clone())),
-                (Subject::Weight(server), Wish::Weight(w)) => {
-                    standing.weights.insert(server.clone(), w.weight);
-                }
-                (Subject::Route(route), Wish::Cap(cap)) => {
-                    standing.caps.insert(route.clone(), cap.level);
-                }
-                (Subject::Releases, _) => standing.held = true,
-                _ => {}
-            }
-        }
-        // A grace that another planner began runs on here, also where this one's list is behind.
-        let runs = self.member.record.drains().filter(|drain| self.runs(drain, now));
-        standing.drained.extend(runs.map(|drain| drain.server.clone()));
-        let stands = self.service.standing().towards(&standing);
+        let record = &self.member.record;
+        let these = subjects.and_then(|subjects| orders::of(record, &self.service, now, subjects));
+        let stands = these
+            .unwrap_or_else(|| self.service.standing().towards(&orders::whole(record, &self.service, now)));
         self.service.stand_by(now, &stands, out);
     }
 
-    fn runs(&self, drain: &Drain, now: Moment) -> bool {
-        drain.told + drain.grace > now.0 / 1_000_000 && self.service.knows_start(&drain.server, drain.started)
-    }
-
-    /// What the record says of these, and no more: with 10,000 orders in force each commit went through all of them.
-    fn stand_by_these(&mut self, now: Moment, subjects: &BTreeSet<Subject>, out: &mut Outbox) {
-        if !self.started {
-            return;
+    /// Orders in steps, where it is ours to let them go on.
+    fn release(&mut self, now: Moment, out: &mut Outbox) {
+        let Some(number) = self.member.may(now, RELEASE) else { return self.releaser.rest() };
+        for what in self.releaser.look(now, number, &self.member.record, self.service.tried()) {
+            self.tell_record(now, Some(what), out);
         }
-        let record = &self.member.record;
-        let stands = |subject: &Subject| {
-            let wish = record.order_on(subject).and_then(|kept| in_force(kept, now));
-            Some(match (subject, wish) {
-                (Subject::Server(at), wish) => {
-                    let runs = record.drain_of(at).is_some_and(|drain| self.runs(drain, now));
-                    Stands::Drained(at.clone(), wish.is_some() || runs)
-                }
-                (Subject::Weight(at), Some(Wish::Weight(w))) => Stands::Weighs(at.clone(), Some(w.weight)),
-                (Subject::Weight(at), _) => Stands::Weighs(at.clone(), None),
-                (Subject::Route(route), Some(Wish::Cap(cap))) => {
-                    Stands::Capped(route.clone(), Some(cap.level))
-                }
-                (Subject::Route(route), _) => Stands::Capped(route.clone(), None),
-                (Subject::Releases, wish) => Stands::Held(wish.is_some()),
-                (Subject::Duties, _) => return None,
-            })
-        };
-        let stands: Vec<Stands> = subjects.iter().filter_map(stands).collect();
-        self.service.stand_by(now, &stands, out);
     }
 
     fn asked(&mut self, now: Moment, asked: Asked, out: &mut Outbox) {
@@ -439,7 +411,8 @@
                 let order = kept.order.as_ref()?;
                 let words = order.wish.as_ref()?.words();
                 Some(json!({ "number": kept.number, "order": words, "who": order.who, "why": order.why,
-                    "until": order.until, "given": kept.given }))
+                    "until": order.until, "given": kept.given, "steps": order.steps, "reached": kept.reached,
+                    "back": kept.back }))
             })
             .collect();
         let drains: Vec<serde_json::Value> = record
@@ -508,8 +481,7 @@
             for told in told {
                 match told {
                     Told::Reply { token, reply } => self.replied(now, token, reply, out),
-                    Told::Changed(None) => self.stand_by(now, out),
-                    Told::Changed(Some(subjects)) => self.stand_by_these(now, &subjects, out),
+                    Told::Changed(subjects) => self.stand_by(now, subjects.as_ref(), out),
                     Told::Numbered(number) => self.begin(now, number, out),
                     Told::Probes(from, kind) => self.probes_told(now, from, kind, out),
                 }
@@ -528,12 +500,13 @@
                 self.member.handle(now, Input::Start, out);
                 self.take_number(now, out);
                 out.wake(NUMBERED, now + NUMBER);
-                if self.books.is_some() || self.slices.is_some() {
+                if self.has_duties {
                     out.wake(BOOKKEEPING, now + LOOK);
                 }
             }
             Input::Due { timer: BOOKKEEPING } => {
                 self.keep_books(now, out);
+                self.release(now, out);
                 let late = self.slices.as_mut().map(|slices| slices.tick(now)).unwrap_or_default();
                 late.into_iter().for_each(|wants| self.do_probes(now, wants, out));
                 out.wake(BOOKKEEPING, now + LOOK);
@@ -541,7 +514,7 @@
             Input::Due { timer: NUMBERED } => {
                 // The time of orders that end is looked at now and then.
                 self.number(now, None, out);
-                self.stand_by(now, out);
+                self.stand_by(now, None, out);
                 out.wake(NUMBERED, now + Span::millis(1_000));
             }
             Input::Due { timer: GONE } => out.push(Effect::Exit { code: 0 }),
--- a/crates/pewtergap/src/operator.rs
+++ b/crates/pewtergap/src/operator.rs
@@ -26,6 +26,13 @@
     /// For so long, like 90s, 10m or 2h; without it until taken back.
     #[arg(long = "for")]
     lasts: Option<String>,
+    /// In so many steps: each planner carries out what is reached, one of them looks at what follows and lets it go on
+    /// or takes it back.
+    #[arg(long, default_value_t = 0)]
+    steps: u32,
+    /// Between two steps.
+    #[arg(long, default_value = "5s")]
+    pause: String,
     /// Of an order that was given before and whose answer is not known: 16 hexadecimal digits.
     #[arg(long)]
     id: Option<String>,
@@ -62,6 +69,13 @@
     /// No table changes but removals.
     HoldReleases,
     LetReleases,
+    /// All servers of a zone take no more calls, whatever the list says.
+    DrainZone {
+        zone: String,
+    },
+    TakeBackZone {
+        zone: String,
+    },
 }
 
 #[derive(Subcommand)]
@@ -186,7 +200,8 @@
         None => format!("{:016x}", fastrand::u64(1..)),
     };
     let until = line.lasts.as_deref().map(lasting).transpose()?.map_or(0, |span| given + span);
-    let mut body = json!({ "id": id, "given": given, "who": line.by, "why": line.why, "until": until });
+    let mut body = json!({ "id": id, "given": given, "who": line.by, "why": line.why, "until": until,
+        "steps": line.steps, "pause_ms": lasting(&line.pause)? });
     let more = match line.order {
         Wish::Drain { server } => json!({ "order": "drain", "server": server }),
         Wish::TakeBack { server } => json!({ "order": "take-back", "server": server }),
@@ -196,6 +211,8 @@
         Wish::Uncap { route } => json!({ "order": "uncap", "route": route }),
         Wish::HoldReleases => json!({ "order": "hold-releases" }),
         Wish::LetReleases => json!({ "order": "let-releases" }),
+        Wish::DrainZone { zone } => json!({ "order": "drain-zone", "zone": zone }),
+        Wish::TakeBackZone { zone } => json!({ "order": "take-back-zone", "zone": zone }),
     };
     if let (Value::Object(body), Value::Object(more)) = (&mut body, more) {
         body.extend(more);
--- a/crates/record/src/commands.rs
+++ b/crates/record/src/commands.rs
@@ -13,7 +13,7 @@
     pub id: u64,
     #[prost(uint64, tag = "2")]
     pub given: u64,
-    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub what: Option<What>,
 }
 
@@ -47,6 +47,24 @@
     Close(Close),
     #[prost(message, tag = "12")]
     Arrived(Close),
+    /// An order in steps is let go on, or is taken back.
+    #[prost(message, tag = "13")]
+    Step(Step),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Step {
+    /// The order's number.
+    #[prost(uint64, tag = "1")]
+    pub order: u64,
+    /// Thousandths of it.
+    #[prost(uint32, tag = "2")]
+    pub reached: u32,
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// Why it is taken back; empty: it is not.
+    #[prost(string, tag = "4")]
+    pub why: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -103,8 +121,13 @@
     /// In milliseconds of the calendar; 0: until it is taken back.
     #[prost(uint64, tag = "3")]
     pub until: u64,
-    #[prost(oneof = "Wish", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Wish", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 16, 17")]
     pub wish: Option<Wish>,
+    /// In so many steps, with so many milliseconds between them at least; 0: it binds at once.
+    #[prost(uint32, tag = "14")]
+    pub steps: u32,
+    #[prost(uint64, tag = "15")]
+    pub pause: u64,
 }
 
 #[derive(Clone, PartialEq, Oneof)]
@@ -133,6 +156,11 @@
     HoldDuties(Clean),
     #[prost(message, tag = "13")]
     LetDuties(Clean),
+    /// All servers of a zone, whatever the list says.
+    #[prost(string, tag = "16")]
+    DrainZone(String),
+    #[prost(string, tag = "17")]
+    TakeBackZone(String),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -192,6 +220,7 @@
     Route(String),
     Releases,
     Duties,
+    Zone(String),
 }
 
 impl Wish {
@@ -206,6 +235,8 @@
             Wish::Uncap(route) => (Subject::Route(route.clone()), false),
             Wish::HoldReleases(_) => (Subject::Releases, true),
             Wish::LetReleases(_) => (Subject::Releases, false),
+            Wish::DrainZone(zone) => (Subject::Zone(zone.clone()), true),
+            Wish::TakeBackZone(zone) => (Subject::Zone(zone.clone()), false),
             Wish::HoldDuties(_) => (Subject::Duties, true),
             Wish::LetDuties(_) => (Subject::Duties, false),
         }
@@ -221,6 +252,8 @@
             Wish::Uncap(route) => format!("uncap {route}"),
             Wish::HoldReleases(_) => "hold-releases".into(),
             Wish::LetReleases(_) => "let-releases".into(),
+            Wish::DrainZone(zone) => format!("drain-zone {zone}"),
+            Wish::TakeBackZone(zone) => format!("take-back-zone {zone}"),
             Wish::HoldDuties(_) => "hold-duties".into(),
             Wish::LetDuties(_) => "let-duties".into(),
         }
@@ -260,6 +293,9 @@
                 name("who", &order.who, MOST_NAME)?;
                 name("why", &order.why, MOST_WHY)?;
                 let wish = order.wish.as_ref().ok_or("no order is given")?;
+                if order.steps > 1_000 {
+                    return Err(format!("steps: {} of 1000 at most", order.steps));
+                }
                 match wish {
                     Wish::Weight(w) if !(w.weight > 0.0 && w.weight <= 1e6) => {
                         return Err(format!("weight {} is not above 0 and at most 1000000", w.weight));
@@ -271,6 +307,7 @@
                 }
                 match wish.subject().0 {
                     Subject::Server(text) | Subject::Weight(text) => name("server", &text, MOST_NAME),
+                    Subject::Zone(text) => name("zone", &text, MOST_NAME),
                     Subject::Route(text) => name("route", &text, MOST_NAME),
                     Subject::Releases | Subject::Duties => Ok(()),
                 }
@@ -284,6 +321,8 @@
                 name("who", &hand.who, MOST_NAME)?;
                 name("why", &hand.why, MOST_WHY)
             }
+            What::Step(step) if step.why.len() > MOST_WHY => Err("why is too long".into()),
+            What::Step(_) => Ok(()),
             What::Clean(_) | What::Raise(_) | What::Close(_) | What::Arrived(_) => Ok(()),
         }
     }
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -21,6 +21,7 @@
 //! | the period after the last closed, under the books' number | close | closed, not arrived | `Kept` |
 //! | closed, under the books' number | arrived | arrived; again: as it is | `Kept` |
 //! | under an older number | clean, close, arrived | as it is | `Refused` |
+//! | in force, not taken back, under the releaser's number | step | reached so far, never less; or taken back for good | `Kept` |
 //! | | raise | the format of the commands that follow, never a lower one | `Kept` |
 //! | | clean | what ran out is gone, the horizon rises, never falls | `Kept` |
 #![forbid(unsafe_code)]
@@ -28,8 +29,8 @@
 mod commands;
 
 pub use commands::{
-    Cap, Clean, Close, Command, Drain, Give, Hand, Order, Release, Subject, TakeNumber, Weight, What, Wish,
-    MOST_NAME, MOST_WHY,
+    Cap, Clean, Close, Command, Drain, Give, Hand, Order, Release, Step, Subject, TakeNumber, Weight, What,
+    Wish, MOST_NAME, MOST_WHY,
 };
 
 use prost::Message;
@@ -47,6 +48,7 @@
 /// Duties that the record itself is touched by.
 pub const CLEANING: &str = "cleaning";
 pub const BOOKS: &str = "books";
+pub const RELEASE: &str = "release";
 /// Formats of commands that this build can carry out.
 pub const FORMATS: (u32, u32) = (1, 2);
 /// An id is remembered for so long after it was given, in milliseconds: longer than anybody goes on asking.
@@ -70,6 +72,11 @@
     pub order: Option<Order>,
     #[prost(uint64, tag = "3")]
     pub given: u64,
+    /// Of an order in steps: thousandths that are reached, and why it was taken back.
+    #[prost(uint32, tag = "4")]
+    pub reached: u32,
+    #[prost(string, tag = "5")]
+    pub back: String,
 }
 
 /// As it goes into a snapshot. Maps are kept in order, so that the same state is the same bytes.
@@ -193,6 +200,7 @@
             Some(What::Hand(hand)) => self.hand(index, hand),
             Some(What::Close(close)) => self.close(index, close),
             Some(What::Arrived(close)) => self.arrived(index, close),
+            Some(What::Step(step)) => self.step(index, step),
             Some(What::Clean(clean)) => {
                 if let Err(why) = self.fenced(CLEANING, clean.number) {
                     return Answer::Refused(why);
@@ -229,7 +237,10 @@
         } else if self.orders.len() >= MOST_ORDERS && !self.orders.contains_key(&subject) {
             return Answer::Refused(format!("{MOST_ORDERS} orders are in force, take one back first"));
         } else {
-            self.orders.insert(subject, Standing { number: index, order: Some(order.clone()), given });
+            self.orders.insert(
+                subject,
+                Standing { number: index, order: Some(order.clone()), given, ..Standing::default() },
+            );
         }
         Answer::Kept(index)
     }
@@ -284,6 +295,25 @@
         Answer::Kept(index)
     }
 
+    /// Only up, or back to nothing for good.
+    fn step(&mut self, index: u64, step: &Step) -> Answer {
+        if let Err(why) = self.fenced(RELEASE, step.number) {
+            return Answer::Refused(why);
+        }
+        match self.orders.values_mut().find(|standing| standing.number == step.order) {
+            None => Answer::Refused(format!("order {} is not in force", step.order)),
+            Some(order) if !order.back.is_empty() => Answer::Refused("it was taken back".into()),
+            Some(order) if !step.why.is_empty() => {
+                (order.reached, order.back) = (0, step.why.clone());
+                Answer::Kept(index)
+            }
+            Some(order) => {
+                order.reached = order.reached.max(step.reached.min(1_000));
+                Answer::Kept(index)
+            }
+        }
+    }
+
     /// Closed only when the last one arrived: what it says is kept until then, so whoever sends it sends the same.
     fn close(&mut self, index: u64, close: &Close) -> Answer {
         if let Err(why) = self.fenced(BOOKS, close.number) {
@@ -321,7 +351,7 @@
             .filter_map(|standing| {
                 let order = standing.order.as_ref()?;
                 Some(serde_json::json!({ "number": standing.number, "order": order.wish.as_ref()?.words(),
-                    "who": order.who, "why": order.why, "until": order.until, "given": standing.given }))
+                    "who": order.who, "why": order.why, "until": order.until, "given": standing.given, "reached": standing.reached, "back": standing.back }))
             })
             .collect();
         let drains: Vec<serde_json::Value> = self
@@ -353,7 +383,7 @@
     }
 
     /// The orders in force, by subject.
-    pub fn orders(&self) -> impl Iterator<Item = (&Subject, &Standing)> + '_ {
+    pub fn orders(&self) -> impl DoubleEndedIterator<Item = (&Subject, &Standing)> + '_ {
         self.orders.iter()
     }
 
--- a/crates/record/tests/table.rs
+++ b/crates/record/tests/table.rs
@@ -4,7 +4,13 @@
 use std::fmt::Write;
 
 fn order(id: u64, given: u64, until: u64, wish: Wish) -> Command {
-    let order = Order { who: "an operator".into(), why: "a test".into(), until, wish: Some(wish) };
+    let order = Order {
+        who: "an operator".into(),
+        why: "a test".into(),
+        until,
+        wish: Some(wish),
+        ..Order::default()
+    };
     Command { id, given, what: Some(What::Order(order)) }
 }
 
@@ -128,3 +134,50 @@
     let refused = Record::read(&record.write());
     assert!(refused.as_ref().is_err_and(|why| why.contains("stands at format 3")), "{refused:?}");
 }
+
+#[test]
+fn duties_and_books_row_by_row() {
+    let mut record = Record::default();
+    let give =
+        |duty: &str, to, number| What::Give(Give { duty: duty.into(), to, name: format!("p{to}"), number });
+    let release = |duty: &str, number| What::Release(Release { duty: duty.into(), number });
+    let hand = |duty: &str| {
+        What::Hand(Hand { duty: duty.into(), to: "p2".into(), who: "x".into(), why: "y".into() })
+    };
+    let close = |period, number| What::Close(Close { period, number });
+    let arrived = |period, number| What::Arrived(Close { period, number });
+    let clean = |number| What::Clean(Clean { now: 1, number });
+    let steps = [
+        What::Raise(2),
+        give(BOOKS, 1, 0),
+        give(BOOKS, 3, 0),
+        close(10, 2),
+        close(11, 2),
+        arrived(12, 2),
+        release(BOOKS, 1),
+        release(BOOKS, 2),
+        arrived(10, 2),
+        give(BOOKS, 2, 2),
+        arrived(10, 2),
+        close(11, 10),
+        arrived(11, 10),
+        hand("nothing"),
+        hand(BOOKS),
+        clean(0),
+        give(CLEANING, 1, 0),
+        clean(0),
+        clean(17),
+    ];
+    let mut trace = String::new();
+    for (index, what) in (1..).zip(steps) {
+        let answer = record.apply(index, &Command { id: index, given: 5, what: Some(what) });
+        let duties: Vec<String> = record
+            .duties()
+            .iter()
+            .map(|(n, d)| format!("{n} {} {} {}", d.holder, d.number, d.wanted))
+            .collect();
+        let _ = writeln!(trace, "{index:>2} {answer:?} | {} | {:?}", duties.join(", "), record.books().0);
+        assert_eq!(Record::read(&record.write()).as_ref(), Ok(&record), "through a snapshot at {index}");
+    }
+    insta::assert_snapshot!(trace);
+}
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -12,7 +12,7 @@
     Channel, Fleet, KeyScope, Planner, Pledge, Reach, Repeats, Route, Slicing, Throttle,
 };
 use pewtergap_proxy::{Front, Home, Proxy, Shunning};
-use pewtergap_record::{BOOKS, CLEANING};
+use pewtergap_record::{BOOKS, CLEANING, RELEASE};
 use pewtergap_time::{Moment, Span};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -289,7 +289,7 @@
         }
         let receiver = part.maybe_part("books", "books", books);
         let duties = part.maybe_part("duties", "duties", duties).map(|(lease, steady, slices)| {
-            let names = [Some(CLEANING), receiver.map(|_| BOOKS)];
+            let names = [Some(CLEANING), Some(RELEASE), receiver.map(|_| BOOKS)];
             let names = names.into_iter().flatten().map(str::to_string);
             let names = names.chain(slice_names(&zones, slices)).collect();
             (Duties { lease, steady, names }, slices)
