--- a/crates/duty/tests/schedules.rs
+++ b/crates/duty/tests/schedules.rs
@@ -63,7 +63,7 @@
     giver: Option<(Giver, u64)>,
     rate: f64,
     seen: usize,
-    giving: BTreeMap<String, usize>,
+    giving: BTreeMap<String, Option<usize>>,
     paused: Option<Vec<Event>>,
 }
 
@@ -221,8 +221,10 @@
             self.sees(at, last);
         }
         let state = self.log[self.planners[at].seen].clone();
-        let known = self.planners[at].seen;
-        self.planners[at].giving.retain(|duty, _| known == 0 || !state.contains_key(duty));
+        // What it has given away and is not yet kept or lost stands in the way of further plans and of renewals.
+        if !self.planners[at].giving.is_empty() {
+            return;
+        }
         let held = state.iter().map(|(duty, (holder, number))| {
             let holder = holder.map_or(0, |holder| holder as u64 + 1);
             (duty.clone(), Held { holder, number: *number, wanted: None })
@@ -237,9 +239,9 @@
             match one {
                 Move::Give { duty, to, number } => {
                     let from = held.get(&duty).map_or(0, |held| held.holder);
-                    if from > 0 {
-                        self.planners[at].giving.insert(duty.clone(), from as usize - 1);
-                    }
+                    self.planners[at]
+                        .giving
+                        .insert(duty.clone(), from.checked_sub(1).map(|from| from as usize));
                     let to = Some(to as usize - 1);
                     let ms = self.rng.u64(0..60);
                     self.after(ms, Event::Commit { term, duty, to, number });
@@ -258,7 +260,9 @@
         let Some((giver, led)) = &mut one.giver else { return };
         // It may have been deposed and not know: then its round is answered by no majority.
         let mine = *led;
-        if one.giving.values().any(|holder| *holder == from) && self.planted != Planted::RenewsWhileGiving {
+        if one.giving.values().any(|holder| *holder == Some(from))
+            && self.planted != Planted::RenewsWhileGiving
+        {
             return;
         }
         giver.renews(now, from as u64 + 1);
@@ -278,6 +282,10 @@
             state.insert(duty.clone(), (to, next));
             self.log.push(state);
         }
+        // A leader's own commands are committed in its own term, or it leads no more.
+        if term != self.term {
+            return;
+        }
         let leader = self.leader;
         let last = self.log.len() - 1;
         // The leader applies at once, the others when they hear of it.
