A member welcomed while its file was still being made joins; leases may be changed

Checked: logs of the one (an old copy, begun anew) show it let in by the leader and never answering; its welcomes came while its new file was being made, were heard once and not looked at again. Fixed in opening.rs: welcomes that stand are looked at when the file is there; tested by hand with a slow disk, which fails without it. Leases: the record says how long they are; a holder believes in the shorter of its own setting and that, a giver waits for the longer. Drill duty-lease changes them member by member.

--- a/crates/duty/src/desk.rs
+++ b/crates/duty/src/desk.rs
@@ -1,7 +1,7 @@
 //! A planner's own duties: what it holds by the record, and whether it may act on it now.
 
 use crate::{Lease, MOST_DUTIES};
-use pewtergap_time::Moment;
+use pewtergap_time::{Moment, Span};
 use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,6 +82,11 @@
         Desk { lease, until: Moment(0), posts: BTreeMap::new(), done: Vec::new() }
     }
 
+    /// Leases are so long from here on: what is believed already stays.
+    pub fn length(&mut self, length: Span) {
+        self.lease.length = length;
+    }
+
     fn step(&mut self, duty: &str, input: Input) {
         let Some(post) = self.posts.get_mut(duty) else { return };
         let Some(row) = STEPS.iter().find(|row| row.0 == post.state && row.1 == input) else { return };
--- a/crates/duty/src/giver.rs
+++ b/crates/duty/src/giver.rs
@@ -58,6 +58,11 @@
         Giver { lease, steady, leads_since: now, known: BTreeMap::new(), last: BTreeMap::new() }
     }
 
+    /// Leases are so long from here on.
+    pub fn length(&mut self, length: Span) {
+        self.lease.length = length;
+    }
+
     /// A request to renew came.
     pub fn renews(&mut self, now: Moment, planner: u64) {
         let gap = self.gap();
--- a/crates/lab/src/cluster/drill.rs
+++ b/crates/lab/src/cluster/drill.rs
@@ -23,6 +23,7 @@
     ("lost-in-a-change", 5, 3, |director| director.lost_in_a_change()),
     ("places", 5, 3, |director| director.places()),
     ("duties", 3, 3, |director| director.struck_duties()),
+    ("duty-lease", 3, 3, |director| director.lease_changed()),
     ("duty-steps", 3, 3, |director| director.steps()),
     ("duty-at-the-effect", 3, 3, |director| director.held_at_the_effect()),
 ];
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -150,6 +150,7 @@
     /// The newest format a member may speak, and how many blocks a file of its may have.
     formats: Vec<Option<u32>>,
     most_blocks: Vec<Option<u64>>,
+    leases: Vec<u64>,
     sightings: Sightings,
     receiver: Option<Place>,
     ledger: Ledger,
@@ -210,6 +211,7 @@
             copies: BTreeMap::new(),
             formats: vec![day.format; day.members],
             most_blocks: vec![None; day.members],
+            leases: vec![duties::LEASE_MS; day.members],
             sightings: sightings.clone(),
             receiver,
             ledger,
@@ -429,15 +431,15 @@
             name(at),
             self.day.dir.join(name(at)).display(),
             self.day.members,
-            Links::settings(&self.listens, at, &names, &more) + &self.duties_text()
+            Links::settings(&self.listens, at, &names, &more) + &self.duties_text(at)
         )
     }
 
-    fn duties_text(&self) -> String {
+    fn duties_text(&self, at: usize) -> String {
         let (Some(receiver), Some(slices)) = (self.listens.get("receiver"), self.day.duties) else {
             return String::new();
         };
-        let (settings, period) = (duties::settings(slices), duties::PERIOD);
+        let (settings, period) = (duties::settings(slices, self.leases[at]), duties::PERIOD);
         format!("    {settings}, books = books(receiver = \"{receiver}\", period = \"{period}\"),\n")
     }
 
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -430,7 +430,7 @@
         }
         let names: Vec<String> = (0..day.planners).map(planner_name).collect();
         let duties = if day.duties {
-            format!("    {},\n", crate::cluster::duties::settings(1))
+            format!("    {},\n", crate::cluster::duties::settings(1, crate::cluster::duties::LEASE_MS))
         } else {
             String::new()
         };
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -17,6 +17,6 @@
 
 pub use alone::{alone, GoesOn};
 pub use books::Receiver;
-pub use member::{Duties, Member, Post, Reply, Request, SeatView, Told, MOST_MEMBERS};
+pub use member::{digest, Duties, Member, Post, Reply, Request, SeatView, Told, MOST_MEMBERS};
 pub use slices::names as slice_names;
 pub use together::Together;
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -168,6 +168,7 @@
         let rng = fastrand::Rng::with_seed(home.seed);
         let own =
             Hello { lowest: FORMATS.0, highest: home.format, name: home.name.clone(), ..Hello::default() };
+        let own = Hello { lease: home.duties.as_ref().map_or(0, |d| d.lease.length.0 / 1_000_000), ..own };
         Member {
             peers: Peers::new(home.from),
             disk: Disk::new(format!("{}.record", home.name)),
--- a/crates/member/src/member/duties.rs
+++ b/crates/member/src/member/duties.rs
@@ -43,6 +43,7 @@
     /// Slow by its own measure: until then it takes no duties.
     slow_until: Moment,
     due: Moment,
+    lengthened: Moment,
     /// Since when a duty was without an acting holder here, as far as this one sees; for its log.
     pub acts: BTreeMap<String, u64>,
 }
@@ -61,6 +62,7 @@
             releasing: BTreeMap::new(),
             slow_until: Moment(0),
             due: Moment(0),
+            lengthened: Moment(0),
             acts: BTreeMap::new(),
         }
     }
@@ -106,6 +108,7 @@
     pub(super) fn tend(&mut self, now: Moment, out: &mut Outbox) {
         let Some(mut office) = self.office.take() else { return };
         if self.record.format() >= 2 && !matches!(self.stage, Stage::Opening | Stage::Ended) {
+            self.lengths(now, &mut office);
             self.renew(now, &mut office, out);
             self.hold(now, &mut office, out);
             self.give_out(now, &mut office, out);
@@ -129,6 +132,32 @@
         office.due = now + HOUSEKEEPING;
     }
 
+    /// Settings may differ while they are changed: a holder believes in the shorter of its own and the record's, a giver
+    /// waits for the longer. The record's rises with any leader's, and falls once nobody who belongs says more.
+    fn lengths(&mut self, now: Moment, office: &mut Office) {
+        let own = office.duties.lease.length;
+        let known = Span::millis(self.record.lease());
+        office.desk.length(own.min(known));
+        if let Some((giver, _)) = &mut office.giver {
+            giver.length(own.max(known));
+        }
+        let Some(agree) = self.agree().filter(|agree| agree.role() == Role::Leader) else { return };
+        let says = |member: &Seated| match member.id == self.own.id {
+            true => self.own.lease,
+            // One not heard of may believe in whatever the record says.
+            false => {
+                let seen = self.seen.get(&member.name).filter(|seen| seen.id == member.id);
+                seen.map_or(self.record.lease(), |seen| seen.lease)
+            }
+        };
+        let all = agree.members().list.iter().map(says).max().unwrap_or(0).max(self.own.lease);
+        if all != self.record.lease() && now.since(office.lengthened) >= AGAIN {
+            office.lengthened = now;
+            let id = self.rng.u64(1..);
+            self.propose(&Command { id, given: now.0 / 1_000_000, what: Some(What::Lease(all)) });
+        }
+    }
+
     fn renew(&mut self, now: Moment, office: &mut Office, out: &mut Outbox) {
         let Some(agree) = self.agree() else { return };
         let (leads, leader, applied) = (agree.role() == Role::Leader, agree.leader(), agree.applied());
--- a/crates/member/src/member/opening.rs
+++ b/crates/member/src/member/opening.rs
@@ -97,6 +97,10 @@
             self.establish(now, out);
         }
         self.know(now, out);
+        // Whoever welcomed it while its file was still being made said so once: on a slow disk it never joined again.
+        for hello in self.peers.welcomes() {
+            self.welcomed(now, &hello, out);
+        }
         // It may have been another member before, on a disk that was an old copy.
         if std::mem::replace(&mut self.open, true) {
             return;
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -214,6 +214,10 @@
         self.peers.get(name)?.ways[0].welcome.as_ref()
     }
 
+    pub fn welcomes(&self) -> Vec<Hello> {
+        self.peers.values().filter_map(|peer| peer.ways[0].welcome.clone()).collect()
+    }
+
     pub fn refused(&self, name: &str) -> Option<&str> {
         self.peers.get(name)?.refused.as_deref()
     }
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -313,7 +313,7 @@
         let duties: Vec<serde_json::Value> = self.member.record.duties().iter().map(view).collect();
         let (books, _) = self.member.record.books();
         json!({ "name": self.name, "duties": duties, "books": { "closed": books.closed, "arrived": books.arrived },
-            "probes": self.slices.as_ref().map(|slices| json!({ "doubts": slices.doubts, "fenced": slices.fenced() })) })
+            "lease_ms": self.member.record.lease(), "probes": self.slices.as_ref().map(|slices| json!({ "doubts": slices.doubts, "fenced": slices.fenced() })) })
             .to_string()
     }
 
--- a/crates/member/src/words.rs
+++ b/crates/member/src/words.rs
@@ -85,6 +85,9 @@
     /// Who belongs now: one that joins knows the founders only, and the leader may be none of them.
     #[prost(message, repeated, tag = "10")]
     pub seats: Vec<Seat>,
+    /// How long this one's settings say that leases are, in milliseconds; 0: it has no duties.
+    #[prost(uint64, tag = "11")]
+    pub lease: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/pewtergap/src/cluster.rs
+++ b/crates/pewtergap/src/cluster.rs
@@ -34,7 +34,7 @@
     #[arg(long)]
     duties: bool,
     /// In place of drawn troubles one hard case: roll-out, pieces, full-disk, lost-in-a-change, places,
-    /// duties, duty-steps, duty-at-the-effect.
+    /// duties, duty-lease, duty-steps, duty-at-the-effect.
     #[arg(long, value_parser = drill)]
     drill: Option<String>,
 }
--- a/crates/record/src/commands.rs
+++ b/crates/record/src/commands.rs
@@ -13,7 +13,7 @@
     pub id: u64,
     #[prost(uint64, tag = "2")]
     pub given: u64,
-    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub what: Option<What>,
 }
 
@@ -50,6 +50,9 @@
     /// An order in steps is let go on, or is taken back.
     #[prost(message, tag = "13")]
     Step(Step),
+    /// How long leases are, in milliseconds.
+    #[prost(uint64, tag = "14")]
+    Lease(u64),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -322,7 +325,7 @@
                 name("why", &hand.why, MOST_WHY)
             }
             What::Step(step) if step.why.len() > MOST_WHY => Err("why is too long".into()),
-            What::Step(_) => Ok(()),
+            What::Step(_) | What::Lease(_) => Ok(()),
             What::Clean(_) | What::Raise(_) | What::Close(_) | What::Arrived(_) => Ok(()),
         }
     }
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -22,6 +22,7 @@
 //! | closed, under the books' number | arrived | arrived; again: as it is | `Kept` |
 //! | under an older number | clean, close, arrived | as it is | `Refused` |
 //! | in force, not taken back, under the releaser's number | step | reached so far, never less; or taken back for good | `Kept` |
+//! | | lease | leases are so long from here on | `Kept` |
 //! | | raise | the format of the commands that follow, never a lower one | `Kept` |
 //! | | clean | what ran out is gone, the horizon rises, never falls | `Kept` |
 #![forbid(unsafe_code)]
@@ -104,6 +105,8 @@
     /// What the closed period says, fixed when it was closed.
     #[prost(string, tag = "10")]
     extract: String,
+    #[prost(uint64, tag = "11")]
+    lease: u64,
 }
 
 /// A duty; holder 0: nobody's. The number only rises.
@@ -168,6 +171,7 @@
     duties: BTreeMap<String, Duty>,
     books: Books,
     extract: String,
+    lease: u64,
 }
 
 impl Record {
@@ -200,6 +204,10 @@
             Some(What::Hand(hand)) => self.hand(index, hand),
             Some(What::Close(close)) => self.close(index, close),
             Some(What::Arrived(close)) => self.arrived(index, close),
+            Some(What::Lease(length)) => {
+                self.lease = *length;
+                Answer::Kept(index)
+            }
             Some(What::Step(step)) => self.step(index, step),
             Some(What::Clean(clean)) => {
                 if let Err(why) = self.fenced(CLEANING, clean.number) {
@@ -391,6 +399,11 @@
         &self.duties
     }
 
+    /// How long leases are, in milliseconds; 0: nobody has said so.
+    pub fn lease(&self) -> u64 {
+        self.lease
+    }
+
     /// The books, and what the last closed period says.
     pub fn books(&self) -> (Books, &str) {
         (self.books, &self.extract)
@@ -441,6 +454,7 @@
             duties: self.duties.clone(),
             books: Some(self.books),
             extract: self.extract.clone(),
+            lease: self.lease,
         };
         image.encode_to_vec()
     }
@@ -454,7 +468,7 @@
             orders.insert(subject, standing);
         }
         let books = image.books.unwrap_or_default();
-        let Image { ids, number, drains, horizon, format, own, duties, extract, .. } = image;
+        let Image { ids, number, drains, horizon, format, own, duties, extract, lease, .. } = image;
         if format > FORMATS.1 {
             return Err(format!("the record stands at format {format}, this build knows {}", FORMATS.1));
         }
@@ -472,6 +486,7 @@
             duties,
             books,
             extract,
+            lease,
         })
     }
 }
