--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cluster;
 pub mod day;
 pub mod days;
+pub mod explore;
 mod list;
 pub mod measure;
 mod members;
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -1,6 +1,6 @@
 //! The fronts by scripts and the rehearsal kit.
 
-use crate::{cluster, drive, operator, rehearse, Ended};
+use crate::{cluster, drive, explore, operator, rehearse, Ended};
 use clap::Subcommand;
 use pewtergap_lab::measure::Others;
 use pewtergap_reactor::Clock;
@@ -33,6 +33,10 @@
     },
     /// What the record holds.
     Record(operator::RecordLine),
+    /// Members under virtual time: bad days by seed, each checked after every step.
+    Explore(explore::ExploreLine),
+    /// One seed again.
+    Replay(explore::ReplayLine),
     /// What one planner at a time does for all.
     Duties {
         #[command(subcommand)]
@@ -103,6 +107,8 @@
         Front::Record(line) => operator::record(line),
         Front::Duties { what } => operator::duties(what),
         Front::Rehearse(wanted) => rehearse::rehearse(wanted),
+        Front::Explore(line) => explore::run(&line),
+        Front::Replay(line) => explore::replay(&line),
         Front::Measure { what: Measured::Order { proxies, rounds, others, json } } => {
             order(&proxies, rounds, others, json)
         }
--- a/crates/pewtergap/src/main.rs
+++ b/crates/pewtergap/src/main.rs
@@ -7,6 +7,8 @@
 #[cfg(feature = "fronts")]
 mod cluster;
 #[cfg(feature = "fronts")]
+mod explore;
+#[cfg(feature = "fronts")]
 mod fronts;
 #[cfg(feature = "fronts")]
 mod operator;
--- a/crates/pewtergap/tests/cluster.rs
+++ b/crates/pewtergap/tests/cluster.rs
@@ -44,7 +44,7 @@
     kept(&ClusterDay { only: vec![Kill, Stop, Terminate, Reset], strikes: 5, ..day("processes", 4) });
     kept(&ClusterDay { only: vec![Isolate, Mute, Deaf, OneWay, Chain, Slow], strikes: 5, ..day("links", 5) });
     kept(&ClusterDay { members: 5, founders: 5, strikes: 5, ..day("five", 6) });
-    kept(&ClusterDay { duties: Some(2), strikes: 5, ..day("duties", 10) });
+    kept(&ClusterDay { duties: Some(2), strikes: 5, ..day("held", 10) });
     kept(&ClusterDay { members: 5, only: vec![Join], strikes: 2, ..day("join", 8) });
 }
 
