--- a/crates/duty/src/desk.rs
+++ b/crates/duty/src/desk.rs
@@ -164,8 +164,4 @@
     pub fn take(&mut self) -> Vec<(String, u64, Does)> {
         std::mem::take(&mut self.done)
     }
-
-    pub fn until(&self) -> Moment {
-        self.until
-    }
 }
--- a/crates/member/src/member/duties.rs
+++ b/crates/member/src/member/duties.rs
@@ -44,8 +44,6 @@
     slow_until: Moment,
     due: Moment,
     lengthened: Moment,
-    /// Since when a duty was without an acting holder here, as far as this one sees; for its log.
-    pub acts: BTreeMap<String, u64>,
 }
 
 impl Office {
@@ -63,7 +61,6 @@
             slow_until: Moment(0),
             due: Moment(0),
             lengthened: Moment(0),
-            acts: BTreeMap::new(),
         }
     }
 
@@ -229,10 +226,6 @@
                 Done::Stop => "duty_stopped",
                 Done::Nothing => continue,
             };
-            match does {
-                Done::Begin | Done::GoOn => drop(office.acts.insert(duty.clone(), number)),
-                _ => drop(office.acts.remove(&duty)),
-            }
             let fields = vec![("duty", duty), ("number", number.to_string())];
             out.log(if does == Done::Rest { Level::Warn } else { Level::Info }, event, fields);
         }
@@ -247,7 +240,7 @@
             return;
         };
         if office.giver.as_ref().is_none_or(|giver| giver.1 != led) {
-            // From when it led, not from now: nobody counts more than that.
+            // From now, which is after it began to lead: nobody's lease is counted shorter by that.
             let giver = Giver::new(now, office.duties.lease, office.duties.steady);
             office.giver = Some((giver, led));
             office.giving.clear();
--- a/crates/pewtergap/src/operator.rs
+++ b/crates/pewtergap/src/operator.rs
@@ -114,6 +114,17 @@
     },
 }
 
+/// Who says it, why, and to whom.
+#[derive(Args)]
+pub struct Said {
+    #[arg(long)]
+    by: String,
+    #[arg(long)]
+    why: String,
+    #[command(flatten)]
+    at: At,
+}
+
 #[derive(Subcommand)]
 pub enum DutiesLine {
     /// Who holds which duty, under which number, and since when.
@@ -125,29 +136,17 @@
     Hand {
         duty: String,
         to: Option<String>,
-        #[arg(long)]
-        by: String,
-        #[arg(long)]
-        why: String,
         #[command(flatten)]
-        at: At,
+        said: Said,
     },
     /// No duty moves but what is lost.
     Hold {
-        #[arg(long)]
-        by: String,
-        #[arg(long)]
-        why: String,
         #[command(flatten)]
-        at: At,
+        said: Said,
     },
     Let {
-        #[arg(long)]
-        by: String,
-        #[arg(long)]
-        why: String,
         #[command(flatten)]
-        at: At,
+        said: Said,
     },
 }
 
@@ -237,23 +236,22 @@
 }
 
 pub fn duties(line: DutiesLine) -> Ended {
-    let fields = |by: String, why: String| {
+    let fields = |said: Said| {
         let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let id = format!("{:016x}", fastrand::u64(1..));
         eprintln!("order {id}");
-        json!({ "id": id, "given": now.as_millis() as u64, "who": by, "why": why })
+        json!({ "id": id, "given": now.as_millis() as u64, "who": said.by, "why": said.why })
     };
-    let (at, target, mut body, more) = match line {
+    let (said, target, more) = match line {
         DutiesLine::List { at } => return ask(&at, "GET", "/duties", None),
-        DutiesLine::Hand { duty, to, by, why, at } => {
-            let more = json!({ "duty": duty, "to": to.unwrap_or_default() });
-            (at, "/duties", fields(by, why), more)
-        }
-        DutiesLine::Hold { by, why, at } => {
-            (at, "/orders", fields(by, why), json!({ "order": "hold-duties" }))
+        DutiesLine::Hand { duty, to, said } => {
+            (said, "/duties", json!({ "duty": duty, "to": to.unwrap_or_default() }))
         }
-        DutiesLine::Let { by, why, at } => (at, "/orders", fields(by, why), json!({ "order": "let-duties" })),
+        DutiesLine::Hold { said } => (said, "/orders", json!({ "order": "hold-duties" })),
+        DutiesLine::Let { said } => (said, "/orders", json!({ "order": "let-duties" })),
     };
+    let at = At { at: said.at.at.clone() };
+    let mut body = fields(said);
     if let (Value::Object(body), Value::Object(more)) = (&mut body, more) {
         body.extend(more);
     }
--- a/crates/virtual/src/lib.rs
+++ b/crates/virtual/src/lib.rs
@@ -77,7 +77,6 @@
     links: BTreeMap<Link, (u64, usize)>,
     doors: BTreeMap<u32, SocketAddr>,
     paused: Option<Vec<What>>,
-    ended: Option<i32>,
 }
 
 /// What was heard of a machine's log.
@@ -155,7 +154,6 @@
             links: BTreeMap::new(),
             doors: BTreeMap::new(),
             paused: None,
-            ended: None,
         });
         Place(self.machines.len() - 1)
     }
@@ -185,7 +183,7 @@
     pub fn start(&mut self, place: Place, node: Box<dyn Node>) {
         let machine = &mut self.machines[place.0];
         machine.life += 1;
-        (machine.node, machine.out, machine.ended) = (Some(node), Outbox::default(), None);
+        (machine.node, machine.out) = (Some(node), Outbox::default());
         self.at(self.now, place.0, What::Start);
     }
 
@@ -215,11 +213,6 @@
         self.machines[place.0].node.is_some()
     }
 
-    /// How the node ended by itself, if it did.
-    pub fn ended(&self, place: Place) -> Option<i32> {
-        self.machines[place.0].ended
-    }
-
     pub fn pause(&mut self, place: Place) {
         if self.runs(place) {
             self.machines[place.0].paused.get_or_insert_with(Vec::new);
@@ -381,10 +374,7 @@
             Effect::Log(line) if self.listens => {
                 self.logged.push(Logged { place: Place(place), at: self.now, line });
             }
-            Effect::Exit { code } => {
-                self.kill(Place(place));
-                self.machines[place].ended = Some(code);
-            }
+            Effect::Exit { .. } => self.kill(Place(place)),
             // What comes is given at once, so that nothing waits to be read; houses of several reactors are none here.
             Effect::Log(_)
             | Effect::Pause { .. }
