Books: number and period are asked again when the link stands

Read once more: the effect asked whether the duty was held, not whether under the number with which the link was dialled. Given anew in between, a later period's extract would have gone out under the old period's id; the receiver's fence refuses the old number, so nothing was seen of it.

--- a/crates/member/src/books.rs
+++ b/crates/member/src/books.rs
@@ -89,9 +89,14 @@
         }
     }
 
-    /// The link stands: this is the effect, so whoever calls has asked again whether the duty is held.
-    pub fn opened(&mut self, extract: &str, out: &mut Outbox) {
+    /// The link stands: this is the effect. `may`: the number under which the duty is held at this very moment. Given
+    /// anew meanwhile, it would send what the record says of a later period under the old period's id.
+    pub fn opened(&mut self, now: Moment, may: Option<u64>, kept: (Kept, &str), out: &mut Outbox) {
         let Some(sending) = &self.sending else { return };
+        let (books, extract) = kept;
+        if may != Some(sending.number) || books.closed != sending.period {
+            return self.give_up(now, out);
+        }
         let (host, number) = (self.receiver.at.to_string(), sending.number.to_string());
         let headers = [
             ("host", host.as_str()),
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -5,7 +5,7 @@
 #![forbid(unsafe_code)]
 
 mod alone;
-mod books;
+pub mod books;
 mod disk;
 mod member;
 mod orders;
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -312,7 +312,8 @@
         };
         let duties: Vec<serde_json::Value> = self.member.record.duties().iter().map(view).collect();
         let (books, _) = self.member.record.books();
-        json!({ "name": self.name, "duties": duties, "books": { "closed": books.closed, "arrived": books.arrived },
+        json!({ "name": self.name, "duties": duties, "books": { "closed": books.closed, "arrived": books.arrived,
+                "sent_here": self.books.as_ref().map(|books| books.sent), "refused_here": self.books.as_ref().map(|books| books.refused) },
             "lease_ms": self.member.record.lease(), "probes": self.slices.as_ref().map(|slices| json!({ "doubts": slices.doubts, "fenced": slices.fenced() })) })
             .to_string()
     }
@@ -335,10 +336,9 @@
         let Some(books) = &mut self.books else { return };
         match input {
             // The link took its time: asked again at the effect itself.
-            Input::Opened { .. } if self.member.may(now, BOOKS).is_some() => {
-                books.opened(self.member.record.books().1, out);
+            Input::Opened { .. } => {
+                books.opened(now, self.member.may(now, BOOKS), self.member.record.books(), out);
             }
-            Input::Opened { .. } => books.give_up(now, out),
             Input::Bytes { bytes, .. } => {
                 let what = books.bytes(now, bytes, out);
                 self.tell_record(now, what, out);
