Gossip, shares, counts and evidence as machines without I/O, each under seeded schedules

The ground of shared state: who is heard (SWIM, with a member's own slowness), budgets in parts that are held (escrow), counts with an interval that holds the true value, what others saw of servers as evidence within bounds. Not joined to any planner yet.

--- /dev/null
+++ b/crates/counts/src/own.rs
@@ -0,0 +1,113 @@
+//! A planner's own counts, and the windows since what each other planner has.
+
+use crate::{Ask, Part, Row, MOST_KEYS, MOST_PARTS};
+use std::collections::BTreeMap;
+
+/// Least and most of counts that changed.
+type Window = BTreeMap<String, (f64, f64)>;
+
+/// What one other planner has, and what was sent to it last.
+#[derive(Clone, Debug, Default)]
+struct Receiver {
+    has: u64,
+    since_had: Window,
+    sent: u64,
+    since_sent: Window,
+}
+
+#[derive(Clone, Debug)]
+pub struct Own {
+    start: u64,
+    values: BTreeMap<String, f64>,
+    receivers: BTreeMap<u64, Receiver>,
+    number: u64,
+    /// Counts that found no room.
+    pub left_out: u64,
+}
+
+impl Own {
+    pub fn new(start: u64) -> Own {
+        Own { start, values: BTreeMap::new(), receivers: BTreeMap::new(), number: 0, left_out: 0 }
+    }
+
+    pub fn value(&self, key: &str) -> f64 {
+        self.values.get(key).copied().unwrap_or(0.0)
+    }
+
+    pub fn values(&self) -> &BTreeMap<String, f64> {
+        &self.values
+    }
+
+    /// A count is this from now on. What is no number is not taken.
+    pub fn set(&mut self, key: &str, value: f64) {
+        let before = self.value(key);
+        if value == before || !value.is_finite() {
+            return;
+        }
+        if !self.values.contains_key(key) && self.values.len() >= MOST_KEYS {
+            self.left_out += 1;
+            return;
+        }
+        self.values.insert(key.into(), value);
+        for receiver in self.receivers.values_mut() {
+            for window in [&mut receiver.since_had, &mut receiver.since_sent] {
+                let (least, most) = window.entry(key.into()).or_insert((before, before));
+                (*least, *most) = (least.min(value), most.max(value));
+            }
+        }
+    }
+
+    pub fn add(&mut self, key: &str, more: f64) {
+        self.set(key, self.value(key) + more);
+    }
+
+    /// Counts of this kind that are no longer told of go to nothing, and are forgotten once all have heard so.
+    pub fn only(&mut self, prefix: &str, keys: &BTreeMap<String, f64>) {
+        let gone: Vec<String> = self
+            .values
+            .keys()
+            .filter(|key| key.starts_with(prefix) && !keys.contains_key(*key))
+            .cloned()
+            .collect();
+        gone.iter().for_each(|key| self.set(key, 0.0));
+        keys.iter().for_each(|(key, value)| self.set(key, *value));
+        let open = |key: &String| self.receivers.values().any(|r| r.since_had.contains_key(key));
+        let done: Vec<String> = gone.into_iter().filter(|key| !open(key)).collect();
+        self.values.retain(|key, _| !done.contains(key));
+    }
+
+    /// Whoever no longer belongs is told nothing any more.
+    pub fn know(&mut self, belong: &[u64]) {
+        self.receivers.retain(|id, _| belong.contains(id));
+    }
+
+    /// A part for one that asks. None: too many ask.
+    pub fn part(&mut self, to: u64, has: Ask) -> Option<Part> {
+        if !self.receivers.contains_key(&to) && self.receivers.len() >= MOST_PARTS {
+            return None;
+        }
+        self.number += 1;
+        let receiver = self.receivers.entry(to).or_default();
+        let ours = has.start == self.start && has.number > 0;
+        if ours && has.number == receiver.sent {
+            receiver.has = receiver.sent;
+            receiver.since_had = std::mem::take(&mut receiver.since_sent);
+        } else if !ours || has.number != receiver.has {
+            // It has nothing that we remember: it begins with the whole.
+            (receiver.has, receiver.since_had) = (0, Window::new());
+        }
+        let row = |key: &String, value: f64, window: Option<&(f64, f64)>| {
+            let (least, most) = window.copied().unwrap_or((value, value));
+            Row { key: key.clone(), value, least, most }
+        };
+        let rows = match receiver.has {
+            0 => self.values.iter().map(|(key, value)| row(key, *value, None)).collect(),
+            _ => {
+                let value = |key: &String| self.values.get(key).copied().unwrap_or(0.0);
+                receiver.since_had.iter().map(|(key, window)| row(key, value(key), Some(window))).collect()
+            }
+        };
+        (receiver.sent, receiver.since_sent) = (self.number, Window::new());
+        Some(Part { token: has.token, start: self.start, number: self.number, after: receiver.has, rows })
+    }
+}
--- /dev/null
+++ b/crates/evidence/src/lib.rs
@@ -0,0 +1,251 @@
+//! What other planners saw of servers: evidence with size and age, never a verdict. No I/O and no clock.
+//!
+//! It may do two things: have a server asked how it is, and lighten its weight within bounds. Shutting a server out stays with
+//! the module, which does so when probes confirm what its own proxies' sums suggest.
+//!
+//! | own proxies say | others say | effect |
+//! | --- | --- | --- |
+//! | enough, and good | anything | none: what we see ourselves goes first |
+//! | little | many tries, most dropped | lighter, and asked |
+//! | little | few tries, or most answered | none |
+//!
+//! Bounds, by arithmetic: `LIGHTER` of one server's weight, `OF_A_ZONE` of a zone's, the worst first; what was seen halves with
+//! each `HALVES`. A planner that finds more than `BROKEN` of what it tries to be bad, while we don't, has a broken network
+//! rather than bad servers around it: it counts `DOUBTED`. What is kept: `MOST_SEEN` rows a planner, oldest out first.
+#![forbid(unsafe_code)]
+
+use pewtergap_time::{Moment, Span};
+use std::collections::BTreeMap;
+
+/// A server loses so much of its weight by hearsay, and a zone so much of all its servers' together.
+pub const LIGHTER: f64 = 0.5;
+pub const OF_A_ZONE: f64 = 0.15;
+const HALVES: Span = Span::millis(4_000);
+/// Tries that say something, and the part of them dropped from which a server is held for bad.
+const ENOUGH: f64 = 12.0;
+const BAD: f64 = 0.5;
+const GOOD: f64 = 0.2;
+/// Servers that are bad, of those somebody tries: beyond it its own way is broken.
+const BROKEN: f64 = 0.4;
+const DOUBTED: f64 = 0.1;
+/// Weights are lightened by steps.
+const STEP: f64 = 0.125;
+/// Servers asked about by hearsay within a look, and rows kept of one planner.
+pub const MOST_ASKED: usize = 4;
+pub const MOST_SEEN: usize = 256;
+/// Servers that our own sums are kept of.
+const MOST_OWN: usize = 16_384;
+
+/// What one planner saw of one server, lately.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub server: String,
+    pub tries: f64,
+    pub dropped: f64,
+    pub age: Span,
+}
+
+/// All that a planner tells at once: what it saw of servers that look bad, and what these are among.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Told {
+    pub start: u64,
+    pub number: u64,
+    pub seen: Vec<Seen>,
+    /// Servers it tried enough to say something, and those of them that are bad.
+    pub tried: u64,
+    pub bad: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    tries: f64,
+    dropped: f64,
+    at: Moment,
+}
+
+impl Sum {
+    fn now(&self, now: Moment) -> (f64, f64) {
+        let left = 0.5f64.powf(now.since(self.at).seconds() / HALVES.seconds());
+        (self.tries * left, self.dropped * left)
+    }
+
+    fn add(&mut self, now: Moment, tries: f64, dropped: f64) {
+        let before = self.now(now);
+        *self = Sum { tries: before.0 + tries, dropped: before.1 + dropped, at: now };
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Teller {
+    start: u64,
+    number: u64,
+    broken: bool,
+    rows: BTreeMap<String, Sum>,
+}
+
+/// What is to be done now, by server: lighter by which part, 0 again to what it was; and whom to ask.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Says {
+    pub lighter: Vec<(String, f64)>,
+    pub ask: Vec<String>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    start: u64,
+    number: u64,
+    own: BTreeMap<String, Sum>,
+    tellers: BTreeMap<u64, Teller>,
+    light: BTreeMap<String, f64>,
+    asked: BTreeMap<String, Moment>,
+    /// Rows of others that were old, repeated or no numbers.
+    pub refused: u64,
+}
+
+fn judged((tries, dropped): (f64, f64)) -> Option<bool> {
+    (tries >= ENOUGH).then_some(dropped >= BAD * tries)
+}
+
+impl Evidence {
+    pub fn new(start: u64) -> Evidence {
+        Evidence { start, ..Evidence::default() }
+    }
+
+    /// What proxies here met at a server.
+    pub fn saw(&mut self, now: Moment, server: &str, tries: f64, dropped: f64) {
+        if !self.own.contains_key(server) && self.own.len() >= MOST_OWN {
+            return;
+        }
+        let new = Sum { at: now, ..Sum::default() };
+        self.own.entry(server.into()).or_insert(new).add(now, tries, dropped);
+    }
+
+    fn bad_part(&self, now: Moment) -> (u64, u64) {
+        let judged = self.own.values().filter_map(|sum| judged(sum.now(now)));
+        judged.fold((0, 0), |(tried, bad), is_bad| (tried + 1, bad + u64::from(is_bad)))
+    }
+
+    /// What the others are told: only what looks bad, the worst first.
+    pub fn tell(&mut self, now: Moment) -> Told {
+        self.own.retain(|_, sum| sum.now(now).0 >= 0.5);
+        self.number += 1;
+        let (tried, bad) = self.bad_part(now);
+        let mut seen: Vec<Seen> = self
+            .own
+            .iter()
+            .map(|(server, sum)| (server, sum.now(now)))
+            .filter(|(_, sum)| judged(*sum) == Some(true))
+            .map(|(server, (tries, dropped))| Seen { server: server.clone(), tries, dropped, age: Span(0) })
+            .collect();
+        seen.sort_by(|a, b| b.dropped.total_cmp(&a.dropped));
+        seen.truncate(MOST_SEEN);
+        Told { start: self.start, number: self.number, seen, tried, bad }
+    }
+
+    /// What another tells takes the place of what it told before; older words change nothing.
+    pub fn told(&mut self, now: Moment, from: u64, told: &Told) -> bool {
+        let known = self.tellers.get(&from).map(|teller| (teller.start, teller.number));
+        if known.is_some_and(|known| (told.start, told.number) <= known) {
+            self.refused += 1;
+            return false;
+        }
+        let mut teller = Teller { start: told.start, number: told.number, ..Teller::default() };
+        teller.broken = told.bad as f64 > BROKEN * told.tried.max(1) as f64 && told.bad > 1;
+        for seen in told.seen.iter().take(MOST_SEEN) {
+            let sound = seen.tries.is_finite() && seen.dropped.is_finite();
+            if !sound || seen.dropped < 0.0 || seen.dropped > seen.tries {
+                self.refused += 1;
+                continue;
+            }
+            let at = now - seen.age;
+            teller.rows.insert(seen.server.clone(), Sum { tries: seen.tries, dropped: seen.dropped, at });
+        }
+        self.tellers.insert(from, teller);
+        true
+    }
+
+    /// Only who belongs is believed.
+    pub fn know(&mut self, belong: &[u64]) {
+        self.tellers.retain(|id, _| belong.contains(id));
+    }
+
+    /// What of all this counts now. `zone`: where a server is and its weight, none: it is not listed.
+    pub fn look(
+        &mut self,
+        now: Moment,
+        zone: impl Fn(&str) -> Option<(String, f64)>,
+        zones: &BTreeMap<String, f64>,
+    ) -> Says {
+        let (tried, bad) = self.bad_part(now);
+        let fine_here = bad as f64 <= BROKEN * tried.max(1) as f64;
+        let mut sums: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        for teller in self.tellers.values() {
+            // It says that nearly all are bad, and we do not find so: its own way is broken.
+            let credit = if teller.broken && fine_here { DOUBTED } else { 1.0 };
+            for (server, sum) in &teller.rows {
+                let (tries, dropped) = sum.now(now);
+                let all = sums.entry(server).or_default();
+                *all = (all.0 + credit * tries, all.1 + credit * dropped);
+            }
+        }
+        let mut heard: Vec<(String, String, f64, f64)> = Vec::new();
+        for (server, sum) in sums {
+            let own = self.own.get(server).map_or((0.0, 0.0), |own| own.now(now));
+            let good_here = own.0 >= ENOUGH && own.1 <= GOOD * own.0;
+            let Some((zone, weight)) = zone(server).filter(|_| judged(sum) == Some(true) && !good_here)
+            else {
+                continue;
+            };
+            // As sure as it is many: at ENOUGH tries half of what hearsay may take.
+            let sure = sum.0 / (sum.0 + ENOUGH);
+            heard.push((server.into(), zone, weight, LIGHTER * sure * sum.1 / sum.0));
+        }
+        heard.sort_by(|a, b| b.3.total_cmp(&a.3).then(a.0.cmp(&b.0)));
+        let mut left: BTreeMap<&String, f64> =
+            zones.iter().map(|(zone, all)| (zone, OF_A_ZONE * all)).collect();
+        let mut light: BTreeMap<String, f64> = BTreeMap::new();
+        for (server, zone, weight, part) in &heard {
+            let Some(room) = left.get_mut(zone) else { continue };
+            let part = part.min(*room / weight.max(1e-9));
+            *room -= part * weight;
+            // By steps: what fades would be another weight at each look.
+            let part = (part / STEP).floor() * STEP;
+            if part > 0.0 {
+                light.insert(server.clone(), part);
+            }
+        }
+        let mut says = Says::default();
+        let gone: Vec<String> =
+            self.light.keys().filter(|server| !light.contains_key(*server)).cloned().collect();
+        says.lighter.extend(gone.into_iter().map(|server| (server, 0.0)));
+        for (server, part) in &light {
+            if self.light.get(server) != Some(part) {
+                says.lighter.push((server.clone(), *part));
+            }
+        }
+        for (server, part) in &says.lighter {
+            match *part {
+                0.0 => drop(self.light.remove(server)),
+                part => drop(self.light.insert(server.clone(), part)),
+            }
+        }
+        self.asked.retain(|_, at| now.since(*at) < HALVES);
+        for (server, ..) in heard.iter().take(MOST_ASKED) {
+            if !self.asked.contains_key(server) {
+                self.asked.insert(server.clone(), now);
+                says.ask.push(server.clone());
+            }
+        }
+        says
+    }
+
+    /// What is lighter now, and by how much.
+    pub fn light(&self) -> &BTreeMap<String, f64> {
+        &self.light
+    }
+
+    /// Tellers whose own way is held for broken.
+    pub fn broken(&self) -> usize {
+        self.tellers.values().filter(|teller| teller.broken).count()
+    }
+}
--- /dev/null
+++ b/crates/evidence/tests/bounds.rs
@@ -0,0 +1,97 @@
+//! What hearsay may do, row by row, and that its bounds hold whatever is told.
+
+use pewtergap_evidence::{Evidence, Seen, Told, LIGHTER, OF_A_ZONE};
+use pewtergap_time::{Moment, Span};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+fn at(ms: u64) -> Moment {
+    Moment((ms + 100_000) * 1_000_000)
+}
+
+fn told(number: u64, tried: u64, bad: u64, seen: &[(&str, f64, f64)]) -> Told {
+    let row = |(server, tries, dropped): &(&str, f64, f64)| Seen {
+        server: server.to_string(),
+        tries: *tries,
+        dropped: *dropped,
+        age: Span(0),
+    };
+    Told { start: 1, number, seen: seen.iter().map(row).collect(), tried, bad }
+}
+
+fn zone(server: &str) -> Option<(String, f64)> {
+    (server != "unknown").then(|| (server[..1].to_string(), 1.0))
+}
+
+fn zones() -> BTreeMap<String, f64> {
+    [("a".to_string(), 10.0), ("b".to_string(), 10.0)].into()
+}
+
+#[test]
+fn what_others_saw_has_a_server_asked_and_lightened_for_a_while() {
+    let mut evidence = Evidence::new(1);
+    let mut trace = String::new();
+    let mut look = |evidence: &mut Evidence, ms: u64, what: &str| {
+        let says = evidence.look(at(ms), zone, &zones());
+        let light: Vec<String> = says.lighter.iter().map(|l| format!("{} by {:.2}", l.0, l.1)).collect();
+        writeln!(trace, "{ms} {what}: lighter {light:?}, ask {:?}", says.ask).expect("written");
+    };
+    evidence.told(at(0), 2, &told(1, 20, 1, &[("a1", 5.0, 5.0)]));
+    look(&mut evidence, 0, "few tries");
+    evidence.told(at(100), 2, &told(2, 20, 1, &[("a1", 40.0, 38.0)]));
+    look(&mut evidence, 100, "many dropped");
+    look(&mut evidence, 200, "the same");
+    evidence.told(at(300), 2, &told(1, 20, 1, &[("a2", 90.0, 90.0)]));
+    look(&mut evidence, 300, "an old word");
+    evidence.saw(at(400), "a1", 40.0, 1.0);
+    look(&mut evidence, 400, "our own proxies find it good");
+    evidence.told(at(500), 3, &told(1, 20, 16, &[("b1", 60.0, 60.0), ("b2", 60.0, 60.0)]));
+    evidence.saw(at(500), "b9", 40.0, 0.0);
+    look(&mut evidence, 500, "one that finds nearly all bad");
+    evidence.told(at(600), 2, &told(3, 20, 2, &[("b1", 60.0, 60.0), ("unknown", 90.0, 90.0)]));
+    look(&mut evidence, 600, "and another finds one of them bad");
+    look(&mut evidence, 20_600, "nothing more is said");
+    insta::assert_snapshot!(trace);
+}
+
+#[test]
+fn a_flood_is_bounded_and_the_worst_count_first() {
+    let mut evidence = Evidence::new(1);
+    let names: Vec<String> = (0..5_000).map(|n| format!("a{n}")).collect();
+    let seen: Vec<(&str, f64, f64)> = names.iter().map(|name| (name.as_str(), 100.0, 90.0)).collect();
+    assert!(evidence.told(at(0), 2, &told(1, 10_000, 3_000, &seen)));
+    let says = evidence.look(at(0), zone, &[("a".to_string(), 5_000.0)].into());
+    assert!(says.ask.len() <= pewtergap_evidence::MOST_ASKED);
+    assert!(says.lighter.len() <= pewtergap_evidence::MOST_SEEN);
+    // What proxies here meet is told on, no more of it than fits.
+    names.iter().for_each(|name| evidence.saw(at(0), name, 100.0, 90.0));
+    assert_eq!(evidence.tell(at(0)).seen.len(), pewtergap_evidence::MOST_SEEN);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn whatever_is_told_takes_no_more_than_its_part(
+        words in prop::collection::vec(
+            (2u64..6, 1u64..50, 0u64..40, 0u64..40,
+             prop::collection::vec((0usize..20, -5.0f64..1e9, -5.0f64..1e9), 0..30)),
+            0..40,
+        )
+    ) {
+        let mut evidence = Evidence::new(1);
+        for (step, (from, number, tried, bad, seen)) in words.into_iter().enumerate() {
+            let names: Vec<String> = seen.iter().map(|s| format!("{}{}", ["a", "b"][s.0 % 2], s.0)).collect();
+            let seen: Vec<(&str, f64, f64)> =
+                seen.iter().zip(&names).map(|(s, name)| (name.as_str(), s.1, s.2)).collect();
+            evidence.told(at(step as u64 * 50), from, &told(number, tried, bad, &seen));
+            evidence.look(at(step as u64 * 50), zone, &zones());
+            for zone in ["a", "b"] {
+                let taken: f64 = evidence.light().iter().filter(|l| l.0.starts_with(zone)).map(|l| l.1).sum();
+                prop_assert!(taken <= OF_A_ZONE * 10.0 + 1e-6, "{}", taken);
+            }
+            prop_assert!(evidence.light().values().all(|part| *part <= LIGHTER));
+        }
+    }
+}
--- /dev/null
+++ b/crates/shares/src/dealer.rs
@@ -0,0 +1,73 @@
+//! The leader's side of a budget: it deals out what is free, and takes back what an unheard planner can cause no more.
+//!
+//! One that begins to lead counts from then on, as with leases: whatever its forerunner confirmed was confirmed before.
+//! Whoever asks for what is written here must not renew a planner from whom something is on its way.
+
+use crate::{due, Budget, Shift, Terms};
+use pewtergap_time::Moment;
+use std::collections::BTreeMap;
+
+/// Less than this of the whole is not worth a command.
+const LITTLE: u64 = 5_000;
+
+#[derive(Clone, Debug)]
+pub struct Dealer {
+    terms: Terms,
+    leads_since: Moment,
+    heard: BTreeMap<u64, Moment>,
+}
+
+impl Dealer {
+    pub fn new(now: Moment, terms: Terms) -> Dealer {
+        Dealer { terms, leads_since: now, heard: BTreeMap::new() }
+    }
+
+    /// A planner asked for a read of the record, and will believe in it.
+    pub fn renews(&mut self, now: Moment, planner: u64) {
+        self.heard.insert(planner, now);
+    }
+
+    /// Whatever it could still cause is over, by whatever clock.
+    fn over(&self, now: Moment, planner: u64) -> bool {
+        let heard = self.heard.get(&planner).map_or(self.leads_since, |at| (*at).max(self.leads_since));
+        now.since(heard) > self.terms.waited()
+    }
+
+    /// What is to be written next, one thing at a time. `belong`: who may hold a part, and its demand where that is known.
+    pub fn next(
+        &mut self,
+        now: Moment,
+        budget: &Budget,
+        belong: &BTreeMap<u64, Option<f64>>,
+    ) -> Option<Shift> {
+        let (wait, holds) = (self.terms.waited(), &budget.holdings);
+        self.heard.retain(|id, at| holds.contains_key(id) || now.since(*at) <= wait);
+        for (id, held) in &budget.holdings {
+            if !self.over(now, *id) {
+                continue;
+            }
+            if !belong.contains_key(id) {
+                return Some(Shift::End { of: *id, number: held.number });
+            }
+            if held.more > 0 {
+                return Some(Shift::Back { from: *id, units: held.more, number: held.number });
+            }
+        }
+        let heard = |id: &u64| self.heard.get(id).is_some_and(|at| now.since(*at) <= self.terms.holds);
+        let seats: Vec<(u64, Option<f64>)> = belong
+            .iter()
+            .filter(|seat| heard(seat.0) && holds.contains_key(seat.0))
+            .map(|s| (*s.0, *s.1))
+            .collect();
+        // One whose demand is not known counts as the average of the others.
+        let known: Vec<f64> = seats.iter().filter_map(|seat| seat.1).collect();
+        let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        let demands: Vec<f64> = seats.iter().map(|seat| seat.1.unwrap_or(mean)).collect();
+        let (pool, room) = (budget.pool(), budget.to_deal());
+        let lack = |at: usize| due(pool, &demands, at).saturating_sub(holds[&seats[at].0].more);
+        let (at, lack) = (0..seats.len()).map(|at| (at, lack(at))).max_by_key(|lack| lack.1)?;
+        let units = lack.min(room);
+        let number = holds[&seats[at].0].number;
+        (units >= LITTLE).then_some(Shift::Deal { to: seats[at].0, units, number })
+    }
+}
