--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod probes;
 pub mod roll;
 mod service;
+mod sight;
 mod standing;
 mod streams;
 pub mod tables;
@@ -19,7 +20,8 @@
 
 pub use pewtergap_planner::ProbeEnd;
 pub use probes::Probing;
-pub use service::{Asked, Charge, Doors, DrainTold, ProbeOver, Service};
+pub use service::{Asked, Charge, Doors, DrainTold, Hint, ProbeOver, Service};
+pub use sight::{Met, Sight};
 pub use standing::{Standing, Stands};
 pub use streams::Reports;
 pub use watch::Source;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -5,6 +5,7 @@
 use crate::kept;
 use crate::probes::{Probes, Probing};
 use crate::roll::{Change, Roll, Slice, SliceList};
+use crate::sight::Sight;
 use crate::standing::{Standing, Stands};
 use crate::streams::{Reports, Sent, Stream, Streams, MOST_UNANSWERED};
 use crate::tables::Tables;
@@ -104,6 +105,19 @@
     pub told: Moment,
 }
 
+/// What other planners' words come to, for the module.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Hint {
+    /// Calls per second at the proxies of all others; none: nobody knows.
+    Elsewhere(Option<f64>),
+    /// Our part of what all may bring a cold server.
+    Share(Option<f64>),
+    /// A server weighs less by this part.
+    Lighter(String, f64),
+    /// A server is to be asked how it is.
+    Ask(String),
+}
+
 /// Drains told and not yet taken note of by whoever keeps them.
 const MOST_DRAINS: usize = 4_096;
 
@@ -142,6 +156,7 @@
     pub asked: Vec<Asked>,
     standing: Standing,
     tried: (u64, u64),
+    pub sight: Sight,
     pub drains: Vec<DrainTold>,
     events: Vec<Event>,
     turn_set: bool,
@@ -191,6 +206,7 @@
             asked: Vec::new(),
             standing: Standing::default(),
             tried: (0, 0),
+            sight: Sight::default(),
             drains: Vec::new(),
             events: vec![Event::Tick],
             turn_set: false,
@@ -501,9 +517,11 @@
             up::Kind::Nack(nack) => return self.refused(now, link, proxy, &nack, out),
             up::Kind::Sums(sums) => self.sums(now, link, &sums, out),
             up::Kind::Arrivals(arrivals) => {
+                let (over, zone) = (Span::micros(arrivals.over_us), stream.zone);
+                stream.reported(arrivals.rows.iter().map(|row| row.calls).sum(), over);
                 for row in arrivals.rows.iter().filter(|row| (row.route as usize) < self.charge.routes.len())
                 {
-                    let over = Span::micros(arrivals.over_us);
+                    self.sight.calls(row.route as usize, zone, row.calls);
                     self.intake.arrivals(proxy, row.route as usize, row.calls, row.dropped, over);
                 }
                 self.set_intake(now, out);
@@ -538,6 +556,7 @@
         }
         let Some(stream) = self.streams.by_link.get_mut(&link) else { return Ok(()) };
         (stream.proxy, stream.zone, stream.calls_per_s) = (Some(proxy), zone, hello.calls_per_s);
+        stream.rate = hello.calls_per_s;
         self.streams.by_proxy.insert(proxy, link);
         let (name, epoch) = (&self.charge.name, self.epoch);
         let ours = hello.held.iter().filter(|held| held.planner == *name && held.epoch == epoch);
@@ -596,6 +615,7 @@
             self.tried.1 = self.tried.1.saturating_add(row.dropped);
             let load = Load { util: row.util, in_hand: row.in_hand };
             let (mean, over) = (Span::micros(row.mean_us), Span::micros(sums.over_us));
+            self.sight.met(&row.server, row.tries, row.dropped, mean.seconds());
             self.intake.sums(server, zone, row.tries, row.dropped, mean, over, load);
         }
         self.set_intake(now, out);
@@ -683,6 +703,52 @@
         }
     }
 
+    /// What others told, for the module.
+    pub fn hint(&mut self, now: Moment, hint: Hint, out: &mut Outbox) {
+        let event = match hint {
+            Hint::Elsewhere(calls) => Event::Elsewhere { calls },
+            Hint::Share(part) => Event::Share { part },
+            Hint::Lighter(at, part) => match self.servers.find(&at) {
+                Some(server) => Event::Lighter { server, part },
+                None => return,
+            },
+            Hint::Ask(at) => {
+                let Some(server) = self.servers.find(&at) else { return };
+                if self.probes_shared {
+                    self.probes_wanted.insert(server);
+                    self.probe_asks.push(at);
+                } else {
+                    self.probes.ask(server);
+                    self.ask_next(now, out);
+                }
+                return;
+            }
+        };
+        self.event(now, event, out);
+    }
+
+    /// Proxies that are joined, and their calls per second.
+    pub fn joined(&self) -> (usize, f64) {
+        (self.streams.joined(), self.streams.rate())
+    }
+
+    pub fn routes(&self) -> &[String] {
+        &self.charge.routes
+    }
+
+    pub fn zones(&self) -> &[String] {
+        &self.charge.zones
+    }
+
+    /// Listed weight of each zone.
+    pub fn weights(&self) -> BTreeMap<String, f64> {
+        let mut weights = BTreeMap::new();
+        for known in self.roll.known().values() {
+            *weights.entry(known.zone.clone()).or_default() += known.weight;
+        }
+        weights
+    }
+
     /// Tries of proxies here, and those dropped by servers, since the start.
     pub fn tried(&self) -> (u64, u64) {
         self.tried
--- a/crates/control/src/streams.rs
+++ b/crates/control/src/streams.rs
@@ -38,6 +38,8 @@
     pub proxy: Option<usize>,
     pub zone: usize,
     pub calls_per_s: f64,
+    /// Calls per second by its reports, from its own word at first.
+    pub rate: f64,
     /// Messages up to this nonce no longer count: one of them was refused, and all is sent anew.
     pub void: u64,
     pub heard: Moment,
@@ -54,6 +56,7 @@
             proxy: None,
             zone: 0,
             calls_per_s: 0.0,
+            rate: 0.0,
             void: 0,
             heard: now,
             beat: now,
@@ -89,6 +92,16 @@
     }
 }
 
+/// A report's part in what a proxy's rate is held to be.
+const REPORT: f64 = 0.3;
+
+impl Stream {
+    pub fn reported(&mut self, calls: u64, over: Span) {
+        let seen = calls as f64 / over.seconds().max(1e-3);
+        self.rate = if self.rate > 0.0 { self.rate + REPORT * (seen - self.rate) } else { seen };
+    }
+}
+
 /// All streams, found by link or by proxy.
 #[derive(Default)]
 pub struct Streams {
@@ -102,6 +115,11 @@
         self.by_link.get_mut(&link).map(|stream| (link, stream))
     }
 
+    /// Calls per second at all that joined.
+    pub fn rate(&self) -> f64 {
+        self.by_link.values().filter(|stream| stream.proxy.is_some()).map(|stream| stream.rate).sum()
+    }
+
     pub fn joined(&self) -> usize {
         self.by_proxy.len()
     }
--- a/crates/lab/src/explore.rs
+++ b/crates/lab/src/explore.rs
@@ -206,6 +206,7 @@
             format: FORMATS.1,
             duties: Some(Duties { lease: LEASE, steady: Span::millis(1_000), names: self.duties.clone() }),
             receiver: None,
+            shares: None,
             slices: (0, Span(0)),
         };
         let member = Arc::new(Mutex::new(Member::new(post)));
--- a/crates/member/src/books.rs
+++ b/crates/member/src/books.rs
@@ -13,7 +13,7 @@
 
 use pewtergap_http::{request, Bounds, First, Part, Reader, Side};
 use pewtergap_node::{Link, Outbox};
-use pewtergap_record::{Books as Kept, Close, What};
+use pewtergap_record::{Books as Kept, Close, Used, What};
 use pewtergap_time::{Moment, Span};
 use std::net::{IpAddr, SocketAddr};
 
@@ -58,7 +58,14 @@
     }
 
     /// The duty is held under this number now: what the record is to be told, if anything.
-    pub fn keep(&mut self, now: Moment, number: u64, kept: Kept, out: &mut Outbox) -> Option<What> {
+    pub fn keep(
+        &mut self,
+        now: Moment,
+        number: u64,
+        kept: Kept,
+        used: Vec<Used>,
+        out: &mut Outbox,
+    ) -> Option<What> {
         if self.sending.as_ref().is_some_and(|sending| now >= sending.until || sending.number != number) {
             self.give_up(now, out);
         }
@@ -79,7 +86,7 @@
         }
         // Until the record has it.
         self.rests_until = now + CLOSES;
-        Some(What::Close(Close { period: over, number }))
+        Some(What::Close(Close { period: over, number, used }))
     }
 
     pub fn give_up(&mut self, now: Moment, out: &mut Outbox) {
@@ -132,7 +139,7 @@
         self.give_up(now, out);
         if (200..300).contains(&status) {
             self.rests_until = now + CLOSES;
-            return Some(What::Arrived(Close { period, number }));
+            return Some(What::Arrived(Close { period, number, used: Vec::new() }));
         }
         self.refused += 1;
         None
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -11,12 +11,15 @@
 mod orders;
 mod peers;
 pub mod releaser;
+pub mod shared;
+mod sharing;
 mod slices;
 mod together;
 pub mod words;
 
 pub use alone::{alone, GoesOn};
 pub use books::Receiver;
-pub use member::{digest, Duties, Member, Post, Reply, Request, SeatView, Told, MOST_MEMBERS};
+pub use member::{digest, Duties, Member, PartView, Post, Reply, Request, SeatView, Told, MOST_MEMBERS};
+pub use sharing::{Shares, COLD};
 pub use slices::names as slice_names;
 pub use together::Together;
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -7,6 +7,7 @@
 use crate::books::Receiver;
 use crate::disk::{self, Disk, Kept};
 use crate::peers::{Heard, Lane, Peers};
+use crate::sharing::Shares;
 use crate::words::{self, word, Change, Hello, OnDisk, Place, ReadAt, Refuse, Seat, Word, FORMATS};
 use pewtergap_agree::{
     Agree, Body, Effect as Does, Id, Index, Log, Member as Seated, Members, Refusal, Role,
@@ -23,10 +24,13 @@
 
 pub use duties::Duties;
 use duties::Office;
+pub use parted::PartView;
+use parted::Till;
 
 mod duties;
 mod leading;
 mod opening;
+mod parted;
 mod requests;
 
 /// Doors and timers of a member lie beyond those of the service beside it.
@@ -66,6 +70,8 @@
     pub duties: Option<Duties>,
     /// Where the books go, if they are kept.
     pub receiver: Option<Receiver>,
+    /// None: nothing is shared.
+    pub shares: Option<Shares>,
     /// Slices of each zone's servers, 0: every planner asks all of them; and how long a probe may take.
     pub slices: (usize, Span),
 }
@@ -104,6 +110,10 @@
     Numbered(u64),
     /// About probes, from a member.
     Probes(Id, word::Kind),
+    /// Of what members share.
+    Shared(Id, word::Kind),
+    /// A way to a member broke.
+    Lost(Id),
 }
 
 struct Waiting {
@@ -147,6 +157,11 @@
     tokens: u64,
     /// Commands of this leader's that are in the log and not yet committed.
     proposed: BTreeMap<u64, Index>,
+    /// Of these, from whom something is taken; and what of a budget is on its way from here.
+    taking: BTreeMap<u64, Id>,
+    dealing: Option<u64>,
+    /// Calls per second at each planner, as far as they are known.
+    pub demands: BTreeMap<Id, f64>,
     cleaned: Moment,
     raised: Moment,
     office: Option<Office>,
@@ -166,7 +181,11 @@
         let rng = fastrand::Rng::with_seed(home.seed);
         let own =
             Hello { lowest: FORMATS.0, highest: home.format, name: home.name.clone(), ..Hello::default() };
-        let own = Hello { lease: home.duties.as_ref().map_or(0, |d| d.lease.length.0 / 1_000_000), ..own };
+        let own = Hello {
+            lease: home.duties.as_ref().map_or(0, |d| d.lease.length.0 / 1_000_000),
+            shares: home.shares.is_some(),
+            ..own
+        };
         Member {
             peers: Peers::new(home.from),
             disk: Disk::new(format!("{}.record", home.name)),
@@ -181,9 +200,15 @@
             reads: BTreeMap::new(),
             tokens: 0,
             proposed: BTreeMap::new(),
+            taking: BTreeMap::new(),
+            dealing: None,
+            demands: BTreeMap::new(),
             cleaned: Moment(0),
             raised: Moment(0),
-            office: home.duties.clone().map(Office::new),
+            office: home.duties.clone().map(|duties| {
+                let till = home.shares.map(|shares| Till::new(shares.terms));
+                Office::new(duties, till)
+            }),
             hearsay: Vec::new(),
             committed: 0,
             tick_set: None,
@@ -434,6 +459,15 @@
                     self.told.push(Told::Probes(from, kind));
                 }
             }
+            kind @ (word::Kind::Gossip(_)
+            | word::Kind::CountsAsk(_)
+            | word::Kind::Counts(_)
+            | word::Kind::Evidence(_)) => {
+                // Told and lost, it is told again.
+                if self.told.len() < MOST_WAITING {
+                    self.told.push(Told::Shared(from, kind));
+                }
+            }
             word::Kind::Renew(renew) => self.renews(now, from, renew),
             word::Kind::HandOn(asked) => self.hand_on(now, &asked, out),
             word::Kind::Hello(_) | word::Kind::Welcome(_) | word::Kind::Refuse(_) => {}
@@ -556,6 +590,7 @@
         let leads = self.agree().is_some_and(|agree| agree.role() == Role::Leader);
         if !leads {
             self.proposed.clear();
+            self.taking.clear();
         }
     }
 
@@ -653,6 +688,20 @@
         self.carry_out(now, out);
     }
 
+    /// Who belongs and shares, ourselves apart, as far as a way to them stands or stood.
+    pub fn sharers(&self) -> BTreeMap<Id, String> {
+        let members = self.agree().map(|agree| agree.settled_members()).unwrap_or_default();
+        let others = members.list.into_iter().filter(|member| member.id != 0 && member.id != self.own.id);
+        others.map(|member| (member.id, member.name)).collect()
+    }
+
+    /// Tells a member something of what is shared, if it knows such words. Long ones wait behind nothing that is urgent.
+    pub fn share(&self, to: Id, kind: word::Kind, out: &mut Outbox) -> bool {
+        let lane = if matches!(kind, word::Kind::Gossip(_)) { Lane::Urgent } else { Lane::Bulk };
+        let knows = self.peers.welcomes().iter().any(|hello| hello.id == to && hello.shares);
+        knows && self.peers.send(to, lane, kind, out)
+    }
+
     pub fn draw(&mut self) -> u64 {
         self.rng.u64(1..)
     }
@@ -701,6 +750,7 @@
                 let lost = self.peers.closed(now, link);
                 if let (Some(id), Stage::Member(agree)) = (lost, &mut self.stage) {
                     agree.lost(id);
+                    self.told.push(Told::Lost(id));
                 }
             }
             Input::Due { timer: TICK } => {
--- a/crates/member/src/member/duties.rs
+++ b/crates/member/src/member/duties.rs
@@ -4,6 +4,7 @@
 //! its way from a planner to another, the leader answers that planner no renewal: it would go on under a lease that is
 //! newer than the decision.
 
+use super::parted::Till;
 use super::*;
 use crate::words::{HandOn, Renew};
 use pewtergap_duty::{Desk, Does as Done, Giver, Held, Lease, Move, Planner};
@@ -44,10 +45,12 @@
     slow_until: Moment,
     due: Moment,
     lengthened: Moment,
+    /// Budgets, where they are parted.
+    pub(super) till: Option<Till>,
 }
 
 impl Office {
-    pub(super) fn new(duties: Duties) -> Office {
+    pub(super) fn new(duties: Duties, till: Option<Till>) -> Office {
         let desk = Desk::new(duties.lease);
         Office {
             duties,
@@ -61,6 +64,7 @@
             slow_until: Moment(0),
             due: Moment(0),
             lengthened: Moment(0),
+            till,
         }
     }
 
@@ -111,6 +115,9 @@
             self.give_out(now, &mut office, out);
             self.release(now, &mut office, out);
             self.clean(now, &office, out);
+            if let Some(till) = &mut office.till {
+                self.hold_parts(now, till, out);
+            }
         }
         self.office = Some(office);
     }
@@ -163,7 +170,10 @@
             .into_iter()
             .partition(|renewal| renewal.read_at.is_some_and(|at| at <= applied));
         office.renewals = open;
-        done.iter().for_each(|renewal| office.desk.renewed(now, renewal.asked));
+        for renewal in done {
+            office.desk.renewed(now, renewal.asked);
+            office.till.iter_mut().for_each(|till| till.renewed(renewal.asked));
+        }
         if leader != office.leader {
             // Whoever leads now has heard of nobody yet.
             (office.leader, office.renew_at) = (leader, now);
@@ -197,12 +207,14 @@
     }
 
     fn renewed_by(&mut self, now: Moment, from: Id, renew: Renew, office: &mut Office) {
+        let taking = self.taking_from(from);
         let Stage::Member(agree) = &mut self.stage else { return };
-        if office.giving.values().any(|holder| *holder == from) {
+        if office.giving.values().any(|holder| *holder == from) || taking {
             return;
         }
         let Some((giver, _)) = &mut office.giver else { return };
         giver.renews(now, from);
+        office.till.iter_mut().for_each(|till| till.renews(now, from));
         if renew.leaves {
             giver.leaves(from);
         }
@@ -325,7 +337,7 @@
     }
 
     /// To whoever leads; whether it is kept is seen in the record.
-    fn pass_on(&mut self, command: &Command, out: &mut Outbox) {
+    pub(super) fn pass_on(&mut self, command: &Command, out: &mut Outbox) {
         let leader = self.agree().and_then(Agree::leader);
         if !self.propose_late(command) {
             if let Some(leader) = leader.filter(|leader| *leader != self.own.id) {
--- /dev/null
+++ b/crates/member/src/member/parted.rs
@@ -0,0 +1,135 @@
+//! Budgets round the record: a member uses its part while its lease says that it may, hands back what is not its due, and as
+//! the leader deals out what is free. A renewal is that of duties.
+
+use super::*;
+use crate::sharing::COLD;
+use pewtergap_record::Share;
+use pewtergap_shares::{due, Dealer, Holding, Purse, Shift, Terms, WHOLE};
+
+pub(super) struct Till {
+    terms: Terms,
+    purse: Option<(Purse, (Id, u64))>,
+    dealer: Option<(Dealer, (Moment, u64))>,
+    /// The command by which the purse last said something.
+    said: Option<(Shift, u64)>,
+}
+
+/// What of a budget is whose, as seen here.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct PartView {
+    pub in_force: u64,
+    pub whole: u64,
+    pub free: u64,
+    pub sum: u64,
+    /// By the disk's number: base, more, number.
+    pub holdings: BTreeMap<String, (u64, u64, u64)>,
+}
+
+impl Till {
+    pub(super) fn new(terms: Terms) -> Till {
+        Till { terms, purse: None, dealer: None, said: None }
+    }
+
+    pub(super) fn renewed(&mut self, asked: Moment) {
+        self.purse.iter_mut().for_each(|purse| purse.0.renewed(asked));
+    }
+
+    pub(super) fn renews(&mut self, now: Moment, planner: Id) {
+        self.dealer.iter_mut().for_each(|dealer| dealer.0.renews(now, planner));
+    }
+}
+
+impl Member {
+    fn holding(&self) -> Option<&Holding> {
+        self.record.budget(COLD)?.holdings.get(&self.own.id)
+    }
+
+    /// What may be used of the cold budget at this moment, in parts of it. None: budgets are not parted here.
+    pub fn cold_share(&self, now: Moment) -> Option<f64> {
+        let till = self.office.as_ref()?.till.as_ref()?;
+        if self.record.format() < 3 || self.alone() {
+            return None;
+        }
+        let units = till.purse.as_ref().map_or(0, |purse| purse.0.in_force(now, self.holding()));
+        Some(units as f64 / WHOLE as f64)
+    }
+
+    pub fn cold_view(&self, now: Moment) -> Option<PartView> {
+        let budget = self.record.budget(COLD)?;
+        let holding = |h: &Holding| (h.base, h.more, h.number);
+        let holdings = budget.holdings.iter().map(|(id, h)| (format!("{id:016x}"), holding(h))).collect();
+        let in_force = (self.cold_share(now)? * WHOLE as f64).round() as u64;
+        Some(PartView { in_force, whole: WHOLE, free: budget.free, sum: budget.sum(), holdings })
+    }
+
+    /// Whether something is on its way from a planner: it is not renewed before it has seen that.
+    pub(super) fn taking_from(&self, planner: Id) -> bool {
+        self.taking.values().any(|from| *from == planner)
+    }
+
+    pub(super) fn hold_parts(&mut self, now: Moment, till: &mut Till, out: &mut Outbox) {
+        if self.record.format() < 3 || self.alone() || self.stopping {
+            return;
+        }
+        let who = (self.own.id, self.own.start);
+        if till.purse.as_ref().is_none_or(|purse| purse.1 != who) {
+            let (founders, own) = (&self.own.founders, self.own.id);
+            let founded = founders.iter().any(|seat| seat.id == own);
+            let purse = Purse::new(till.terms, own, self.own.start, founders.len() as u64, founded);
+            till.purse = Some((purse, who));
+        }
+        let budget = self.record.budget(COLD).cloned().unwrap_or_default();
+        let belong = self.belong_ids();
+        let known: Option<Vec<f64>> = belong.iter().map(|id| self.demands.get(id).copied()).collect();
+        let at = belong.iter().position(|id| *id == self.own.id);
+        let ours = known.zip(at).map(|(known, at)| due(budget.pool(), &known, at));
+        let holding = self.holding().copied();
+        let said = match &mut till.purse {
+            Some((purse, _)) if at.is_some() => purse.next(now, holding.as_ref(), ours),
+            _ => None,
+        };
+        if let Some(shift) = said {
+            // The same again keeps its id: it is made once.
+            let id = match &till.said {
+                Some((known, id)) if *known == shift => *id,
+                _ => self.rng.u64(1..),
+            };
+            till.said = Some((shift, id));
+            let what = Some(What::Share(Share::of(COLD, &shift)));
+            self.pass_on(&Command { id, given: now.0 / 1_000_000, what }, out);
+        }
+        self.deal(now, till, &belong, out);
+    }
+
+    pub(super) fn belong_ids(&self) -> Vec<Id> {
+        let members = self.agree().map(|agree| agree.settled_members()).unwrap_or_default();
+        members.list.iter().map(|member| member.id).filter(|id| *id != 0).collect()
+    }
+
+    fn deal(&mut self, now: Moment, till: &mut Till, belong: &[Id], out: &mut Outbox) {
+        let Some(led) = self.agree().and_then(|agree| agree.leads_since()) else {
+            till.dealer = None;
+            return;
+        };
+        if till.dealer.as_ref().is_none_or(|dealer| dealer.1 != led) {
+            till.dealer = Some((Dealer::new(now, till.terms), led));
+        }
+        let proposed = &self.proposed;
+        self.taking.retain(|command, _| proposed.contains_key(command));
+        self.dealing = self.dealing.filter(|command| proposed.contains_key(command));
+        let (Some((dealer, _)), None) = (&mut till.dealer, self.dealing) else { return };
+        let belong = belong.iter().map(|id| (*id, self.demands.get(id).copied())).collect();
+        let budget = self.record.budget(COLD).cloned().unwrap_or_default();
+        let Some(shift) = dealer.next(now, &budget, &belong) else { return };
+        let id = self.rng.u64(1..);
+        let what = Some(What::Share(Share::of(COLD, &shift)));
+        if self.propose(&Command { id, given: now.0 / 1_000_000, what }) {
+            self.dealing = Some(id);
+            out.log(
+                Level::Info,
+                "budget_shifted",
+                vec![("budget", COLD.into()), ("shift", format!("{shift:?}"))],
+            );
+        }
+    }
+}
--- a/crates/member/src/member/requests.rs
+++ b/crates/member/src/member/requests.rs
@@ -49,6 +49,11 @@
         match agree.propose(command.encode_to_vec()) {
             Ok((_, index)) => {
                 self.proposed.insert(command.id, index);
+                let taken = match &command.what {
+                    Some(What::Share(share)) => share.taken_from(),
+                    _ => None,
+                };
+                self.taking.extend(taken.map(|from| (command.id, from)));
                 true
             }
             Err(_) => false,
--- a/crates/member/src/orders.rs
+++ b/crates/member/src/orders.rs
@@ -1,7 +1,8 @@
 //! What the record's orders say to the service beside it, as far as each has been let.
 //!
 //! An order in steps binds by the part that its releaser has reached: a cap by that part of the way to its level, a weight
-//! by that part of the way from the listed one, a zone's drain by that part of its servers, the same ones everywhere.
+//! by that part of the way from the listed one, a zone's drain by that part of its servers, the same ones everywhere. Where
+//! the steps are by proxies, that part of the planners carry it out whole, each with all its proxies.
 
 use pewtergap_control::{Service, Standing, Stands};
 use pewtergap_record::{Record, Standing as Kept, Subject, Wish};
@@ -9,10 +10,30 @@
 use std::collections::BTreeSet;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Which planner this is among those that belong, by name.
+#[derive(Clone, Debug, Default)]
+pub struct Among {
+    pub name: String,
+    pub all: Vec<String>,
+}
+
+impl Among {
+    /// Whether this planner is in that part of them, drawn anew for each order so that no planner goes first in all.
+    fn within(&self, number: u64, part: f64) -> bool {
+        let draw = |name: &str| xxh3_64(format!("{number}\n{name}").as_bytes());
+        let before = self.all.iter().filter(|name| draw(name) < draw(&self.name)).count();
+        before < (self.all.len().max(1) as f64 * part - 1e-9).ceil() as usize
+    }
+}
+
 /// What is wished for, unless its time is over or it was taken back; and which part of it.
-fn in_force(kept: &Kept, now: Moment) -> Option<(&Wish, f64)> {
+fn in_force<'a>(kept: &'a Kept, now: Moment, among: &Among) -> Option<(&'a Wish, f64)> {
     let order = kept.order.as_ref().filter(|order| order.until == 0 || order.until > now.0 / 1_000_000)?;
-    let part = if order.steps == 0 { 1.0 } else { f64::from(kept.reached.min(1_000)) / 1e3 };
+    let part = match f64::from(kept.reached.min(1_000)) / 1e3 {
+        _ if order.steps == 0 => 1.0,
+        reached if !order.by_proxies => reached,
+        reached => f64::from(u8::from(among.within(kept.number, reached))),
+    };
     order.wish.as_ref().map(|wish| (wish, part)).filter(|_| part > 0.0)
 }
 
@@ -35,10 +56,10 @@
 }
 
 /// All of it.
-pub fn whole(record: &Record, service: &Service, now: Moment) -> Standing {
+pub fn whole(record: &Record, service: &Service, now: Moment, among: &Among) -> Standing {
     let mut standing = Standing::default();
     for (subject, kept) in record.orders() {
-        let Some((wish, part)) = in_force(kept, now) else { continue };
+        let Some((wish, part)) = in_force(kept, now, among) else { continue };
         match (subject, wish) {
             (Subject::Server(server), _) => drop(standing.drained.insert(server.clone())),
             (Subject::Zone(zone), _) => standing.drained.extend(of_zone(service, zone, part)),
@@ -65,12 +86,13 @@
     service: &Service,
     now: Moment,
     subjects: &BTreeSet<Subject>,
+    among: &Among,
 ) -> Option<Vec<Stands>> {
     let zones = record.orders().rev().take_while(|(subject, _)| **subject > Subject::Releases);
     let zones = zones.filter(|(subject, _)| matches!(subject, Subject::Zone(_))).count();
     let mut all = Vec::new();
     for subject in subjects {
-        let wish = record.order_on(subject).and_then(|kept| in_force(kept, now));
+        let wish = record.order_on(subject).and_then(|kept| in_force(kept, now, among));
         all.push(match (subject, wish) {
             (Subject::Server(_), _) if zones > 0 => return None,
             (Subject::Server(at), wish) => {
@@ -91,3 +113,23 @@
     }
     Some(all)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::Among;
+
+    #[test]
+    fn steps_by_proxies_take_planner_after_planner_and_none_goes_back() {
+        let all: Vec<String> = ["a", "b", "c"].map(str::to_string).into();
+        for number in 1..50 {
+            let within = |part: f64| -> Vec<bool> {
+                let among = all.iter().map(|name| Among { name: name.clone(), all: all.clone() });
+                among.map(|among| among.within(number, part)).collect()
+            };
+            let counts = [0.0, 0.25, 0.5, 0.75, 1.0].map(|part| within(part).iter().filter(|w| **w).count());
+            assert_eq!(counts, [0, 1, 2, 3, 3]);
+            let goes_on = within(0.25).iter().zip(within(0.75)).all(|(before, after)| !before || after);
+            assert!(goes_on, "order {number}");
+        }
+    }
+}
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -7,6 +7,7 @@
 use crate::member::{Member, Post, Reply, Request, Told, DOOR, TIMERS};
 use crate::orders;
 use crate::releaser::Releaser;
+use crate::sharing::{Seats, Sharing, Wants as Shared};
 use crate::slices::{Holder, Slices, Wants};
 use crate::words::{word, Change};
 use pewtergap_control::{Asked, ProbeOver, Service};
@@ -29,7 +30,8 @@
 /// Drains that wait to be kept, and those given at once.
 const MOST_DRAINS: usize = 1_024;
 const DRAINS_AT_ONCE: usize = 64;
-const ELSEWHERE: &[&str] = &["/orders", "/record", "/members", "/duties"];
+const ELSEWHERE: &[&str] = &["/orders", "/record", "/members", "/duties", "/shared"];
+const SHARING: u64 = TIMERS + 103;
 /// Between two looks at the books.
 const LOOK: Span = Span::millis(50);
 const BOOKKEEPING: u64 = TIMERS + 102;
@@ -72,6 +74,9 @@
     steps: u32,
     #[serde(default)]
     pause_ms: u64,
+    /// Steps are a share of the planners with their proxies.
+    #[serde(default)]
+    by_proxies: bool,
 }
 
 #[derive(Deserialize)]
@@ -129,7 +134,11 @@
             other => return Err(format!("order: '{other}' is none")),
         };
         let (steps, pause) = (self.steps, self.pause_ms);
-        let order = Order { who: self.who, why: self.why, until: self.until, wish: Some(wish), steps, pause };
+        let (who, why, until, by_proxies) = (self.who, self.why, self.until, self.by_proxies);
+        if by_proxies && steps == 0 {
+            return Err("by_proxies: steps are missing".into());
+        }
+        let order = Order { who, why, until, wish: Some(wish), steps, pause, by_proxies };
         Ok(Command { id, given: self.given, what: Some(What::Order(order)) })
     }
 }
@@ -149,6 +158,7 @@
     books: Option<Books>,
     slices: Option<Slices>,
     releaser: Releaser,
+    sharing: Option<Sharing>,
     has_duties: bool,
 }
 
@@ -156,9 +166,11 @@
     pub fn new(mut service: Service, home: Post, drain_grace: Span) -> Together {
         service.elsewhere = ELSEWHERE;
         service.probes_shared = home.slices.0 > 0;
+        service.sight.on = home.shares.is_some();
         Together {
             service,
             releaser: Releaser::default(),
+            sharing: home.shares.map(|shares| Sharing::new(shares, home.seed)),
             has_duties: home.duties.is_some(),
             slices: (home.slices.0 > 0).then(|| Slices::new(home.slices.0, home.slices.1)),
             name: home.name.clone(),
@@ -210,16 +222,19 @@
             return;
         }
         let record = &self.member.record;
-        let these = subjects.and_then(|subjects| orders::of(record, &self.service, now, subjects));
-        let stands = these
-            .unwrap_or_else(|| self.service.standing().towards(&orders::whole(record, &self.service, now)));
+        let others = self.member.sharers().into_values().chain([self.name.clone()]);
+        let among = orders::Among { name: self.name.clone(), all: others.collect() };
+        let these = subjects.and_then(|subjects| orders::of(record, &self.service, now, subjects, &among));
+        let whole = || orders::whole(record, &self.service, now, &among);
+        let stands = these.unwrap_or_else(|| self.service.standing().towards(&whole()));
         self.service.stand_by(now, &stands, out);
     }
 
     /// Orders in steps, where it is ours to let them go on.
     fn release(&mut self, now: Moment, out: &mut Outbox) {
         let Some(number) = self.member.may(now, RELEASE) else { return self.releaser.rest() };
-        for what in self.releaser.look(now, number, &self.member.record, self.service.tried()) {
+        let tried = self.sharing.as_ref().map_or(self.service.tried(), Sharing::tried);
+        for what in self.releaser.look(now, number, &self.member.record, tried) {
             self.tell_record(now, Some(what), out);
         }
     }
@@ -242,6 +257,10 @@
                     Err(why) => self.service.answer(link, 400, &refuse(why), out),
                 }
             }
+            ("GET", "/shared") => {
+                let view = self.shared_view(now);
+                self.service.answer(link, 200, &view, out);
+            }
             ("GET", "/duties") => {
                 let view = self.duties_view(now);
                 self.service.answer(link, 200, &view, out);
@@ -268,7 +287,7 @@
             }
             _ => {
                 let why =
-                    "there are POST /orders, /members, /duties, GET /members, /duties, /record and /record?stale";
+                    "there are POST /orders, /members, /duties, GET /members, /duties, /shared, /record and /record?stale";
                 self.service.answer(link, 404, &refuse(why.into()), out);
             }
         }
@@ -322,7 +341,8 @@
     fn keep_books(&mut self, now: Moment, out: &mut Outbox) {
         let Some(books) = &mut self.books else { return };
         let Some(number) = self.member.may(now, BOOKS) else { return books.give_up(now, out) };
-        let what = books.keep(now, number, self.member.record.books().0, out);
+        let used = self.sharing.as_ref().map(|sharing| sharing.used(now)).unwrap_or_default();
+        let what = books.keep(now, number, self.member.record.books().0, used, out);
         self.tell_record(now, what, out);
     }
 
@@ -348,6 +368,51 @@
         }
     }
 
+    // ---- what is shared
+
+    fn share(&mut self, now: Moment, out: &mut Outbox) {
+        let Some(sharing) = &mut self.sharing else { return };
+        let own = (self.member.id(), self.member.start_of_disk());
+        let seats = Seats { own, name: self.name.clone(), others: self.member.sharers() };
+        let share = self.member.cold_share(now);
+        let wants = sharing.look(now, &seats, share, &mut self.service);
+        self.member.demands = sharing.demands(now);
+        self.do_shared(now, wants, out);
+    }
+
+    fn do_shared(&mut self, now: Moment, wants: Vec<Shared>, out: &mut Outbox) {
+        for want in wants {
+            match want {
+                Shared::Tell(to, kind) => {
+                    let asks = matches!(kind, word::Kind::CountsAsk(_));
+                    if !self.member.share(to, kind, out) && asks {
+                        self.sharing.iter_mut().for_each(|sharing| sharing.lost(to));
+                    }
+                }
+                Shared::TellAll(kind) => {
+                    let others: Vec<u64> = self.member.sharers().into_keys().collect();
+                    for to in others {
+                        self.member.share(to, kind.clone(), out);
+                    }
+                }
+                Shared::Hint(hint) => self.service.hint(now, hint, out),
+                Shared::Heard(id, state) => {
+                    let name = self.member.sharers().remove(&id).unwrap_or_default();
+                    out.log(Level::Info, "member_believed", vec![("member", name), ("state", state.into())]);
+                }
+            }
+        }
+    }
+
+    fn shared_view(&self, now: Moment) -> String {
+        let mut view =
+            self.sharing.as_ref().map_or(json!({ "name": self.name }), |sharing| sharing.view(now));
+        view["cold"] = json!(self.member.cold_view(now));
+        view["cold_share"] = json!(self.member.cold_share(now));
+        view["at"] = json!(now.0);
+        view.to_string()
+    }
+
     // ---- probes by slice
 
     fn slice_of(&self, server: &str) -> Option<String> {
@@ -484,6 +549,11 @@
                     Told::Changed(subjects) => self.stand_by(now, subjects.as_ref(), out),
                     Told::Numbered(number) => self.begin(now, number, out),
                     Told::Probes(from, kind) => self.probes_told(now, from, kind, out),
+                    Told::Shared(from, kind) => {
+                        let heard = self.sharing.as_mut().map(|sharing| sharing.hear(now, from, kind));
+                        self.do_shared(now, heard.unwrap_or_default(), out);
+                    }
+                    Told::Lost(id) => self.sharing.iter_mut().for_each(|sharing| sharing.lost(id)),
                 }
             }
         }
@@ -503,6 +573,15 @@
                 if self.has_duties {
                     out.wake(BOOKKEEPING, now + LOOK);
                 }
+                if self.sharing.is_some() {
+                    out.wake(SHARING, now + LOOK);
+                }
+            }
+            Input::Due { timer: SHARING } => {
+                if self.started {
+                    self.share(now, out);
+                }
+                out.wake(SHARING, now + LOOK);
             }
             Input::Due { timer: BOOKKEEPING } => {
                 self.keep_books(now, out);
--- a/crates/member/src/words.rs
+++ b/crates/member/src/words.rs
@@ -8,14 +8,14 @@
 /// What this build speaks and understands. Words are the same in both; commands differ, and go by the record's format,
 /// which rises once all who belong speak it.
 pub const FORMATS: (u32, u32) = pewtergap_record::FORMATS;
-const MOST_NAME: usize = 256;
+pub(crate) const MOST_NAME: usize = 256;
 const MOST_MEMBERS: usize = 64;
 /// A message: entries or a piece, and their heads.
 const MOST_WORD: usize = 4 * 1024 * 1024;
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Word {
-    #[prost(oneof = "word::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "word::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
     pub kind: Option<word::Kind>,
 }
 
@@ -54,6 +54,15 @@
         ProbeTaken(super::ProbeTaken),
         #[prost(message, tag = "13")]
         Probed(super::Probed),
+        /// To those only whose hello says that they share.
+        #[prost(message, tag = "14")]
+        Gossip(crate::shared::Gossiped),
+        #[prost(message, tag = "15")]
+        CountsAsk(crate::shared::CountsAsk),
+        #[prost(message, tag = "16")]
+        Counts(crate::shared::Counts),
+        #[prost(message, tag = "17")]
+        Evidence(crate::shared::EvidenceTold),
     }
 }
 
@@ -88,6 +97,9 @@
     /// How long this one's settings say that leases are, in milliseconds; 0: it has no duties.
     #[prost(uint64, tag = "11")]
     pub lease: u64,
+    /// It shares what it sees: whoever is older closes a link on words that it does not know.
+    #[prost(bool, tag = "12")]
+    pub shares: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -373,6 +385,9 @@
             word::Kind::ProbeTaken(taken) => named(&taken.duty).and(named(&taken.server)),
             word::Kind::Probed(told) => named(&told.duty).and(named(&told.server)),
             word::Kind::Agree(agreeing) => told(agreeing.clone()).map(drop),
+            word::Kind::Gossip(gossiped) => gossiped.check(),
+            word::Kind::Counts(counts) => counts.check(),
+            word::Kind::Evidence(told) => told.check(),
             _ => Ok(()),
         }
     }
--- a/crates/member/tests/books.rs
+++ b/crates/member/tests/books.rs
@@ -22,7 +22,7 @@
         let at = SocketAddr::from(([127, 0, 0, 1], 9));
         let mut books = Books::new(Receiver { at, period: Span::millis(1_000) }, None);
         let mut out = Outbox::default();
-        assert_eq!(books.keep(NOW, 5, closed, &mut out), None, "it dials");
+        assert_eq!(books.keep(NOW, 5, closed, Vec::new(), &mut out), None, "it dials");
         books.opened(NOW, may, (kept, "{}"), &mut out);
         (what, out.effects.iter().any(|effect| matches!(effect, Effect::Send { .. })))
     });
--- a/crates/member/tests/hand.rs
+++ b/crates/member/tests/hand.rs
@@ -38,6 +38,7 @@
             format: 2,
             duties: None,
             receiver: None,
+            shares: None,
             slices: (0, Span(0)),
         };
         let member = Member::new(post);
--- a/crates/member/tests/releaser.rs
+++ b/crates/member/tests/releaser.rs
@@ -51,7 +51,15 @@
 
 fn cap(route: &str) -> What {
     let wish = Some(Wish::Cap(Cap { route: route.into(), level: 0.5 }));
-    What::Order(Order { who: "x".into(), why: "y".into(), until: 0, wish, steps: 3, pause: 2_000 })
+    What::Order(Order {
+        who: "x".into(),
+        why: "y".into(),
+        until: 0,
+        wish,
+        steps: 3,
+        pause: 2_000,
+        by_proxies: false,
+    })
 }
 
 #[test]
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -42,6 +42,8 @@
         #[command(subcommand)]
         what: operator::DutiesLine,
     },
+    /// What planners share: who is heard, counts with age and interval, parts of budgets, servers lightened.
+    Shared(operator::At),
     /// Play a day against stand-ins on loopback and judge the five rules.
     Rehearse(rehearse::Wanted),
     /// Measure, with figures as ratios within one run.
@@ -106,6 +108,7 @@
         Front::Members { what } => operator::members(what),
         Front::Record(line) => operator::record(line),
         Front::Duties { what } => operator::duties(what),
+        Front::Shared(at) => operator::shared(at),
         Front::Rehearse(wanted) => rehearse::rehearse(wanted),
         Front::Explore(line) => explore::run(&line),
         Front::Replay(line) => explore::replay(&line),
--- a/crates/pewtergap/src/operator.rs
+++ b/crates/pewtergap/src/operator.rs
@@ -33,6 +33,9 @@
     /// Between two steps.
     #[arg(long, default_value = "5s")]
     pause: String,
+    /// Steps are a share of the planners, each with all its proxies, that carry it out whole.
+    #[arg(long)]
+    by_proxies: bool,
     /// Of an order that was given before and whose answer is not known: 16 hexadecimal digits.
     #[arg(long)]
     id: Option<String>,
@@ -200,7 +203,7 @@
     };
     let until = line.lasts.as_deref().map(lasting).transpose()?.map_or(0, |span| given + span);
     let mut body = json!({ "id": id, "given": given, "who": line.by, "why": line.why, "until": until,
-        "steps": line.steps, "pause_ms": lasting(&line.pause)? });
+        "steps": line.steps, "pause_ms": lasting(&line.pause)?, "by_proxies": line.by_proxies });
     let more = match line.order {
         Wish::Drain { server } => json!({ "order": "drain", "server": server }),
         Wish::TakeBack { server } => json!({ "order": "take-back", "server": server }),
@@ -258,6 +261,10 @@
     ask(&at, "POST", target, Some(&body.to_string()))
 }
 
+pub fn shared(at: At) -> Ended {
+    ask(&at, "GET", "/shared", None)
+}
+
 pub fn record(line: RecordLine) -> Ended {
     ask(&line.at, "GET", if line.stale { "/record?stale" } else { "/record" }, None)
 }
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -291,7 +291,8 @@
 
     fn carries(&self, now: Moment, at: ServerIx) -> f64 {
         let server = &self.state.servers[at];
-        let weight = server.weight * CORRECTIONS[(UNCORRECTED + server.step) as usize];
+        let listed = server.weight * (1.0 - server.lighter);
+        let weight = listed * CORRECTIONS[(UNCORRECTED + server.step) as usize];
         match server.stand {
             // Probes alone don't shut out, but one that nobody answers is not sent its whole share meanwhile.
             Open | Suspect if server.strikes >= CONFIRM => RAMP[0] * weight,
@@ -308,9 +309,10 @@
         (0..self.state.servers.len()).map(|at| self.carries(now, at)).collect()
     }
 
-    /// Calls per second at all proxies; those of other planners count as average.
+    /// Calls per second at all proxies; those of other planners as told, or else as average.
     fn calls(&self) -> f64 {
-        self.state.mean_rate(GUESS_CALLS).max(1e-6) * self.fleet.proxies.max(1) as f64
+        let guess = self.state.mean_rate(GUESS_CALLS).max(1e-6) * self.fleet.proxies.max(1) as f64;
+        self.state.elsewhere.map_or(guess, |told| told + self.state.seen(|p| self.demand(p)).max(1e-6))
     }
 
     fn upkeep(&mut self, now: Moment) {
@@ -502,7 +504,10 @@
         let cap = if shunned { 0.0 } else { [SAFE.0, SAFE.1][usize::from(full)] };
         let mut sent = vec![0.0; ripe.len()];
         rows.iter().for_each(|row| row.0.iter().for_each(|line| sent[line.0] += line.1 * row.1 / all));
-        let most: Vec<f64> = (0..ripe.len()).map(|at| cap * even * sure(at) / calls).collect();
+        // Ours of what all may bring: beyond it no line is written, however many proxies come to us at once.
+        let seen = self.state.seen(|p| self.demand(p)).max(1e-9);
+        let ours = self.state.share.map_or(1.0, |part| (part * all / seen).min(1.0));
+        let most: Vec<f64> = (0..ripe.len()).map(|at| ours * cap * even * sure(at) / calls).collect();
         let over = |at: ServerIx| cold(at) && sent[at] > most[at];
         let mut bare = false;
         for (row, _) in rows {
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -223,6 +223,19 @@
         server: ServerIx,
         weight: f64,
     },
+    /// Calls per second at the proxies of all other planners; none: nobody knows.
+    Elsewhere {
+        calls: Option<f64>,
+    },
+    /// Of what all proxies may bring a cold server, the part that those of this planner may; none: nobody has parted it.
+    Share {
+        part: Option<f64>,
+    },
+    /// Others saw a server do badly: it is to weigh less by this part, 0 takes that back.
+    Lighter {
+        server: ServerIx,
+        part: f64,
+    },
     Tick,
 }
 
@@ -341,6 +354,8 @@
     /// Step of the correction to the listed weight, and how often a review asked for another.
     pub step: i32,
     pub asked: i32,
+    /// By which part it weighs less for what others saw.
+    pub lighter: f64,
     /// Somebody has it; and since when nothing but the place itself remembers the server.
     pub taken: bool,
     pub left: Option<Moment>,
@@ -468,6 +483,9 @@
     /// What operators let in of each route at most, and whether they hold changes of tables.
     pub caps: Vec<f64>,
     pub held: bool,
+    /// What other planners told: calls per second at their proxies; the part of a cold server's budget that is ours.
+    pub elsewhere: Option<f64>,
+    pub share: Option<f64>,
     /// Servers to probe in this turn.
     pub ask: Vec<ServerIx>,
     pub notes: Vec<String>,
@@ -542,6 +560,11 @@
         sum / f64::from(count.max(1))
     }
 
+    /// What joined proxies ask together.
+    pub fn seen(&self, demand: impl Fn(&Proxy) -> f64) -> f64 {
+        self.proxies.iter().filter(|p| p.joined).map(demand).sum()
+    }
+
     /// Marks the messages of a turn, by what each proxy's costs, so that their arrival will be told.
     pub fn mark_messages(&mut self, now: Moment, costs: &[f64], kept: Span) -> Option<Order> {
         let mark = (self.mark + 1) % 65_536;
@@ -651,6 +674,12 @@
             Event::Arrivals { proxy, route, calls, over, .. } => self.arrive(*proxy, *route, *calls, *over),
             Event::Cap { route, level } => self.cap(*route, *level),
             Event::Hold { on } => self.held = *on,
+            Event::Elsewhere { calls } => self.elsewhere = *calls,
+            Event::Share { part } => self.stirred |= std::mem::replace(&mut self.share, *part) != *part,
+            Event::Lighter { server, part } => {
+                let before = std::mem::replace(&mut self.server(*server).lighter, *part);
+                self.stirred |= before != *part;
+            }
             Event::SliceGiven { slice, given } => self.give_slice(*slice, *given),
             Event::SliceLine { slice, server, weight } => self.slice_line(*slice, *server, *weight),
             _ => {}
--- a/crates/record/src/commands.rs
+++ b/crates/record/src/commands.rs
@@ -1,5 +1,6 @@
 //! Commands as they stand in the log, and what is wrong with one before it gets there.
 
+use pewtergap_shares::Shift;
 use prost::{Message, Oneof};
 
 pub const MOST_NAME: usize = 256;
@@ -13,7 +14,7 @@
     pub id: u64,
     #[prost(uint64, tag = "2")]
     pub given: u64,
-    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub what: Option<What>,
 }
 
@@ -53,6 +54,89 @@
     /// How long leases are, in milliseconds.
     #[prost(uint64, tag = "14")]
     Lease(u64),
+    /// A part of a budget goes from one planner to another, or is free. From format 3 on.
+    #[prost(message, tag = "15")]
+    Share(Share),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Share {
+    #[prost(string, tag = "1")]
+    pub budget: String,
+    #[prost(oneof = "Shifts", tags = "2, 3, 4, 5")]
+    pub shift: Option<Shifts>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Shifts {
+    #[prost(message, tag = "2")]
+    Claim(Claim),
+    #[prost(message, tag = "3")]
+    Deal(Moved),
+    #[prost(message, tag = "4")]
+    Back(Moved),
+    #[prost(message, tag = "5")]
+    End(Moved),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Claim {
+    #[prost(fixed64, tag = "1")]
+    pub by: u64,
+    #[prost(uint64, tag = "2")]
+    pub start: u64,
+    #[prost(uint64, tag = "3")]
+    pub base: u64,
+    #[prost(uint64, tag = "4")]
+    pub founders: u64,
+    #[prost(bool, tag = "5")]
+    pub founded: bool,
+}
+
+/// Of a planner by its disk's number, if its part still stands at this place of the log.
+#[derive(Clone, PartialEq, Message)]
+pub struct Moved {
+    #[prost(fixed64, tag = "1")]
+    pub of: u64,
+    #[prost(uint64, tag = "2")]
+    pub units: u64,
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+}
+
+impl Share {
+    pub fn of(budget: &str, shift: &Shift) -> Share {
+        let moved = |of, units, number| Moved { of, units, number };
+        let shift = match *shift {
+            Shift::Claim { by, start, base, founders, founded } => {
+                Shifts::Claim(Claim { by, start, base, founders, founded })
+            }
+            Shift::Deal { to, units, number } => Shifts::Deal(moved(to, units, number)),
+            Shift::Back { from, units, number } => Shifts::Back(moved(from, units, number)),
+            Shift::End { of, number } => Shifts::End(moved(of, 0, number)),
+        };
+        Share { budget: budget.into(), shift: Some(shift) }
+    }
+
+    pub fn shift(&self) -> Option<Shift> {
+        Some(match self.shift.as_ref()? {
+            Shifts::Claim(c) => {
+                let (by, start, base) = (c.by, c.start, c.base);
+                Shift::Claim { by, start, base, founders: c.founders, founded: c.founded }
+            }
+            Shifts::Deal(m) => Shift::Deal { to: m.of, units: m.units, number: m.number },
+            Shifts::Back(m) => Shift::Back { from: m.of, units: m.units, number: m.number },
+            Shifts::End(m) => Shift::End { of: m.of, number: m.number },
+        })
+    }
+
+    /// The planner that has less by it.
+    pub fn taken_from(&self) -> Option<u64> {
+        match self.shift.as_ref()? {
+            Shifts::Back(moved) | Shifts::End(moved) => Some(moved.of),
+            _ => None,
+        }
+    }
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -112,8 +196,35 @@
     pub period: u64,
     #[prost(uint64, tag = "2")]
     pub number: u64,
+    /// From format 3 on: what each planner has counted of each route and zone, as its keeper has heard.
+    #[prost(message, repeated, tag = "3")]
+    pub used: Vec<Used>,
+}
+
+/// Calls that proxies of a zone took in on a route, since that start of that planner.
+#[derive(Clone, PartialEq, Message)]
+pub struct Used {
+    #[prost(string, tag = "1")]
+    pub planner: String,
+    /// Its disk and which start of it: a sum begins anew with each.
+    #[prost(fixed64, tag = "2")]
+    pub disk: u64,
+    #[prost(uint64, tag = "3")]
+    pub start: u64,
+    #[prost(string, tag = "4")]
+    pub route: String,
+    #[prost(string, tag = "5")]
+    pub zone: String,
+    #[prost(uint64, tag = "6")]
+    pub calls: u64,
+    /// How old the count is.
+    #[prost(uint64, tag = "7")]
+    pub age_ms: u64,
 }
 
+/// Rows of use that one period may have.
+pub const MOST_USED: usize = 1_024;
+
 /// An operator's order. The newest on a subject is in force.
 #[derive(Clone, PartialEq, Message)]
 pub struct Order {
@@ -131,6 +242,9 @@
     pub steps: u32,
     #[prost(uint64, tag = "15")]
     pub pause: u64,
+    /// Steps are a share of the planners, each with its proxies, that carry it out whole. From format 3 on.
+    #[prost(bool, tag = "18")]
+    pub by_proxies: bool,
 }
 
 #[derive(Clone, PartialEq, Oneof)]
@@ -326,6 +440,13 @@
             }
             What::Step(step) if step.why.len() > MOST_WHY => Err("why is too long".into()),
             What::Step(_) | What::Lease(_) => Ok(()),
+            What::Share(share) => {
+                name("budget", &share.budget, MOST_NAME)?;
+                share.shift().map(drop).ok_or("nothing is shared out".into())
+            }
+            What::Close(close) if close.used.len() > MOST_USED => {
+                Err(format!("{MOST_USED} rows of use at most"))
+            }
             What::Clean(_) | What::Raise(_) | What::Close(_) | What::Arrived(_) => Ok(()),
         }
     }
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -23,6 +23,8 @@
 //! | under an older number | clean, close, arrived | as it is | `Refused` |
 //! | in force, not taken back, under the releaser's number | step | reached so far, never less; or taken back for good | `Kept` |
 //! | | lease | leases are so long from here on | `Kept` |
+//! | | share | a part of a budget has another holder, by the table of `shares` | `Kept` |
+//! | a part under another number | share | as it is: decided too late | `Refused` |
 //! | | raise | the format of the commands that follow, never a lower one | `Kept` |
 //! | | clean | what ran out is gone, the horizon rises, never falls | `Kept` |
 #![forbid(unsafe_code)]
@@ -30,10 +32,11 @@
 mod commands;
 
 pub use commands::{
-    Cap, Clean, Close, Command, Drain, Give, Hand, Order, Release, Step, Subject, TakeNumber, Weight, What,
-    Wish, MOST_NAME, MOST_WHY,
+    Cap, Claim, Clean, Close, Command, Drain, Give, Hand, Moved, Order, Release, Share, Shifts, Step,
+    Subject, TakeNumber, Used, Weight, What, Wish, MOST_NAME, MOST_USED, MOST_WHY,
 };
 
+use pewtergap_shares::{Budget, Holding};
 use prost::Message;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -51,7 +54,9 @@
 pub const BOOKS: &str = "books";
 pub const RELEASE: &str = "release";
 /// Formats of commands that this build can carry out.
-pub const FORMATS: (u32, u32) = (1, 2);
+pub const FORMATS: (u32, u32) = (1, 3);
+/// Budgets that are parted.
+pub const MOST_BUDGETS: usize = 16;
 /// An id is remembered for so long after it was given, in milliseconds: longer than anybody goes on asking.
 pub const REMEMBERED: u64 = 15 * 60 * 1000;
 /// A drain is remembered for so long after its grace: proxies and planners may have been away.
@@ -107,6 +112,47 @@
     extract: String,
     #[prost(uint64, tag = "11")]
     lease: u64,
+    #[prost(btree_map = "string, message", tag = "12")]
+    budgets: BTreeMap<String, Parted>,
+}
+
+/// A budget as it goes into a snapshot.
+#[derive(Clone, PartialEq, Message)]
+struct Parted {
+    #[prost(uint64, tag = "1")]
+    free: u64,
+    #[prost(uint64, tag = "2")]
+    base: u64,
+    #[prost(uint64, tag = "3")]
+    kept_for: u64,
+    #[prost(btree_map = "fixed64, message", tag = "4")]
+    holdings: BTreeMap<u64, Held>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct Held {
+    #[prost(uint64, tag = "1")]
+    base: u64,
+    #[prost(uint64, tag = "2")]
+    more: u64,
+    #[prost(uint64, tag = "3")]
+    number: u64,
+    #[prost(uint64, tag = "4")]
+    start: u64,
+}
+
+impl Parted {
+    fn of(budget: &Budget) -> Parted {
+        let held = |h: &Holding| Held { base: h.base, more: h.more, number: h.number, start: h.start };
+        let holdings = budget.holdings.iter().map(|(id, holding)| (*id, held(holding))).collect();
+        Parted { free: budget.free, base: budget.base, kept_for: budget.kept_for, holdings }
+    }
+
+    fn budget(&self) -> Budget {
+        let holding = |h: &Held| Holding { base: h.base, more: h.more, number: h.number, start: h.start };
+        let holdings = self.holdings.iter().map(|(id, held)| (*id, holding(held))).collect();
+        Budget { free: self.free, base: self.base, kept_for: self.kept_for, holdings }
+    }
 }
 
 /// A duty; holder 0: nobody's. The number only rises.
@@ -172,6 +218,7 @@
     books: Books,
     extract: String,
     lease: u64,
+    budgets: BTreeMap<String, Budget>,
 }
 
 impl Record {
@@ -209,6 +256,7 @@
                 Answer::Kept(index)
             }
             Some(What::Step(step)) => self.step(index, step),
+            Some(What::Share(share)) => self.share(index, share),
             Some(What::Clean(clean)) => {
                 if let Err(why) = self.fenced(CLEANING, clean.number) {
                     return Answer::Refused(why);
@@ -240,6 +288,9 @@
     fn order(&mut self, index: u64, given: u64, order: &Order) -> Answer {
         let Some(wish) = &order.wish else { return Answer::Refused("no order is given".into()) };
         let (subject, stays) = wish.subject();
+        if order.by_proxies && self.format() < 3 {
+            return Answer::Refused("not everybody knows steps by proxies yet".into());
+        }
         if !stays {
             self.orders.remove(&subject);
         } else if self.orders.len() >= MOST_ORDERS && !self.orders.contains_key(&subject) {
@@ -303,6 +354,15 @@
         Answer::Kept(index)
     }
 
+    fn share(&mut self, index: u64, share: &Share) -> Answer {
+        let Some(shift) = share.shift() else { return Answer::Refused("nothing is shared out".into()) };
+        if !self.budgets.contains_key(&share.budget) && self.budgets.len() >= MOST_BUDGETS {
+            return Answer::Refused(format!("{MOST_BUDGETS} budgets are parted"));
+        }
+        let budget = self.budgets.entry(share.budget.clone()).or_default();
+        budget.shift(index, &shift).map_or_else(Answer::Refused, |()| Answer::Kept(index))
+    }
+
     /// Only up, or back to nothing for good.
     fn step(&mut self, index: u64, step: &Step) -> Answer {
         if let Err(why) = self.fenced(RELEASE, step.number) {
@@ -334,7 +394,7 @@
             }
             books => {
                 self.books = Books { closed: close.period, at: index, ..books };
-                self.extract = self.extract_now(close.period, index);
+                self.extract = self.extract_now(close, index);
                 Answer::Kept(index)
             }
         }
@@ -352,7 +412,7 @@
     }
 
     /// What the record holds, as the receiver gets it: the same bytes from whoever sends it.
-    fn extract_now(&self, period: u64, index: u64) -> String {
+    fn extract_now(&self, close: &Close, index: u64) -> String {
         let orders: Vec<serde_json::Value> = self
             .orders
             .values()
@@ -367,9 +427,16 @@
             .values()
             .map(|d| serde_json::json!({ "server": d.server, "started": d.started, "told": d.told, "grace": d.grace }))
             .collect();
-        serde_json::json!({ "period": period, "index": index, "number": self.number, "orders": orders,
-            "drains": drains })
-        .to_string()
+        let mut extract = serde_json::json!({ "period": close.period, "index": index, "number": self.number,
+            "orders": orders, "drains": drains });
+        if self.format() >= 3 {
+            let used = close.used.iter().map(|u| {
+                serde_json::json!({ "planner": u.planner, "disk": format!("{:016x}", u.disk), "start": u.start,
+                    "route": u.route, "zone": u.zone, "calls": u.calls, "age_ms": u.age_ms })
+            });
+            extract["used"] = used.collect();
+        }
+        extract.to_string()
     }
 
     fn clean(&mut self, now: u64) {
@@ -399,6 +466,10 @@
         &self.duties
     }
 
+    pub fn budget(&self, name: &str) -> Option<&Budget> {
+        self.budgets.get(name)
+    }
+
     /// How long leases are, in milliseconds; 0: nobody has said so.
     pub fn lease(&self) -> u64 {
         self.lease
@@ -455,6 +526,7 @@
             books: Some(self.books),
             extract: self.extract.clone(),
             lease: self.lease,
+            budgets: self.budgets.iter().map(|(name, budget)| (name.clone(), Parted::of(budget))).collect(),
         };
         image.encode_to_vec()
     }
@@ -468,7 +540,7 @@
             orders.insert(subject, standing);
         }
         let books = image.books.unwrap_or_default();
-        let Image { ids, number, drains, horizon, format, own, duties, extract, lease, .. } = image;
+        let Image { ids, number, drains, horizon, format, own, duties, extract, lease, budgets, .. } = image;
         if format > FORMATS.1 {
             return Err(format!("the record stands at format {format}, this build knows {}", FORMATS.1));
         }
@@ -487,6 +559,7 @@
             books,
             extract,
             lease,
+            budgets: budgets.iter().map(|(name, parted)| (name.clone(), parted.budget())).collect(),
         })
     }
 }
--- a/crates/record/tests/table.rs
+++ b/crates/record/tests/table.rs
@@ -132,7 +132,7 @@
     assert_eq!(record.format(), 2);
     record.apply(7, &Command { id: 4, given: 5, what: Some(What::Raise(FORMATS.1 + 1)) });
     let refused = Record::read(&record.write());
-    assert!(refused.as_ref().is_err_and(|why| why.contains("stands at format 3")), "{refused:?}");
+    assert!(refused.as_ref().is_err_and(|why| why.contains(&format!("stands at format {}", FORMATS.1 + 1))), "{refused:?}");
 }
 
 #[test]
@@ -144,8 +144,8 @@
     let hand = |duty: &str| {
         What::Hand(Hand { duty: duty.into(), to: "p2".into(), who: "x".into(), why: "y".into() })
     };
-    let close = |period, number| What::Close(Close { period, number });
-    let arrived = |period, number| What::Arrived(Close { period, number });
+    let close = |period, number| What::Close(Close { period, number, used: Vec::new() });
+    let arrived = |period, number| What::Arrived(Close { period, number, used: Vec::new() });
     let clean = |number| What::Clean(Clean { now: 1, number });
     let steps = [
         What::Raise(2),
@@ -181,3 +181,44 @@
     }
     insta::assert_snapshot!(trace);
 }
+
+#[test]
+fn parts_of_a_budget_go_from_hand_to_hand_and_come_to_the_whole() {
+    use pewtergap_shares::{Shift, WHOLE};
+    let mut record = Record::default();
+    let mut trace = String::new();
+    let claim = |by, start| Shift::Claim { by, start, base: 100_000, founders: 3, founded: by < 4 };
+    let shifts = [
+        claim(1, 1),
+        claim(2, 1),
+        Shift::Deal { to: 1, units: 800_000, number: 1 },
+        Shift::Deal { to: 1, units: 600_000, number: 1 },
+        // Of the third founder's base nothing is dealt out.
+        Shift::Deal { to: 2, units: 100_001, number: 2 },
+        Shift::Back { from: 1, units: 50_000, number: 1 },
+        Shift::Back { from: 1, units: 50_000, number: 4 },
+        claim(1, 2),
+        // An earlier start's word, and what was decided before it came back.
+        claim(1, 1),
+        Shift::Back { from: 1, units: 50_000, number: 7 },
+        claim(3, 1),
+        claim(9, 1),
+        Shift::End { of: 2, number: 2 },
+        Shift::End { of: 2, number: 2 },
+    ];
+    for (index, shift) in (1..).zip(&shifts) {
+        let command = Command { id: index, given: 1_000, what: Some(What::Share(Share::of("cold", shift))) };
+        assert_eq!(Share::of("cold", shift).shift(), Some(*shift));
+        let answer = record.apply(index, &command);
+        let budget = record.budget("cold").expect("it is parted");
+        assert_eq!(budget.sum(), WHOLE);
+        let held: Vec<String> = budget
+            .holdings
+            .iter()
+            .map(|(id, h)| format!("{id}: {}+{} #{}", h.base, h.more, h.number))
+            .collect();
+        writeln!(trace, "{index} {answer:?}; free {}, {}", budget.free, held.join(", ")).expect("written");
+    }
+    assert_eq!(Record::read(&record.write()).expect("an image").budget("cold"), record.budget("cold"));
+    insta::assert_snapshot!(trace);
+}
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -7,12 +7,13 @@
 use pewtergap_control::{Charge, Doors, Probing, Reports, Service, Source};
 use pewtergap_duty::Lease;
 use pewtergap_member::words::FORMATS;
-use pewtergap_member::{slice_names, Duties, Post, Receiver, Together, MOST_MEMBERS};
+use pewtergap_member::{slice_names, Duties, Post, Receiver, Shares, Together, MOST_MEMBERS};
 use pewtergap_planner::{
     Channel, Fleet, KeyScope, Planner, Pledge, Reach, Repeats, Route, Slicing, Throttle,
 };
 use pewtergap_proxy::{Front, Home, Proxy, Shunning};
 use pewtergap_record::{BOOKS, CLEANING, RELEASE};
+use pewtergap_shares::Terms;
 use pewtergap_time::{Moment, Span};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -187,6 +188,7 @@
         format,
         duties: None,
         receiver: None,
+        shares: None,
         slices: (0, Span(0)),
     }
 }
@@ -209,6 +211,27 @@
     (lease, part.or("steady", Span::millis(5_000)), slices)
 }
 
+/// What planners share; left out, they share nothing.
+fn sharing(part: &Section, fleet: &Fleet, reports: &Reports, pledge: &Pledge, drift: f64) -> Shares {
+    let every = part.or("every", Span::millis(500));
+    let fresh = part.or("fresh", Span::millis(3_000));
+    if every < Span::millis(50) {
+        part.fault("every", "at least 50ms were expected");
+    }
+    if fresh < every.times(2.0) {
+        part.clash("fresh", format!("{fresh} is less than twice what passes between two tellings, {every}"));
+    }
+    let terms = Terms {
+        holds: part.or("holds", Span::millis(30_000)),
+        // A server that was cold under a planner's last tables is warm by then, wherever these still are.
+        lingers: pledge.cold_for + pledge.drain_grace,
+        drift,
+        planners: fleet.planners as u64,
+    };
+    let (proxies, most_streams) = (fleet.proxies as f64, reports.most_streams as f64);
+    Shares { every, fresh, terms, proxies, most_streams }
+}
+
 fn books(part: &Section) -> Receiver {
     let receiver = Receiver { at: part.need("receiver"), period: part.or("period", Span::millis(60_000)) };
     if receiver.period < Span::millis(100) {
@@ -294,6 +317,20 @@
             let names = names.chain(slice_names(&zones, slices)).collect();
             (Duties { lease, steady, names }, slices)
         });
+        let drift = duties.as_ref().map_or(0.0, |duties| duties.0.lease.drift);
+        let shares =
+            part.maybe_part("sharing", "sharing", |part| sharing(part, &fleet, &reports, &pledge, drift));
+        if shares.is_some() && duties.is_none() {
+            part.fault("sharing", "duties() is missing: its leases say who may use which part of a budget");
+        }
+        if shares.is_some() && post.members.len() > fleet.planners {
+            let what = format!(
+                "{} members, the fleet is meant to have {} planners",
+                post.members.len(),
+                fleet.planners
+            );
+            part.clash("sharing", what);
+        }
         let slices = (duties.as_ref().map_or(0, |duties| duties.1), probing.2.within);
         let duties = duties.map(|duties| duties.0);
         if receiver.is_some() && duties.is_none() {
@@ -319,7 +356,7 @@
             slicing: Slicing { slices: 0, exclusive: false, keeps_writing: Span(0), lingers: Span(0) },
             reports,
             probing: probing.2,
-            post: Post { name: name.clone(), from: doors.from, duties, receiver, slices, ..post },
+            post: Post { name: name.clone(), from: doors.from, duties, receiver, shares, slices, ..post },
             seed: part.maybe("seed"),
             dir: part.or("state_dir", ".".to_string()).into(),
         }
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -25,6 +25,7 @@
     "cluster",
     "duties",
     "books",
+    "sharing",
     "member",
     "shunning",
     "servers",
