Audit of a budget's parts from what members say all the time; a drill of cuts, kills, stops and wipes

All that lingers may not come to more than the whole. Planted and found: a dead planner's part freed at once (the program itself with a wrong time), a part at both ends.

--- a/crates/lab/src/cluster/drill.rs
+++ b/crates/lab/src/cluster/drill.rs
@@ -27,6 +27,7 @@
     ("duty-lease", 3, 3, |director| director.lease_changed()),
     ("duty-steps", 3, 3, |director| director.steps()),
     ("duty-at-the-effect", 3, 3, |director| director.held_at_the_effect()),
+    ("shares", 3, 3, |director| director.shares()),
 ];
 
 /// A snapshot's pieces are of this many bytes.
@@ -44,7 +45,8 @@
             members: *members,
             founders: *founders,
             format,
-            duties: drill.starts_with("dut").then_some(2),
+            duties: (drill.starts_with("dut") || drill == "shares").then_some(2),
+            sharing: drill == "shares",
             ..like
         },
         *act,
@@ -63,7 +65,7 @@
         Ok(())
     }
 
-    fn view(&self, at: usize, target: &str) -> Value {
+    pub(super) fn view(&self, at: usize, target: &str) -> Value {
         let answer = self.admin(at).and_then(|admin| ask::call(admin, "GET", target, None).ok());
         answer.and_then(|(_, text)| serde_json::from_str(&text).ok()).unwrap_or_default()
     }
--- a/crates/lab/src/cluster/measure.rs
+++ b/crates/lab/src/cluster/measure.rs
@@ -218,6 +218,7 @@
         planted: None,
         format: None,
         duties,
+        sharing: false,
     };
     let mut started = Started::new(&day)?;
     started.director.bring_up()?;
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -9,6 +9,7 @@
 pub mod measure;
 mod operators;
 pub mod receiver;
+pub mod shares;
 
 use crate::ask;
 use crate::bell::{Bell, Rung};
@@ -52,6 +53,9 @@
     NoFence,
     SentTwice,
     GoesOn,
+    /// Parts of a budget that a dead planner had are free at once; a part that is handed on is there at both ends.
+    FreedAtOnce,
+    BothEnds,
 }
 
 pub const PLANTED: &[(&str, Planted)] = &[
@@ -62,6 +66,8 @@
     ("no-fence", Planted::NoFence),
     ("sent-twice", Planted::SentTwice),
     ("goes-on", Planted::GoesOn),
+    ("freed-at-once", Planted::FreedAtOnce),
+    ("both-ends", Planted::BothEnds),
 ];
 
 /// What strikes. Each day has some of them.
@@ -107,6 +113,8 @@
     pub format: Option<u32>,
     /// Duties are held, and the books go to a receiver: so many slices of probes.
     pub duties: Option<usize>,
+    /// Members share what they see, and a budget's parts.
+    pub sharing: bool,
 }
 
 #[derive(Debug)]
@@ -119,6 +127,8 @@
     pub fresh: usize,
     pub not_fresh: usize,
     pub sightings: usize,
+    /// What members said of their part of a budget.
+    pub said: usize,
     /// From a kill of the leader to the next kept order, in milliseconds.
     pub handed_ms: Vec<u64>,
 }
@@ -152,6 +162,7 @@
     most_blocks: Vec<Option<u64>>,
     leases: Vec<u64>,
     sightings: Sightings,
+    said: shares::Sayings,
     receiver: Option<Place>,
     ledger: Ledger,
     /// Members that run in this process, to be held where no signal can.
@@ -213,6 +224,7 @@
             most_blocks: vec![None; day.members],
             leases: vec![duties::LEASE_MS; day.members],
             sightings: sightings.clone(),
+            said: shares::Sayings::default(),
             receiver,
             ledger,
             threads: BTreeMap::new(),
@@ -246,6 +258,7 @@
     let troubles = std::mem::take(&mut started.director.troubles);
     let (shared, sightings) = (started.director.shared.clone(), started.sightings.clone());
     let ledger = started.director.ledger.clone();
+    let said = started.director.said.clone();
     drop(started);
     let mut ops = shared.ops.lock().map_err(|_| "an operator failed")?.clone();
     let mut seen = sightings.lock().map_err(|_| "the relay failed")?.clone();
@@ -254,6 +267,9 @@
     plant_books(day.planted, &mut ledger);
     let mut breaches = judge(&ops, &seen);
     breaches.extend(judge_books(&ledger));
+    let mut said = said.lock().map_err(|_| "a listener failed")?.clone();
+    plant_shares(day.planted, &mut said);
+    breaches.extend(shares::judge_shares(&said, shares::lingers()));
     let count = |fits: fn(&Op) -> bool| ops.iter().filter(|op| fits(op)).count();
     Ok(Came {
         breaches,
@@ -264,6 +280,7 @@
         fresh: count(|op| matches!(op.done, Done::Found(_))),
         not_fresh: count(|op| op.done == Done::Nothing),
         sightings: seen.len(),
+        said: said.len(),
         handed_ms,
     })
 }
@@ -283,11 +300,24 @@
     }
 }
 
+/// Whoever handed a part on says that it has it for a while longer, as the other already does.
+fn plant_shares(planted: Option<Planted>, said: &mut Vec<shares::Said>) {
+    if planted != Some(Planted::BothEnds) {
+        return;
+    }
+    let Some(last) = said.iter().rev().find(|one| one.units > 0).cloned() else { return };
+    let other = said.iter().rev().find(|one| one.disk != last.disk).map(|one| one.disk.clone());
+    let units = pewtergap_shares::WHOLE - last.units + 1;
+    said.extend(other.map(|disk| shares::Said { disk, units, ..last }));
+}
+
 /// What a wrong program would have left in the recording.
 fn plant(planted: Option<Planted>, ops: &mut [Op], seen: &mut Vec<(pewtergap_time::Moment, links::Seen)>) {
     use links::Seen;
     match planted {
-        None | Some(Planted::NoFence | Planted::SentTwice | Planted::GoesOn) => {}
+        None
+        | Some(Planted::NoFence | Planted::SentTwice | Planted::GoesOn)
+        | Some(Planted::FreedAtOnce | Planted::BothEnds) => {}
         Some(Planted::LostOrder) => {
             // The last order on a key, and all reads from then on do without it.
             let last = ops.iter().filter(|op| matches!(op.done, Done::Kept(_))).max_by_key(|op| op.called);
@@ -357,6 +387,9 @@
                 std::thread::spawn(move || operate(&shared, clock, rng))
             })
             .collect();
+        let listeners: Vec<_> = (0..self.day.members * usize::from(self.day.sharing))
+            .map(|at| shares::listen(self.shared.clone(), self.clock, at, self.said.clone()))
+            .collect();
         let handed = middle(self)?;
         self.tell("open-all".into());
         for at in 0..self.belong {
@@ -371,6 +404,9 @@
         for operator in operators {
             operator.join().map_err(|_| "an operator failed")?;
         }
+        for listener in listeners {
+            listener.join().map_err(|_| "a listener failed")?;
+        }
         // Read once more at each: what was kept is there.
         for at in 0..self.belong {
             let op = read(&self.shared, self.clock, at);
@@ -417,6 +453,20 @@
         }
     }
 
+    fn rules(&self) -> String {
+        let ms = |span: pewtergap_time::Span| span.0 / 1_000_000;
+        match (self.day.sharing, self.day.planted) {
+            (false, _) => "drain_grace = \"5s\", cold_for = \"20s\"".into(),
+            // What it caused is over at once, for all it knows.
+            (_, Some(Planted::FreedAtOnce)) => "drain_grace = \"280ms\", cold_for = \"1ms\"".into(),
+            _ => format!(
+                "drain_grace = \"{}ms\", cold_for = \"{}ms\"",
+                ms(shares::GRACE),
+                ms(shares::COLD_FOR)
+            ),
+        }
+    }
+
     fn text(&self, at: usize) -> String {
         let names: Vec<String> = (0..self.day.founders).map(name).collect();
         let more = self.formats[at].map(|format| format!(", format = {format}")).unwrap_or_default();
@@ -426,11 +476,12 @@
              routes = [route(\"r\", slo_time = \"400ms\", time_limit = \"2s\", repeats = \"repeatable\")],\n    \
              fleet = fleet(proxies = 4, planners = {}),\n    \
              channel = channel(lines_per_s = 2000, most_waiting = 4000),\n    \
-             rules = rules(drain_grace = \"5s\", cold_for = \"20s\"),\n    \
+             rules = rules({}),\n    \
              {})\n",
             name(at),
             self.day.dir.join(name(at)).display(),
             self.day.members,
+            self.rules(),
             Links::settings(&self.listens, at, &names, &more) + &self.duties_text(at)
         )
     }
@@ -440,7 +491,8 @@
             return String::new();
         };
         let (settings, period) = (duties::settings(slices, self.leases[at]), duties::PERIOD);
-        format!("    {settings}, books = books(receiver = \"{receiver}\", period = \"{period}\"),\n")
+        let sharing = if self.day.sharing { format!("    {},\n", shares::settings()) } else { String::new() };
+        format!("    {settings}, books = books(receiver = \"{receiver}\", period = \"{period}\"),\n{sharing}")
     }
 
     fn start(&mut self, at: usize) -> Result<(), String> {
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -409,7 +409,7 @@
             self.sharing.as_ref().map_or(json!({ "name": self.name }), |sharing| sharing.view(now));
         view["cold"] = json!(self.member.cold_view(now));
         view["cold_share"] = json!(self.member.cold_share(now));
-        view["at"] = json!(now.0);
+        view["disk"] = json!(format!("{:016x}", self.member.id()));
         view.to_string()
     }
 
--- a/crates/pewtergap/src/cluster.rs
+++ b/crates/pewtergap/src/cluster.rs
@@ -27,14 +27,17 @@
     #[arg(long, default_value_t = 1)]
     jobs: usize,
     /// Plant a break in a cluster day that the audit must find: lost-order, stale-read, number-twice, vote-after-wipe,
-    /// and where duties are held no-fence, sent-twice, goes-on.
+    /// where duties are held no-fence, sent-twice, goes-on, and where a budget is parted freed-at-once, both-ends.
     #[arg(long, value_parser = planted)]
     cluster_plant: Option<Planted>,
     /// Duties are held meanwhile, and the books go to a receiver.
     #[arg(long)]
     duties: bool,
+    /// And share what they see, and a budget's parts.
+    #[arg(long)]
+    sharing: bool,
     /// In place of drawn troubles one hard case: roll-out, pieces, full-disk, lost-in-a-change, places,
-    /// duties, duty-lease, duty-steps, duty-at-the-effect.
+    /// duties, duty-lease, duty-steps, duty-at-the-effect, shares.
     #[arg(long, value_parser = drill)]
     drill: Option<String>,
 }
@@ -110,7 +113,8 @@
                     only: Vec::new(),
                     planted: line.cluster_plant,
                     format: None,
-                    duties: line.duties.then_some(2),
+                    duties: (line.duties || line.sharing).then_some(2),
+                    sharing: line.sharing,
                 };
                 let came = match line.drill.as_deref().and_then(|drill| day_of(drill, day.clone())) {
                     Some((day, act)) => play_with(&day, act),
--- a/crates/pewtergap/tests/cluster.rs
+++ b/crates/pewtergap/tests/cluster.rs
@@ -20,6 +20,7 @@
         planted: None,
         format: None,
         duties: None,
+        sharing: false,
     }
 }
 
@@ -46,6 +47,8 @@
     kept(&ClusterDay { members: 5, founders: 5, strikes: 5, ..day("five", 6) });
     kept(&ClusterDay { duties: Some(2), strikes: 5, ..day("held", 10) });
     kept(&ClusterDay { members: 5, only: vec![Join], strikes: 2, ..day("join", 8) });
+    let shared = ClusterDay { sharing: true, duties: Some(2), strikes: 6, ..day("shared", 11) };
+    kept(&shared);
 }
 
 #[test]
@@ -85,11 +88,13 @@
         (Planted::NoFence, "a number that fell"),
         (Planted::SentTwice, "a period once"),
         (Planted::GoesOn, "two holders"),
+        (Planted::BothEnds, "shares"),
     ];
     for (planted, rule) in planted {
         let day = ClusterDay {
             planted: Some(planted),
             duties: Some(1),
+            sharing: rule == "shares",
             only: vec![Trouble::Terminate],
             strikes: 2,
             ..day(&format!("{planted:?}"), 7)
@@ -100,6 +105,15 @@
     }
 }
 
+#[test]
+fn what_a_killed_planner_had_given_away_at_once_is_found() {
+    let (day, act) = day_of("shares", day("freed", 3)).expect("a drill");
+    let day = ClusterDay { planted: Some(Planted::FreedAtOnce), ..day };
+    let came = play_with(&day, act).expect("the day is played");
+    assert!(came.breaches.iter().any(|breach| breach.rule == "shares"), "{:?}", came.breaches);
+    let _ = std::fs::remove_dir_all(&day.dir);
+}
+
 #[test]
 fn of_three_that_lost_two_one_goes_on_alone_when_told_so() {
     let day = ClusterDay { only: vec![Trouble::Terminate], strikes: 1, ..day("lost", 9) };
--- a/crates/record/tests/table.rs
+++ b/crates/record/tests/table.rs
@@ -132,7 +132,10 @@
     assert_eq!(record.format(), 2);
     record.apply(7, &Command { id: 4, given: 5, what: Some(What::Raise(FORMATS.1 + 1)) });
     let refused = Record::read(&record.write());
-    assert!(refused.as_ref().is_err_and(|why| why.contains(&format!("stands at format {}", FORMATS.1 + 1))), "{refused:?}");
+    assert!(
+        refused.as_ref().is_err_and(|why| why.contains(&format!("stands at format {}", FORMATS.1 + 1))),
+        "{refused:?}"
+    );
 }
 
 #[test]
