--- a/crates/lab/days/fleet.star
+++ b/crates/lab/days/fleet.star
@@ -44,12 +44,13 @@
         "troubles": troubles,
     }
 
-def short(name, troubles, binds = True, later = 0, agreed = False, duties = False):
+def short(name, troubles, binds = True, later = 0, agreed = False, duties = False, sharing = False):
     one = base(name, "10s", [("north", 4), ("south", 3), ("west", 3)], 150, troubles, binds)
     one["proxies"] = 6
     if agreed:
         one["agreed"] = True
         one["duties"] = duties
+        one["sharing"] = sharing
         one["planners"] = 3
     if later:
         one["servers"] += [servers(zone = zone, count = later, later = True) for zone in ZONES]
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -1,5 +1,6 @@
 //! The five rules, judged from a recording alone: from what passed on the sockets, not from what a component
-//! says of itself.
+//! says of itself. And, as number 6, what planners together do and say: who asks servers how they are, how many proxies are
+//! joined.
 
 use crate::record::{Kind, Row};
 use serde::{Deserialize, Serialize};
@@ -29,6 +30,12 @@
     pub slowest: f64,
     /// Name, SLO time, whether it must not run twice.
     pub routes: Vec<(String, i64, bool)>,
+    /// Where one planner asks a server for all: the longest that it may go unasked, and be asked by two.
+    #[serde(default)]
+    pub asked: Option<(i64, i64)>,
+    /// When members were struck: whoever has nobody to ask then asks for itself.
+    #[serde(default)]
+    pub struck: Vec<(i64, i64)>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -66,6 +73,14 @@
     /// Once duties have settled: the same, and the longest that a server went without a probe, in seconds.
     pub settled_probers: usize,
     pub longest_unprobed_s: f64,
+    /// And was asked by two, while no member was struck.
+    pub longest_doubled_s: f64,
+    /// Counts of joined proxies that planners told, how many of them had bounds, and the mean width of these.
+    pub counted: usize,
+    pub bounded: usize,
+    pub mean_width: f64,
+    /// Of a planner's servers together, lightened by hearsay at most.
+    pub most_lightened: f64,
     pub cold_starts: usize,
     pub messages: usize,
     /// The highest, as part of its limit.
@@ -113,6 +128,8 @@
 const SLACK: f64 = 1.1;
 /// So long after the day's begin duties have found their holders: a steady second, and what probes were on their way.
 const SETTLED: i64 = 4_000_000_000;
+/// When a stream begins or ends is seen on the wire a little before or after its planner counts it.
+const UNSURE: i64 = 700_000_000;
 /// Breaches of one rule that are kept; all are counted.
 const KEPT: usize = 50;
 
@@ -133,7 +150,10 @@
         tries: HashMap::new(),
         updates: BTreeMap::new(),
         told: HashMap::new(),
-        counts: [0; 6],
+        counts: [0; 7],
+        joined: vec![(i64::MIN, 0)],
+        counted: Vec::new(),
+        doubled: HashMap::new(),
         probers: HashMap::new(),
         probed: HashMap::new(),
     };
@@ -142,6 +162,7 @@
     ordered.sort_by_key(|row| row.at);
     ordered.iter().for_each(|row| judge.see(row));
     judge.channels();
+    judge.counts_of_joined();
     judge.audit.breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
     Ok(judge.audit)
 }
@@ -162,7 +183,12 @@
     updates: BTreeMap<String, Vec<(i64, i64, f64)>>,
     /// When each proxy was sent messages by a planner.
     told: HashMap<(String, String), VecDeque<i64>>,
-    counts: [usize; 6],
+    counts: [usize; 7],
+    /// How many proxies were joined from when on.
+    joined: Vec<(i64, i64)>,
+    counted: Vec<Row>,
+    /// Since when a server has been asked by two.
+    doubled: HashMap<String, i64>,
     /// By server: when probed by whom, the last second.
     probers: HashMap<String, VecDeque<(i64, String)>>,
     probed: HashMap<String, i64>,
@@ -184,7 +210,11 @@
     fn see(&mut self, row: &Row) {
         match row.kind {
             Kind::Asked => self.audit.looked.calls += 1,
+            Kind::Counted => self.counted.push(row.clone()),
             Kind::Joined => {
+                if self.proxies.get(&row.from).is_none_or(|proxy| proxy.planner.is_none()) {
+                    self.joins(row.at, 1);
+                }
                 let proxy = self.proxies.entry(row.from.clone()).or_default();
                 *proxy = Proxy { planner: Some(row.to.clone()), since: row.at, ..Proxy::default() };
                 self.told.remove(&(row.to.clone(), row.from.clone()));
@@ -193,6 +223,7 @@
                 let proxy = self.proxies.entry(row.from.clone()).or_default();
                 if proxy.planner.as_deref() == Some(&row.to) {
                     *proxy = Proxy::default();
+                    self.joins(row.at, -1);
                 }
             }
             Kind::Listed => self.listed(row),
@@ -249,7 +280,68 @@
         self.audit.looked.most_probers = self.audit.looked.most_probers.max(count);
         if settled {
             self.audit.looked.settled_probers = self.audit.looked.settled_probers.max(count);
+            self.asked(row, last.filter(|last| *last > self.facts.started + SETTLED), count);
+        }
+    }
+
+    /// Of servers that one planner asks for all: none goes unasked for long, none is asked by two for long.
+    fn asked(&mut self, row: &Row, last: Option<i64>, count: usize) {
+        let Some((unasked, doubled)) = self.facts.asked else { return };
+        let gone = self.lists.values().any(|list| {
+            list.get(&row.to).is_some_and(|told| !told.running || last.is_some_and(|last| told.at > last))
+        });
+        if let Some(gap) = last.map(|last| row.at - last).filter(|gap| *gap > unasked && !gone) {
+            let what = format!("nobody asked how it is for {:.1} s", gap as f64 / 1e9);
+            self.breach(6, row.at, format!("server {}", row.to), what);
+        }
+        if count < 2 {
+            self.doubled.remove(&row.to);
+            return;
+        }
+        // From when members were last struck: then each that has nobody to ask asks for itself.
+        let struck = self.facts.struck.iter().filter(|span| span.0 <= row.at).map(|span| span.1).max();
+        let since = *self.doubled.entry(row.to.clone()).or_insert(row.at);
+        let lasts = row.at - since.max(struck.unwrap_or(since));
+        self.audit.looked.longest_doubled_s = self.audit.looked.longest_doubled_s.max(lasts as f64 / 1e9);
+        if lasts > doubled {
+            let what = format!("asked by {count} planners for {:.1} s", lasts as f64 / 1e9);
+            self.breach(6, row.at, format!("server {}", row.to), what);
+        }
+    }
+
+    fn joins(&mut self, at: i64, by: i64) {
+        let now = self.joined.last().map_or(0, |last| last.1);
+        self.joined.push((at, now + by));
+    }
+
+    /// What each planner told of how many proxies are joined, against how many were: the interval has to hold it.
+    fn counts_of_joined(&mut self) {
+        let mut width = 0.0;
+        for row in std::mem::take(&mut self.counted) {
+            self.audit.looked.counted += 1;
+            let view: serde_json::Value = serde_json::from_str(&row.text).unwrap_or_default();
+            let lighter =
+                view["lighter"].as_object().into_iter().flatten().filter_map(|light| light.1.as_f64());
+            self.audit.looked.most_lightened = self.audit.looked.most_lightened.max(lighter.sum());
+            let figure = &view["joined"];
+            let (Some(least), Some(most)) = (figure["least"].as_f64(), figure["most"].as_f64()) else {
+                continue;
+            };
+            let age = figure["age_ms"].as_i64().unwrap_or(0) * 1_000_000;
+            let (from, to) = (row.at - age - UNSURE, row.m - age + UNSURE);
+            let before = self.joined.iter().rev().find(|step| step.0 <= from).map(|step| step.1);
+            let within = self.joined.iter().filter(|step| step.0 > from && step.0 <= to).map(|step| step.1);
+            let were: Vec<i64> = before.into_iter().chain(within).collect();
+            self.audit.looked.bounded += 1;
+            width += most - least;
+            let (low, high) = (were.iter().min().copied(), were.iter().max().copied());
+            let (Some(low), Some(high)) = (low, high) else { continue };
+            if (high as f64) < least || (low as f64) > most {
+                let what = format!("told of {least} to {most} joined proxies, it were {low} to {high}");
+                self.breach(6, row.at, format!("planner {}", row.from), what);
+            }
         }
+        self.audit.looked.mean_width = width / self.audit.looked.bounded.max(1) as f64;
     }
 
     fn ordered(&mut self, row: &Row) {
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -73,6 +73,23 @@
 
 use Struck::*;
 
+impl Struck {
+    /// Members may not hear each other for as long as it lasts.
+    pub fn strikes_planners(self) -> bool {
+        matches!(
+            self,
+            PlannerKilled
+                | PlannersRolled
+                | PlannerStopped
+                | MemberCut
+                | MemberDeaf
+                | MajorityLost
+                | LeaderKilled
+                | DiskLost
+        )
+    }
+}
+
 /// The names of the script.
 pub const KINDS: &[(&str, Struck)] = &[
     ("deploy", Deploy),
@@ -120,6 +137,8 @@
     pub agreed: bool,
     /// And hold duties: slices of probes, cleaning.
     pub duties: bool,
+    /// And share what they see.
+    pub sharing: bool,
     pub standing: usize,
     pub routes: Vec<RouteFile>,
     pub asked: Vec<Asked>,
@@ -196,6 +215,10 @@
         let planners: usize = part.or("planners", 2);
         let agreed: bool = part.or("agreed", false);
         let duties: bool = part.or("duties", false);
+        let sharing: bool = part.or("sharing", false);
+        if sharing && !duties {
+            part.clash("sharing", "only planners with duties have it: duties = True");
+        }
         if duties && !agreed {
             part.clash("duties", "only planners that agree have them: agreed = True");
         }
@@ -238,6 +261,7 @@
             planners,
             agreed,
             duties,
+            sharing,
             standing: part.or("standing", 4),
             routes,
             asked,
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -45,6 +45,14 @@
     ("duties_silent_server", "trouble(\"silent_server\", at = \"4s\", lasts = \"4s\", share = 0.3)"),
     ("duties_members", "trouble(\"member_cut\", at = \"3s\", lasts = \"2s\"), trouble(\"leader_killed\", at = \"6s\", lasts = \"1s\"), \
                  trouble(\"dead_server\", at = \"3500ms\", lasts = \"4s\", share = 0.2), trouble(\"planner_stopped\", at = \"7500ms\", lasts = \"1500ms\")"),
+    // Proxies move in masses, twice half of them and then one planner's, while servers come and go cold.
+    ("sharing_moves", "trouble(\"leader_killed\", at = \"1500ms\", lasts = \"1500ms\"), trouble(\"streams_broken\", at = \"4s\", share = 0.5), \
+                 trouble(\"leader_killed\", at = \"6s\", lasts = \"1500ms\"), trouble(\"deploy\", at = \"1s\", lasts = \"8s\", share = 0.5)"),
+    // Members hear nothing of each other while a zone restarts cold, and its servers go on being pushed by both sides.
+    ("sharing_cut", "trouble(\"member_cut\", at = \"2s\", lasts = \"3s\"), trouble(\"zone_lost\", at = \"2500ms\", lasts = \"2s\", zone = \"west\"), \
+                 trouble(\"majority_lost\", at = \"6s\", lasts = \"2s\"), trouble(\"deploy\", at = \"1s\", lasts = \"8s\", share = 0.34)"),
+    // One planner's proxies reach hardly anybody: it says so of all servers, and the others know better.
+    ("sharing_broken", "trouble(\"zone_cut\", at = \"2s\", lasts = \"5s\", zone = \"south\"), trouble(\"slow_servers\", at = \"2s\", lasts = \"6s\", share = 0.2, factor = 0.2)"),
     ("majority_lost", "trouble(\"majority_lost\", at = \"2s\", lasts = \"5s\"), \
                        trouble(\"deploy\", at = \"1s\", lasts = \"7s\", share = 0.34)"),
     ("leader_killed", "trouble(\"leader_killed\", at = \"2s\", lasts = \"1500ms\"), \
@@ -65,11 +73,12 @@
     let troubles = SHORT.iter().find(|day| day.0 == name)?.1;
     let binds = if name == "wrong_list" { "False" } else { "True" };
     let agreed = ["members_cut", "majority_lost", "leader_killed", "disk_lost", "members"].contains(&name);
-    let duties = name.starts_with("duties_");
+    let sharing = name.starts_with("sharing_");
+    let duties = name.starts_with("duties_") || sharing;
     let truth = |so: bool| if so { "True" } else { "False" };
-    let (agreed, duties) = (truth(agreed || duties), truth(duties));
+    let (agreed, duties, sharing) = (truth(agreed || duties), truth(duties), truth(sharing));
     let later = if name == "growth" { 2 } else { 0 };
-    Some(format!("{FLEET}\nday(**short(\"{name}\", [{troubles}], binds = {binds}, later = {later}, agreed = {agreed}, duties = {duties}))\n"))
+    Some(format!("{FLEET}\nday(**short(\"{name}\", [{troubles}], binds = {binds}, later = {later}, agreed = {agreed}, duties = {duties}, sharing = {sharing}))\n"))
 }
 
 pub fn built_in(name: &str) -> Option<Result<Day, Faults>> {
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -26,7 +26,7 @@
 
 pub struct Operator {
     over: Arc<AtomicBool>,
-    thread: Option<JoinHandle<()>>,
+    threads: Vec<JoinHandle<()>>,
 }
 
 /// What one operator needs.
@@ -42,20 +42,47 @@
     pub stays: Duration,
     /// The recording says that the first planner holds orders that nobody was given.
     pub ignored: bool,
+    /// Planners share counts, and are asked for them all the time.
+    pub shared: bool,
 }
 
 impl Operator {
     pub fn start(work: Work) -> Operator {
         let over = Arc::new(AtomicBool::new(false));
+        let mut threads = Vec::new();
+        if work.shared {
+            let planners = work.doors.lock().map_or(0, |doors| doors.len());
+            let one = |at: usize| (at, work.clock, work.bell.clone(), work.doors.clone(), over.clone());
+            threads.extend((0..planners).map(one).map(|(at, clock, bell, doors, over)| {
+                std::thread::spawn(move || count(at, clock, &bell, &doors, &over))
+            }));
+        }
         let mine = over.clone();
-        Operator { over, thread: Some(std::thread::spawn(move || work.run(&mine))) }
+        threads.push(std::thread::spawn(move || work.run(&mine)));
+        Operator { over, threads }
     }
 }
 
 impl Drop for Operator {
     fn drop(&mut self) {
         self.over.store(true, Ordering::SeqCst);
-        self.thread.take().map(JoinHandle::join);
+        std::mem::take(&mut self.threads).into_iter().for_each(|thread| drop(thread.join()));
+    }
+}
+
+/// Asks a planner how many proxies are joined, all the time.
+fn count(at: usize, clock: Clock, bell: &Bell, doors: &Doors, over: &AtomicBool) {
+    let from = crate::rehearse::planner_name(at);
+    while !over.load(Ordering::SeqCst) {
+        std::thread::sleep(LOOK);
+        let Some(door) = doors.lock().ok().and_then(|doors| doors[at]) else { continue };
+        let called = clock.now().0;
+        let Ok((200, text)) = ask::call(door, "GET", "/shared", None) else { continue };
+        let view: Value = serde_json::from_str(&text).unwrap_or_default();
+        let told = json!({ "joined": view["joined"], "lighter": view["lighter"] }).to_string();
+        let row =
+            Row { m: clock.now().0 as i64, text: told, ..Row::new(called, Kind::Counted, &from, "operator") };
+        bell.ring(Rung::Row(row));
     }
 }
 
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -42,6 +42,8 @@
     Ordered,
     /// A planner asked a server how it is.
     Probed,
+    /// A planner was asked how many proxies are joined at all: `text` has its figure, `m` when it answered.
+    Counted,
     /// The day's script struck: `text` says what.
     Fault,
 }
@@ -62,6 +64,7 @@
     (Kind::Capacity, "capacity"),
     (Kind::Ordered, "ordered"),
     (Kind::Probed, "probed"),
+    (Kind::Counted, "counted"),
     (Kind::Fault, "fault"),
 ];
 
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -56,6 +56,10 @@
 /// Nothing that is waited for takes longer, on however busy a machine, unless it has failed.
 const CEILING: Duration = Duration::from_secs(60);
 const MOST_UNWRITTEN: usize = 8 * 1024 * 1024;
+/// Where one planner asks a server for all: it goes unasked no longer, and is asked by two no longer, in nanoseconds.
+const ASKED: (i64, i64) = (6_000_000_000, 4_000_000_000);
+/// Duties find their holders again so long after planners were struck.
+const SETTLES: i64 = 4_000_000_000;
 
 enum Party {
     Process(Child),
@@ -430,7 +434,9 @@
         }
         let names: Vec<String> = (0..day.planners).map(planner_name).collect();
         let duties = if day.duties {
-            format!("    {},\n", crate::cluster::duties::settings(1, crate::cluster::duties::LEASE_MS))
+            let duties = crate::cluster::duties::settings(1, crate::cluster::duties::LEASE_MS);
+            let sharing = "sharing = sharing(every = \"200ms\", fresh = \"1500ms\", holds = \"3s\"), ";
+            format!("    {}{duties},\n", if day.sharing { sharing } else { "" })
         } else {
             String::new()
         };
@@ -592,6 +598,10 @@
         let route = |route: &pewtergap_settings::RouteFile| {
             (route.name.clone(), route.planned.slo_time.0 as i64, route.served.mutating)
         };
+        let span = |trouble: &crate::day::Trouble| {
+            let from = (started + trouble.at).0 as i64;
+            (from, from + trouble.lasts.0 as i64 + SETTLES)
+        };
         Facts {
             day: day.name.clone(),
             seed: self.play.seed,
@@ -609,6 +619,8 @@
             removal_binds: pledge.removal_binds,
             slowest: day.slowest(),
             routes: day.routes.iter().map(route).collect(),
+            asked: day.duties.then_some(ASKED),
+            struck: day.troubles.iter().filter(|trouble| trouble.kind.strikes_planners()).map(span).collect(),
         }
     }
 
@@ -847,6 +859,7 @@
             seed: self.play.seed,
             stays: duration(day.pledge.drain_grace) + Duration::from_millis(1_500),
             ignored: self.play.plant == Some(Plant::IgnoredOrder),
+            shared: day.sharing,
         };
         (day.agreed && !self.play.planners_off).then(|| Operator::start(work()))
     }
