--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -3,6 +3,7 @@
 //! joined.
 
 use crate::record::{Kind, Row};
+use pewtergap_evidence::LIGHTER;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fmt;
@@ -81,6 +82,7 @@
     pub mean_width: f64,
     /// Of a planner's servers together, lightened by hearsay at most.
     pub most_lightened: f64,
+    pub longest_lightened_s: f64,
     pub cold_starts: usize,
     pub messages: usize,
     /// The highest, as part of its limit.
@@ -317,12 +319,23 @@
     /// What each planner told of how many proxies are joined, against how many were: the interval has to hold it.
     fn counts_of_joined(&mut self) {
         let mut width = 0.0;
+        let mut since: BTreeMap<(String, String), i64> = BTreeMap::new();
         for row in std::mem::take(&mut self.counted) {
             self.audit.looked.counted += 1;
             let view: serde_json::Value = serde_json::from_str(&row.text).unwrap_or_default();
-            let lighter =
-                view["lighter"].as_object().into_iter().flatten().filter_map(|light| light.1.as_f64());
-            self.audit.looked.most_lightened = self.audit.looked.most_lightened.max(lighter.sum());
+            let lighter = view["lighter"].as_object().cloned().unwrap_or_default();
+            let light: f64 = lighter.values().filter_map(serde_json::Value::as_f64).sum();
+            self.audit.looked.most_lightened = self.audit.looked.most_lightened.max(light);
+            since.retain(|key, _| key.0 != row.from || lighter.contains_key(&key.1));
+            for (server, part) in &lighter {
+                let begin = *since.entry((row.from.clone(), server.clone())).or_insert(row.at);
+                let lasts = (row.m - begin) as f64 / 1e9;
+                self.audit.looked.longest_lightened_s = self.audit.looked.longest_lightened_s.max(lasts);
+                if part.as_f64().is_none_or(|part| part > LIGHTER) {
+                    let what = format!("by hearsay alone it weighs less by {part} of its weight");
+                    self.breach(6, row.at, format!("planner {}, server {server}", row.from), what);
+                }
+            }
             let figure = &view["joined"];
             let (Some(least), Some(most)) = (figure["least"].as_f64(), figure["most"].as_f64()) else {
                 continue;
--- a/crates/lab/src/cluster/drill.rs
+++ b/crates/lab/src/cluster/drill.rs
@@ -28,6 +28,7 @@
     ("duty-steps", 3, 3, |director| director.steps()),
     ("duty-at-the-effect", 3, 3, |director| director.held_at_the_effect()),
     ("shares", 3, 3, |director| director.shares()),
+    ("shares-later", 3, 3, |director| director.shares_later()),
 ];
 
 /// A snapshot's pieces are of this many bytes.
@@ -45,8 +46,9 @@
             members: *members,
             founders: *founders,
             format,
-            duties: (drill.starts_with("dut") || drill == "shares").then_some(2),
-            sharing: drill == "shares",
+            duties: (drill.starts_with("dut") || drill.starts_with("shares")).then_some(2),
+            sharing: drill.starts_with("shares"),
+            shares_nothing: (drill == "shares-later").then_some(2),
             ..like
         },
         *act,
@@ -54,7 +56,11 @@
 }
 
 impl Director<'_> {
-    fn until(&mut self, what: &str, mut done: impl FnMut(&mut Self) -> bool) -> Result<(), String> {
+    pub(super) fn until(
+        &mut self,
+        what: &str,
+        mut done: impl FnMut(&mut Self) -> bool,
+    ) -> Result<(), String> {
         let end = Instant::now() + CEILING;
         while !done(self) {
             if Instant::now() > end {
--- a/crates/lab/src/cluster/measure.rs
+++ b/crates/lab/src/cluster/measure.rs
@@ -219,6 +219,7 @@
         format: None,
         duties,
         sharing: false,
+        shares_nothing: None,
     };
     let mut started = Started::new(&day)?;
     started.director.bring_up()?;
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -115,6 +115,8 @@
     pub duties: Option<usize>,
     /// Members share what they see, and a budget's parts.
     pub sharing: bool,
+    /// But for this one, as long as it is not started again with other settings.
+    pub shares_nothing: Option<usize>,
 }
 
 #[derive(Debug)]
@@ -163,6 +165,7 @@
     leases: Vec<u64>,
     sightings: Sightings,
     said: shares::Sayings,
+    shares_nothing: Option<usize>,
     receiver: Option<Place>,
     ledger: Ledger,
     /// Members that run in this process, to be held where no signal can.
@@ -225,6 +228,7 @@
             leases: vec![duties::LEASE_MS; day.members],
             sightings: sightings.clone(),
             said: shares::Sayings::default(),
+            shares_nothing: day.shares_nothing,
             receiver,
             ledger,
             threads: BTreeMap::new(),
@@ -491,7 +495,8 @@
             return String::new();
         };
         let (settings, period) = (duties::settings(slices, self.leases[at]), duties::PERIOD);
-        let sharing = if self.day.sharing { format!("    {},\n", shares::settings()) } else { String::new() };
+        let shares = self.day.sharing && self.shares_nothing != Some(at);
+        let sharing = if shares { format!("    {},\n", shares::settings()) } else { String::new() };
         format!("    {settings}, books = books(receiver = \"{receiver}\", period = \"{period}\"),\n{sharing}")
     }
 
--- a/crates/lab/src/cluster/shares.rs
+++ b/crates/lab/src/cluster/shares.rs
@@ -117,6 +117,38 @@
 }
 
 impl Director<'_> {
+    /// One member is of settings that share nothing: it is counted as unheard and loses no link by it; then it shares too.
+    pub fn shares_later(&mut self) -> Result<Vec<u64>, String> {
+        let unheard = |director: &Self| director.view(0, "/shared")["joined"]["unheard"].as_u64();
+        self.until("the one that shares nothing to be unheard", |director| unheard(director) == Some(1))?;
+        let links = |director: &Self| -> Vec<bool> {
+            let view = director.view(0, "/members");
+            let seats = view["members"].as_array().cloned().unwrap_or_default();
+            seats.iter().map(|seat| seat["linked"] == true).collect()
+        };
+        for _ in 0..40 {
+            if links(self) != [true; 3] || unheard(self) != Some(1) {
+                return Err(format!("links {:?}, unheard {:?}", links(self), unheard(self)));
+            }
+            std::thread::sleep(Duration::from_millis(25));
+        }
+        // Parts move while one leads that shares. What the others may use is theirs; the third's base is kept for it.
+        while self.leader_admin()?.0 == 2 {
+            self.end(2, Signal::TERM);
+            self.start(2)?;
+            self.wait_up(2)?;
+            self.wait_all_fresh()?;
+        }
+        self.until_shared("two of three that share", WHOLE * 80 / 100)?;
+        self.shares_nothing = None;
+        self.end(2, Signal::TERM);
+        self.start(2)?;
+        self.wait_up(2)?;
+        self.wait_all_fresh()?;
+        self.until("all to be heard", |director| unheard(director) == Some(0))?;
+        Ok(vec![self.until_shared("all share", SETTLED)?])
+    }
+
     fn said_last(&self) -> BTreeMap<String, Said> {
         let said = self.said.lock().map(|said| said.clone()).unwrap_or_default();
         let recent = self.clock.now() - Span::millis(300);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -18,5 +18,6 @@
 mod relay;
 pub mod report;
 mod server;
+pub mod sharing;
 mod words;
 pub mod wrong;
--- a/crates/pewtergap/src/cluster.rs
+++ b/crates/pewtergap/src/cluster.rs
@@ -7,6 +7,7 @@
 use pewtergap_lab::cluster::measure::{bare_round_trip, bare_sync, with_cluster};
 use pewtergap_lab::cluster::{play, play_with, Came, ClusterDay, Planted, PLANTED};
 use pewtergap_lab::probing::probing;
+use pewtergap_lab::sharing::{cost, found, shared, Sharing};
 use serde_json::json;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -37,7 +38,7 @@
     #[arg(long)]
     sharing: bool,
     /// In place of drawn troubles one hard case: roll-out, pieces, full-disk, lost-in-a-change, places,
-    /// duties, duty-lease, duty-steps, duty-at-the-effect, shares.
+    /// duties, duty-lease, duty-steps, duty-at-the-effect, shares, shares-later.
     #[arg(long, value_parser = drill)]
     drill: Option<String>,
 }
@@ -115,6 +116,7 @@
                     format: None,
                     duties: (line.duties || line.sharing).then_some(2),
                     sharing: line.sharing,
+                    shares_nothing: None,
                 };
                 let came = match line.drill.as_deref().and_then(|drill| day_of(drill, day.clone())) {
                     Some((day, act)) => play_with(&day, act),
@@ -205,3 +207,30 @@
     let _ = std::fs::remove_dir_all(&dir);
     Ok(0)
 }
+
+/// What sharing costs and brings, one line of JSON for each figure.
+pub fn measure_sharing(planners: &[u64], rounds: u64, days: &[String], seeds: u64) -> Ended {
+    let program = std::env::current_exe().map_err(|e| (3, e.to_string()))?;
+    let dir = std::env::temp_dir().join(format!("pewtergap-sharing-{}", std::process::id()));
+    let failed = |why: String| (3, format!("the measurement failed: {why}"));
+    for count in planners.iter().copied().filter(|count| *count > 1) {
+        println!("{}", json!({ "cost": cost(count, 200, 20, 1) }));
+    }
+    for loss in [0.0, 0.01, 0.05, 0.1, 0.3] {
+        for count in planners.iter().copied().filter(|count| *count > 1 && rounds > 0) {
+            println!("{}", json!({ "found": found(count, loss, rounds) }));
+        }
+    }
+    for day in days {
+        for seed in 1..=seeds {
+            // In turn and back: what else the machine does falls on all.
+            use Sharing::*;
+            for sharing in [Off, On, Cut, Cut, On, Off] {
+                let seen = shared(&program, &dir, day, 5, sharing, seed).map_err(failed)?;
+                println!("{}", json!({ "day": seen }));
+            }
+        }
+    }
+    let _ = std::fs::remove_dir_all(&dir);
+    Ok(0)
+}
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -83,6 +83,18 @@
         #[arg(long, default_value_t = 198)]
         many: usize,
     },
+    /// What sharing costs and brings: words by number of planners, lost ones found, days with it off, on, and on but cut.
+    Sharing {
+        #[arg(long, value_delimiter = ',', default_value = "3,7,20,50")]
+        planners: Vec<u64>,
+        #[arg(long, default_value_t = 20)]
+        rounds: u64,
+        #[arg(long, value_delimiter = ',', default_value = "sharing_moves,sharing_cut,sharing_broken")]
+        days: Vec<String>,
+        /// Seeds of each day.
+        #[arg(long, default_value_t = 2)]
+        seeds: u64,
+    },
     /// What the record costs: orders to kept, kills of the leader, an empty member brought up.
     Record {
         #[arg(long, value_delimiter = ',', default_value = "1,3,5")]
@@ -118,6 +130,9 @@
         Front::Measure { what: Measured::Duties { rounds, planners, many } } => {
             cluster::measure_duties(rounds, &planners, many)
         }
+        Front::Measure { what: Measured::Sharing { planners, rounds, days, seeds } } => {
+            cluster::measure_sharing(&planners, rounds, &days, seeds)
+        }
         Front::Measure { what: Measured::Record { members, orders, kills, entries } } => {
             cluster::measure(&members, orders, kills, &entries)
         }
--- a/crates/pewtergap/tests/cluster.rs
+++ b/crates/pewtergap/tests/cluster.rs
@@ -21,6 +21,7 @@
         format: None,
         duties: None,
         sharing: false,
+        shares_nothing: None,
     }
 }
 
