A budget's base is ended only once its disk was given up for long enough; budgets under virtual time

Seen: with members' budgets under virtual time seed 159 had 1,020,832 of 1,000,000 in use. Checked by its trace: m0 was paused from 2.9 s to 4.6 s, woke and used its base, which needs no lease, was wiped at 4.9 s; the leader had heard nothing of it since 2.9 s, and ended its part at 5.0 s, 0.1 s after it could still be in use. Ruled out: what follows demand (taken at 4.07 s, after its lease), clocks, the new disk's claim. At fault: Dealer::next counted from the last renewal alone. It counts from when the disk was seen not to belong any more; one that hears that its place was given up uses nothing.

Planted and found: parts freed at once. The seed is kept.

--- a/crates/lab/src/explore.rs
+++ b/crates/lab/src/explore.rs
@@ -1,16 +1,17 @@
 //! Members under virtual time: agreement, disks, links and leases of a whole cluster in one thread, from a seed, thousands
 //! of bad days in minutes. The members are the product's own; their driver, network, clocks and disks are simulated.
 //!
-//! Checked after each step: no duty is acted on by two planners at one moment, by their own clocks. Checked at the end,
-//! by the audit of cluster days: each key's orders and fresh reads fit one order, and no number is given twice.
+//! Checked after each step: no duty is acted on by two planners at one moment, by their own clocks; what all may use of a
+//! budget, and what lingers of what they used, is no more than the whole. Checked at the end, by the audit of cluster days: each key's orders and fresh reads fit one order, and no number is given twice.
 
 use crate::cluster::judge::{judge, Breach, Done, Op};
 use pewtergap_agree::Times;
 use pewtergap_duty::Lease;
 use pewtergap_member::words::FORMATS;
-use pewtergap_member::{Duties, Member, Post, Reply, Request, Told};
+use pewtergap_member::{Duties, Member, Post, Reply, Request, Shares, Told};
 use pewtergap_node::{Effect, Input, Node, Outbox};
 use pewtergap_record::{Command, Order, Subject, Weight, What, Wish};
+use pewtergap_shares::{Terms, WHOLE};
 use pewtergap_time::{Moment, Span};
 use pewtergap_virtual::{Logged, Nature, Place, World};
 use serde::Serialize;
@@ -27,6 +28,8 @@
 const LEASE: Lease =
     Lease { length: Span::millis(1_000), renew: Span::millis(200), pause: Span::millis(250), drift: 0.02 };
 
+const LINGERS: Span = Span::millis(500);
+
 /// What the search has to find: each is put into the world or the recording, never into the members.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Planted {
@@ -36,12 +39,15 @@
     LyingDisks,
     /// A fresh read tells what was so before.
     StaleRead,
+    /// What a planner could cause is over at once, for all the others know.
+    FreedAtOnce,
 }
 
 pub const PLANTED: &[(&str, Planted)] = &[
     ("wild-clocks", Planted::WildClocks),
     ("lying-disks", Planted::LyingDisks),
     ("stale-read", Planted::StaleRead),
+    ("freed-at-once", Planted::FreedAtOnce),
 ];
 
 /// What a seed came to.
@@ -56,6 +62,9 @@
     pub fresh: usize,
     /// Moments at which a duty was acted on, of those that were looked at.
     pub held: f64,
+    /// The most that was in use of a budget at one moment, with what lingered, in parts of it; and in the mean.
+    pub most_used: f64,
+    pub mean_used: f64,
     pub troubles: Vec<String>,
     /// Rule, step, virtual seconds, what.
     pub broken: Vec<(String, u64, f64, String)>,
@@ -136,6 +145,11 @@
     paused: Vec<bool>,
     duties: Vec<String>,
     looked: (u64, u64),
+    planted: Option<Planted>,
+    /// By disk what it may use; and what was used before, until when it lingers.
+    used: BTreeMap<u64, u64>,
+    lingers: Vec<(Moment, u64, u64)>,
+    used_sum: f64,
     came: Explored,
     old: Option<(usize, Vec<u8>)>,
 }
@@ -169,6 +183,10 @@
             paused: vec![false; count],
             duties,
             looked: (0, 0),
+            planted,
+            used: BTreeMap::new(),
+            lingers: Vec::new(),
+            used_sum: 0.0,
             came: Explored {
                 seed,
                 members: count,
@@ -178,6 +196,8 @@
                 unknown: 0,
                 fresh: 0,
                 held: 0.0,
+                most_used: 0.0,
+                mean_used: 0.0,
                 troubles: Vec::new(),
                 broken: Vec::new(),
                 trace: 0,
@@ -192,6 +212,70 @@
         search
     }
 
+    fn shares(&self) -> Shares {
+        let lingers = if self.planted == Some(Planted::FreedAtOnce) { Span(0) } else { LINGERS };
+        let (holds, planners) = (Span::millis(700), self.places.len() as u64);
+        let terms = Terms { holds, lingers, drift: LEASE.drift, planners };
+        Shares {
+            every: Span::millis(100),
+            fresh: Span::millis(1_000),
+            terms,
+            proxies: 0.0,
+            most_streams: 0.0,
+        }
+    }
+
+    /// Some members hear of other demands; what the others go by is old.
+    fn demand(&mut self) {
+        let ids: Vec<u64> = self.members.iter().map(|member| hold(member).id()).collect();
+        let demands: BTreeMap<u64, f64> =
+            ids.into_iter().map(|id| (id, f64::from(self.world.rng.u8(0..10)))).collect();
+        for member in &self.members {
+            if self.world.rng.u8(0..4) > 0 {
+                hold(member).demands = demands.clone();
+            }
+        }
+    }
+
+    /// All that may be used of the budget now, and all that lingers.
+    fn check_used(&mut self) {
+        let now = self.world.now();
+        let mut used: BTreeMap<u64, u64> = BTreeMap::new();
+        for at in 0..self.places.len() {
+            if self.world.runs(self.places[at]) && !self.paused[at] {
+                let member = hold(&self.members[at]);
+                let share = member.cold_share(self.world.clock(self.places[at]));
+                used.insert(member.id(), (share.unwrap_or(0.0) * WHOLE as f64).round() as u64);
+            }
+        }
+        self.lingers.retain(|past| past.0 > now);
+        for (id, units) in &self.used {
+            if *units > 0 && used.get(id) != Some(units) {
+                self.lingers.push((now + LINGERS, *id, *units));
+            }
+        }
+        self.used = used;
+        let ids: std::collections::BTreeSet<u64> =
+            self.used.keys().copied().chain(self.lingers.iter().map(|past| past.1)).collect();
+        let most = |id: &u64| {
+            let past = self.lingers.iter().filter(|past| past.1 == *id).map(|past| past.2).max();
+            past.unwrap_or(0).max(self.used.get(id).copied().unwrap_or(0))
+        };
+        let sum: u64 = ids.iter().map(most).sum();
+        self.used_sum += sum as f64 / WHOLE as f64;
+        self.came.most_used = self.came.most_used.max(sum as f64 / WHOLE as f64);
+        if sum > WHOLE && self.came.broken.len() < 10 {
+            let held: Vec<(u64, u64)> = ids.iter().map(|id| (*id, most(id))).collect();
+            let what = format!("{sum} of {WHOLE}: {held:?}");
+            self.came.broken.push((
+                "more than the whole".into(),
+                self.world.steps,
+                now.since(BEGIN).seconds(),
+                what,
+            ));
+        }
+    }
+
     /// A member starts on its machine, with what the disk has.
     fn node(&mut self, at: usize) -> (Arc<Mutex<Member>>, Arc<Mutex<Answers>>) {
         let all = (0..self.places.len()).map(|at| (format!("m{at}"), address(at))).collect();
@@ -206,7 +290,7 @@
             format: FORMATS.1,
             duties: Some(Duties { lease: LEASE, steady: Span::millis(1_000), names: self.duties.clone() }),
             receiver: None,
-            shares: None,
+            shares: Some(self.shares()),
             slices: (0, Span(0)),
         };
         let member = Arc::new(Mutex::new(Member::new(post)));
@@ -300,6 +384,9 @@
         while self.world.now() < until {
             if self.world.now() >= next {
                 self.ask();
+                if self.world.rng.u8(0..40) == 0 {
+                    self.demand();
+                }
                 next = self.world.now() + Span::millis(self.world.rng.u64(10..60));
             }
             let stop = next.min(until);
@@ -307,6 +394,7 @@
                 self.world.step();
                 self.hear();
                 self.check();
+                self.check_used();
             }
             self.world.rest_until(stop);
         }
@@ -481,7 +569,8 @@
     search.settle();
     search.pass(Span::millis(3_000));
     (0..search.places.len()).for_each(|at| search.lost(at));
-    let Search { mut came, mut ops, world, looked, .. } = search;
+    let Search { mut came, mut ops, world, looked, used_sum, .. } = search;
+    came.mean_used = used_sum / world.steps.max(1) as f64;
     if planted == Some(Planted::StaleRead) {
         let mut reads: Vec<&mut Op> = ops.iter_mut().filter(|op| matches!(op.done, Done::Found(_))).collect();
         reads.sort_by_key(|op| op.called);
--- a/crates/lab/tests/explore.rs
+++ b/crates/lab/tests/explore.rs
@@ -26,13 +26,16 @@
     // It did what it is for.
     let kept: usize = all.iter().map(|came| came.kept).sum();
     let held = all.iter().map(|came| came.held).sum::<f64>() / all.len() as f64;
+    let used = all.iter().map(|came| came.mean_used).sum::<f64>() / all.len() as f64;
+    assert!(used > 0.7, "{used} of a budget is used");
     assert!(kept > 30_000 && held > 0.5, "{kept} orders kept, duties held {held}");
 }
 
-/// Seeds that found something: a wiped member whose hello was forgotten before anybody led stayed out for good.
+/// Seeds that found something: a wiped member whose hello was forgotten before anybody led stayed out for good; what a wiped
+/// member's old disk had of a budget was given away while it could still be in use (159).
 #[test]
 fn seeds_that_found_something_break_nothing_any_more() {
-    for seed in [2217, 2806, 2916, 6037] {
+    for seed in [159, 2217, 2806, 2916, 6037] {
         let came = explore(seed, None);
         assert!(came.broken.is_empty(), "{came:?}");
     }
@@ -56,6 +59,7 @@
 
 const PLANTED: &[(Planted, u64, &str)] = &[
     (Planted::WildClocks, 1, "two on one duty"),
-    (Planted::LyingDisks, 37, "two on one duty"),
+    (Planted::LyingDisks, 51, "one order"),
     (Planted::StaleRead, 0, "one order"),
+    (Planted::FreedAtOnce, 0, "more than the whole"),
 ];
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -171,6 +171,8 @@
     committed: Index,
     tick_set: Option<Moment>,
     stopping: bool,
+    /// Its place is another's by now.
+    given_up: bool,
     /// Its door is open and its timers run.
     open: bool,
     pub told: Vec<Told>,
@@ -213,6 +215,7 @@
             committed: 0,
             tick_set: None,
             stopping: false,
+            given_up: false,
             open: false,
             told: Vec::new(),
             home,
@@ -669,6 +672,7 @@
 
     /// It gives nothing to anybody any more; its planner goes on by what it knew.
     fn give_up(&mut self, out: &mut Outbox) {
+        self.given_up = true;
         if !std::mem::replace(&mut self.stopping, true) {
             let why = "its place was given up or to another disk";
             out.log(Level::Error, "record_given_up", vec![("why", why.into())]);
--- a/crates/member/src/member/parted.rs
+++ b/crates/member/src/member/parted.rs
@@ -50,6 +50,9 @@
         if self.record.format() < 3 || self.alone() {
             return None;
         }
+        if self.given_up {
+            return Some(0.0);
+        }
         let units = till.purse.as_ref().map_or(0, |purse| purse.0.in_force(now, self.holding()));
         Some(units as f64 / WHOLE as f64)
     }
--- a/crates/pewtergap/src/explore.rs
+++ b/crates/pewtergap/src/explore.rs
@@ -17,7 +17,7 @@
     /// Begin no further seed after so many seconds.
     #[arg(long)]
     seconds: Option<u64>,
-    /// Plant a break that has to be found: wild-clocks, lying-disks, stale-read.
+    /// Plant a break that has to be found: wild-clocks, lying-disks, stale-read, freed-at-once.
     #[arg(long, value_parser = planted)]
     plant: Option<Planted>,
     /// Each seed as JSON.
--- a/crates/shares/src/dealer.rs
+++ b/crates/shares/src/dealer.rs
@@ -15,11 +15,13 @@
     terms: Terms,
     leads_since: Moment,
     heard: BTreeMap<u64, Moment>,
+    /// Since when those that hold a part and do not belong have been seen not to.
+    left: BTreeMap<u64, Moment>,
 }
 
 impl Dealer {
     pub fn new(now: Moment, terms: Terms) -> Dealer {
-        Dealer { terms, leads_since: now, heard: BTreeMap::new() }
+        Dealer { terms, leads_since: now, heard: BTreeMap::new(), left: BTreeMap::new() }
     }
 
     /// A planner asked for a read of the record, and will believe in it.
@@ -42,12 +44,21 @@
     ) -> Option<Shift> {
         let (wait, holds) = (self.terms.waited(), &budget.holdings);
         self.heard.retain(|id, at| holds.contains_key(id) || now.since(*at) <= wait);
-        for (id, held) in &budget.holdings {
+        self.left.retain(|id, _| holds.contains_key(id) && !belong.contains_key(id));
+        for id in holds.keys().filter(|id| !belong.contains_key(id)) {
+            self.left.entry(*id).or_insert(now);
+        }
+        for (id, held) in holds {
             if !self.over(now, *id) {
                 continue;
             }
-            if !belong.contains_key(id) {
-                return Some(Shift::End { of: *id, number: held.number });
+            if let Some(left) = self.left.get(id) {
+                // A base needs no lease: it may have been used until its disk was given up, heard or not (explored seed 159:
+                // one that woke after a pause used its base, was wiped, and what it had was given away at once).
+                if now.since(*left) > wait {
+                    return Some(Shift::End { of: *id, number: held.number });
+                }
+                continue;
             }
             if held.more > 0 {
                 return Some(Shift::Back { from: *id, units: held.more, number: held.number });
--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -7,7 +7,8 @@
 //! - `Dealer`: the leader's: who gets what is free, and from whom something is taken that is not heard any more.
 //!
 //! A holding has a base, which stays its planner's for as long as that belongs, and more, which follows demand. The more
-//! may be used while the planner's own clock says that the record may not have moved it; the base always. What was in use
+//! may be used while the planner's own clock says that the record may not have moved it; the base for as long as its disk is
+//! its planner's: whoever takes a planner out stops it first. What was in use
 //! outlasts its planner: proxies go on by its last tables. So nothing that is taken back, or handed back, goes to anybody
 //! before `lingers` is over, after which no server that was cold under those tables is still cold.
 #![forbid(unsafe_code)]
