A machine that stands still among the drills; a lost member no longer makes the others slow

Gossip: with one of three gone the other two found themselves slower with each probe of it, and a loss was found after 20 s at a tenth lost (7 s at none). Checked by measure sharing: the time grew with loss at three members only, where every second probe goes to the lost one. At fault: conclude() counted each probe of one already held for lost as its own slowness.

Duties: all members stopped at once for longer than a lease, woken one after the other; cleaning ends what an operator wanted at planners that left.

--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -389,9 +389,11 @@
     /// A probe that nobody answered in all of its time.
     fn conclude(&mut self, now: Moment) {
         let Some(probe) = self.probe.take() else { return };
-        // Those asked in our place did not even say that they tried: it may be our own way that is bad.
-        self.slow = (self.slow + 1 + probe.silent.min(2) as u32).min(SLOWEST);
         let Some(known) = self.known.get(&probe.whom) else { return };
+        // Those asked in our place did not even say that they tried: it may be our own way that is bad. Of one that is held
+        // for lost already nothing else was to be expected: with one of three gone the other two grew slow for good.
+        let unexpected = u32::from(known.state == State::Alive);
+        self.slow = (self.slow + unexpected + probe.silent.min(2) as u32).min(SLOWEST);
         let (subject, incarnation) = (probe.whom, known.incarnation);
         self.learn(now, News { subject, incarnation, state: State::Suspect, by: self.own });
     }
--- a/crates/lab/src/cluster/duties.rs
+++ b/crates/lab/src/cluster/duties.rs
@@ -295,6 +295,16 @@
         others.iter().for_each(|at| self.signal(*at, Signal::CONT));
         self.until_taken(from, number - 1)?;
         self.wait_all_fresh()?;
+        // The whole machine stands still for longer than any lease: whoever wakes first knows no more than the others.
+        let (one, number) = self.holder("books")?;
+        let from = self.sent().len();
+        (0..self.belong).for_each(|at| self.signal(at, Signal::STOP));
+        std::thread::sleep(Duration::from_millis(LEASE_MS * 3 / 2));
+        for next in 1..=self.belong {
+            self.signal((one + next) % self.belong, Signal::CONT);
+        }
+        self.until_taken(from, number - 1)?;
+        self.wait_all_fresh()?;
         // All restarted one after the other, one of them with an empty disk.
         for at in 0..self.belong {
             self.end(at, Signal::TERM);
--- a/crates/member/src/member/duties.rs
+++ b/crates/member/src/member/duties.rs
@@ -8,7 +8,7 @@
 use super::*;
 use crate::words::{HandOn, Renew};
 use pewtergap_duty::{Desk, Does as Done, Giver, Held, Lease, Move, Planner};
-use pewtergap_record::{Give, Release, CLEANING};
+use pewtergap_record::{Give, Hand, Release, CLEANING};
 
 /// Renewals under way; older ones are given up.
 const MOST_RENEWALS: usize = 8;
@@ -348,9 +348,20 @@
 
     fn clean(&mut self, now: Moment, office: &Office, out: &mut Outbox) {
         let ms = now.0 / 1_000_000;
-        let due = now.since(self.cleaned) >= Span::millis(1_000) && self.record.has_run_out(ms);
+        let due = now.since(self.cleaned) >= Span::millis(1_000);
         let Some(number) = office.desk.may(now, CLEANING).filter(|_| due) else { return };
         self.cleaned = now;
+        let members = self.agree().map(|agree| agree.settled_members()).unwrap_or_default();
+        // What was wanted at a planner that left is wanted nowhere: it would be put there again if another took the name.
+        for duty in self.record.wanted_at_none(|name| members.named(name).is_some()) {
+            let (who, why) = (CLEANING.to_string(), "the planner it was wanted at left".to_string());
+            let what = Some(What::Hand(Hand { duty, to: String::new(), who, why }));
+            let hand = Command { id: self.rng.u64(1..), given: ms, what };
+            self.pass_on(&hand, out);
+        }
+        if !self.record.has_run_out(ms) {
+            return;
+        }
         let id = self.rng.u64(1..);
         let clean = Command { id, given: ms, what: Some(What::Clean(Clean { now: ms, number })) };
         self.pass_on(&clean, out);
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -470,6 +470,13 @@
         self.budgets.get(name)
     }
 
+    /// Duties that an operator wants at a planner that does not belong any more.
+    pub fn wanted_at_none(&self, belongs: impl Fn(&str) -> bool) -> Vec<String> {
+        let lost = |duty: &&Duty| !duty.wanted.is_empty() && !belongs(&duty.wanted);
+        let lost = self.duties.iter().filter(|(_, duty)| lost(duty));
+        lost.map(|(name, _)| name.clone()).collect()
+    }
+
     /// How long leases are, in milliseconds; 0: nobody has said so.
     pub fn lease(&self) -> u64 {
         self.lease
--- a/crates/record/tests/table.rs
+++ b/crates/record/tests/table.rs
@@ -185,6 +185,19 @@
     insta::assert_snapshot!(trace);
 }
 
+#[test]
+fn what_an_operator_wanted_at_a_planner_that_left_is_found() {
+    let mut record = Record::default();
+    for (id, duty, to) in [(1, "books", "a"), (2, "release", "b"), (3, "cleaning", "")] {
+        let give = Give { duty: duty.into(), to: 7, name: "a".into(), number: 0 };
+        record.apply(id, &Command { id, given: 5, what: Some(What::Give(give)) });
+        let hand = Hand { duty: duty.into(), to: to.into(), who: "x".into(), why: "y".into() };
+        record.apply(id + 10, &Command { id: id + 10, given: 5, what: Some(What::Hand(hand)) });
+    }
+    assert_eq!(record.wanted_at_none(|name| name == "a"), ["release"]);
+    assert_eq!(record.wanted_at_none(|_| false), ["books", "release"]);
+}
+
 #[test]
 fn parts_of_a_budget_go_from_hand_to_hand_and_come_to_the_whole() {
     use pewtergap_shares::{Shift, WHOLE};
