--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -713,3 +713,44 @@
     let trace = stage.trace.lines().filter(|line| !line.contains("Probe")).collect::<Vec<_>>().join("\n");
     insta::assert_snapshot!(trace);
 }
+
+#[test]
+fn a_cold_server_gets_no_more_than_our_part_of_what_all_may_bring_it() {
+    let weight = |share: Option<f64>| {
+        let mut stage = settled(terms());
+        stage.at(1_000, &[Event::Share { part: share }]);
+        stage.at(2_000, &[change(entry(6, 0, Listed::Running, 1.0, Some(2_000)))]);
+        stage.pass(2_500, 5_000);
+        let lines = stage.trace.lines().filter(|line| line.contains(" s6 "));
+        let weights = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        weights.fold(0.0, f64::max)
+    };
+    let (alone, whole, part, none) = (weight(None), weight(Some(1.0)), weight(Some(0.7)), weight(Some(0.0)));
+    assert!(alone > 0.0 && whole == alone, "told all of it, it goes by its own reckoning: {alone}, {whole}");
+    assert!(part > alone * 0.5 && part < alone * 0.85 && none == 0.0, "{alone}, {part}, {none}");
+}
+
+#[test]
+fn a_server_that_others_saw_do_badly_weighs_less_until_that_is_taken_back() {
+    let mut stage = settled(terms());
+    stage.at(1_000, &[Event::Lighter { server: 0, part: 0.5 }]);
+    stage.pass(1_500, 5_000);
+    stage.note("it is not shut out, and it is taken back");
+    stage.at(5_500, &[Event::Lighter { server: 0, part: 0.0 }]);
+    stage.pass(6_000, 10_000);
+    let trace = stage.trace.lines().filter(|line| !line.contains("Probe")).collect::<Vec<_>>().join("\n");
+    insta::assert_snapshot!(trace);
+}
+
+#[test]
+fn calls_elsewhere_take_the_place_of_the_guess_as_long_as_somebody_tells_them() {
+    let mut stage = settled(terms());
+    stage.note("far more is asked elsewhere: calls cross zones, since these do for the others too");
+    stage.at(1_000, &[Event::Elsewhere { calls: Some(500.0) }]);
+    stage.pass(1_500, 6_000);
+    stage.note("nobody tells any more");
+    stage.at(6_500, &[Event::Elsewhere { calls: None }]);
+    stage.pass(7_000, 12_000);
+    let trace = stage.trace.lines().filter(|line| !line.contains("Probe")).collect::<Vec<_>>().join("\n");
+    insta::assert_snapshot!(trace);
+}
