--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -88,6 +88,11 @@
                 | DiskLost
         )
     }
+
+    /// Whoever asks across it is not heard.
+    pub fn hides_servers(self) -> bool {
+        matches!(self, ZoneCut | ZoneLost)
+    }
 }
 
 /// The names of the script.
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -620,6 +620,7 @@
             slowest: day.slowest(),
             routes: day.routes.iter().map(route).collect(),
             asked: day.duties.then_some(ASKED),
+            blind: day.troubles.iter().filter(|trouble| trouble.kind.hides_servers()).map(span).collect(),
             struck: day.troubles.iter().filter(|trouble| trouble.kind.strikes_planners()).map(span).collect(),
         }
     }
--- a/crates/lab/tests/shared.rs
+++ b/crates/lab/tests/shared.rs
@@ -25,6 +25,7 @@
         routes: Vec::new(),
         asked: Some((6 * SECOND as i64, 4 * SECOND as i64)),
         struck: vec![(30 * SECOND as i64, 40 * SECOND as i64)],
+        blind: vec![(60 * SECOND as i64, 70 * SECOND as i64)],
     };
     let first = Row { text: serde_json::to_string(&facts).expect("facts"), ..Row::new(0, Kind::Day, "", "") };
     let came = audit(&[vec![first], rows].concat()).expect("it is judged");
@@ -77,6 +78,8 @@
     assert_eq!(day(asked(5, 25, "planner-1")), [""; 0]);
     let gap = day([asked(5, 10, "planner-1"), asked(18, 20, "planner-2")].concat());
     assert_eq!(gap, ["rule 6 at 18.000 s, server s1: nobody asked how it is for 8.5 s"]);
+    // Behind a cut nobody can be seen to ask.
+    assert_eq!(day([asked(55, 59, "planner-1"), asked(68, 72, "planner-1")].concat()), [""; 0]);
     let two = day([asked(5, 15, "planner-1"), asked(5, 15, "planner-2")].concat());
     assert!(two.first().is_some_and(|two| two.contains("asked by 2 planners for 4.5 s")), "{two:?}");
     // While planners are struck each may have to ask for itself.
