--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -51,6 +51,8 @@
     // Members hear nothing of each other while a zone restarts cold, and its servers go on being pushed by both sides.
     ("sharing_cut", "trouble(\"member_cut\", at = \"2s\", lasts = \"3s\"), trouble(\"zone_lost\", at = \"2500ms\", lasts = \"2s\", zone = \"west\"), \
                  trouble(\"majority_lost\", at = \"6s\", lasts = \"2s\"), trouble(\"deploy\", at = \"1s\", lasts = \"8s\", share = 0.34)"),
+    // Servers fall silent one after the other: whoever tries them first says so.
+    ("sharing_silent", "trouble(\"silent_server\", at = \"3s\", lasts = \"6s\", share = 0.3)"),
     // One planner's proxies reach hardly anybody: it says so of all servers, and the others know better.
     ("sharing_broken", "trouble(\"zone_cut\", at = \"2s\", lasts = \"5s\", zone = \"south\"), trouble(\"slow_servers\", at = \"2s\", lasts = \"6s\", share = 0.2, factor = 0.2)"),
     ("majority_lost", "trouble(\"majority_lost\", at = \"2s\", lasts = \"5s\"), \
--- a/crates/lab/src/probing.rs
+++ b/crates/lab/src/probing.rs
@@ -1,8 +1,8 @@
 //! Probes with and without slices on the same day: how many, and how long servers that fall silent go on being sent calls.
 
-use crate::day::{script, Act};
+use crate::day::{script, Act, Day};
 use crate::days;
-use crate::record::Kind;
+use crate::record::{Kind, Row};
 use crate::rehearse::{play, Play};
 use pewtergap_time::Span;
 use serde::Serialize;
@@ -36,9 +36,25 @@
     let seed = 1;
     let came =
         play(&Play { day: &day, seed, program, dir, planners_off: false, plant: None, progress: &quiet })?;
-    let started = crate::audit::facts(&came.rows)?.started;
+    let (sent_last_s, calls_to_silent) = to_silent(&day, seed, &came.rows)?;
+    let probes = came.rows.iter().filter(|row| row.kind == Kind::Probed).count();
+    let a_second = probes as f64 / day.slots.len() as f64 / day.lasts.seconds();
+    Ok(Probing {
+        planners,
+        duties,
+        probes_a_server_and_second: a_second,
+        sent_last_s,
+        calls_to_silent,
+        served: came.service.served,
+        broken: came.audit.breaches.len(),
+    })
+}
+
+/// From when each server fell silent to the last call that it was sent, in seconds; and all calls sent to them meanwhile.
+pub fn to_silent(day: &Day, seed: u64, rows: &[Row]) -> Result<(Vec<f64>, usize), String> {
+    let started = crate::audit::facts(rows)?.started;
     let mut silent: BTreeMap<String, (i64, i64)> = BTreeMap::new();
-    for (at, act) in script(&day, seed) {
+    for (at, act) in script(day, seed) {
         if let Act::Server(slot, word) = act {
             let name = day.slots[slot].name.clone();
             let at = started + at.0 as i64;
@@ -51,25 +67,14 @@
     let sent_last_s = silent
         .iter()
         .map(|(name, (from, until))| {
-            let sent = came.rows.iter().filter(|row| row.kind == Kind::Sent && row.to == *name);
+            let sent = rows.iter().filter(|row| row.kind == Kind::Sent && row.to == *name);
             let last = sent.map(|row| row.at).filter(|at| at > from && at < until).max().unwrap_or(*from);
             (last - from) as f64 / 1e9
         })
         .collect();
-    let calls = came.rows.iter().filter(|row| {
+    let calls = rows.iter().filter(|row| {
         let span = silent.get(&row.to).filter(|_| row.kind == Kind::Sent);
         span.is_some_and(|span| row.at > span.0 && row.at < span.1)
     });
-    let calls_to_silent = calls.count();
-    let probes = came.rows.iter().filter(|row| row.kind == Kind::Probed).count();
-    let a_second = probes as f64 / day.slots.len() as f64 / day.lasts.seconds();
-    Ok(Probing {
-        planners,
-        duties,
-        probes_a_server_and_second: a_second,
-        sent_last_s,
-        calls_to_silent,
-        served: came.service.served,
-        broken: came.audit.breaches.len(),
-    })
+    Ok((sent_last_s, calls.count()))
 }
--- a/crates/lab/src/sharing.rs
+++ b/crates/lab/src/sharing.rs
@@ -207,7 +207,7 @@
     pub sharing: Sharing,
     pub seed: u64,
     pub served: f64,
-    pub broken: usize,
+    pub broken: Vec<String>,
     /// Calls sent to servers while they were cold; the highest part of what would push one over.
     pub tries_cold: usize,
     pub worst_cold: f64,
@@ -215,6 +215,9 @@
     pub half_of_its_part_s: f64,
     /// Part of the calls that went to servers while these were made slow.
     pub to_bad: f64,
+    /// Calls sent to servers while they were silent, and when each was sent its last, in seconds after it fell silent.
+    pub to_silent: usize,
+    pub sent_last_s: Vec<f64>,
     pub probes: usize,
     pub mean_width: f64,
 }
@@ -282,17 +285,20 @@
             _ => {}
         }
     }
+    let (sent_last_s, to_silent) = crate::probing::to_silent(&day, seed, &came.rows)?;
     let probes = came.rows.iter().filter(|row: &&Row| row.kind == Kind::Probed).count();
     Ok(Shared {
         day: name.into(),
         sharing,
         seed,
         served: came.service.served,
-        broken: came.audit.breaches.len(),
+        broken: came.audit.breaches.iter().map(ToString::to_string).collect(),
         tries_cold,
         worst_cold: came.audit.looked.worst_cold,
         half_of_its_part_s: took.iter().sum::<f64>() / took.len().max(1) as f64,
         to_bad: to_bad as f64 / all.max(1) as f64,
+        to_silent,
+        sent_last_s,
         probes,
         mean_width: came.audit.looked.mean_width,
     })
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -89,7 +89,11 @@
         planners: Vec<u64>,
         #[arg(long, default_value_t = 20)]
         rounds: u64,
-        #[arg(long, value_delimiter = ',', default_value = "sharing_moves,sharing_cut,sharing_broken")]
+        #[arg(
+            long,
+            value_delimiter = ',',
+            default_value = "sharing_moves,sharing_cut,sharing_silent,sharing_broken"
+        )]
         days: Vec<String>,
         /// Seeds of each day.
         #[arg(long, default_value_t = 2)]
