--- a/crates/lab/tests/shared.rs
+++ b/crates/lab/tests/shared.rs
@@ -80,6 +80,19 @@
     assert_eq!(gap, ["rule 6 at 18.000 s, server s1: nobody asked how it is for 8.5 s"]);
     // Behind a cut nobody can be seen to ask.
     assert_eq!(day([asked(55, 59, "planner-1"), asked(68, 72, "planner-1")].concat()), [""; 0]);
+    // Nor is one asked that an operator drains.
+    let listed = Row {
+        route: "running".into(),
+        text: "s1".into(),
+        ..Row::new(SECOND, Kind::Listed, "list", "planner-1")
+    };
+    let order = |at: u64, what: &str| Row {
+        route: what.into(),
+        text: "s1".into(),
+        ..Row::new(at * SECOND, Kind::Ordered, "operator", "planner-1")
+    };
+    let drained = vec![listed, order(11, "drain"), order(17, "take-back")];
+    assert_eq!(day([drained, asked(5, 11, "planner-1"), asked(19, 21, "planner-1")].concat()), [""; 0]);
     let two = day([asked(5, 15, "planner-1"), asked(5, 15, "planner-2")].concat());
     assert!(two.first().is_some_and(|two| two.contains("asked by 2 planners for 4.5 s")), "{two:?}");
     // While planners are struck each may have to ask for itself.
