Whoever handed a part of a budget back is renewed again, also by a leader that shares nothing

Under a leader that shares nothing, one command that takes from a planner would have ended its renewals, and so its duties, until that leader changed. At fault: Member::deal pruned what carry_out should. A test by hand, which fails without the change.

--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -537,6 +537,7 @@
                                 self.record.apply(index, &command);
                                 applied = true;
                                 self.proposed.remove(&command.id);
+                                self.taking.remove(&command.id);
                                 let whole = matches!(command.what, Some(What::Clean(_) | What::Step(_)));
                                 touched = touched.filter(|_| !whole);
                                 touched.iter_mut().for_each(|all| all.extend(command.subject()));
--- a/crates/member/src/member/parted.rs
+++ b/crates/member/src/member/parted.rs
@@ -65,8 +65,8 @@
         Some(PartView { in_force, whole: WHOLE, free: budget.free, sum: budget.sum(), holdings })
     }
 
-    /// Whether something is on its way from a planner: it is not renewed before it has seen that.
-    pub(super) fn taking_from(&self, planner: Id) -> bool {
+    /// Whether something is on its way from a planner: it is not renewed before that is committed or lost.
+    pub fn taking_from(&self, planner: Id) -> bool {
         self.taking.values().any(|from| *from == planner)
     }
 
@@ -118,7 +118,6 @@
             till.dealer = Some((Dealer::new(now, till.terms), led));
         }
         let proposed = &self.proposed;
-        self.taking.retain(|command, _| proposed.contains_key(command));
         self.dealing = self.dealing.filter(|command| proposed.contains_key(command));
         let (Some((dealer, _)), None) = (&mut till.dealer, self.dealing) else { return };
         let belong = belong.iter().map(|id| (*id, self.demands.get(id).copied())).collect();
--- a/crates/member/tests/hand.rs
+++ b/crates/member/tests/hand.rs
@@ -239,3 +239,31 @@
     hand.slow.take().into_iter().flatten().for_each(|ticket| hand.synced(ticket));
     assert!(hand.member.agree().is_some(), "it belongs now");
 }
+
+/// A leader whose own settings share nothing never looked again at what was on its way: whoever had handed a part back was
+/// renewed no more, and lost its duties by it.
+#[test]
+fn a_planner_that_handed_a_part_back_is_renewed_again_once_that_is_committed() {
+    use pewtergap_member::Request;
+    use pewtergap_record::{Command, Share, What};
+    use pewtergap_shares::Shift;
+    let mut hand = Hand::new(&["a"], None);
+    hand.pass(1_000);
+    for (id, shift) in [
+        (1, Shift::Claim { by: 7, start: 1, base: 100_000, founders: 1, founded: true }),
+        (2, Shift::Back { from: 7, units: 1, number: 1 }),
+    ] {
+        let what = Some(What::Share(Share::of("cold", &shift)));
+        let command = Command { id, given: hand.now.0 / 1_000_000, what };
+        hand.disk = true;
+        hand.slow = Some(Vec::new());
+        hand.member.ask(hand.now, id, Request::Command(command), &mut hand.out);
+        hand.give(Input::Due { timer: u64::MAX });
+        assert_eq!(hand.member.taking_from(7), id == 2, "while it is not on disk");
+        let tickets = hand.slow.take().unwrap_or_default();
+        tickets.into_iter().for_each(|ticket| hand.synced(ticket));
+        hand.pass(200);
+        assert!(!hand.member.taking_from(7));
+        assert!(hand.member.record.answered(id).is_some());
+    }
+}
