Steps by proxies between processes: one planner after the other carries an order out

Need: tried as arithmetic alone. The record's view says which part of each order this planner carries out; the drill of steps gives a second order by proxies and holds that each planner goes from none to all of it and never back, and that some time only some do.

--- a/crates/lab/src/cluster/duties.rs
+++ b/crates/lab/src/cluster/duties.rs
@@ -205,7 +205,43 @@
             std::thread::sleep(Duration::from_millis(20));
         }
         self.wait_all_fresh()?;
-        Ok(vec![begin.elapsed().as_millis() as u64])
+        let took = begin.elapsed().as_millis() as u64;
+        self.steps_by_proxies()?;
+        Ok(vec![took])
+    }
+
+    /// An order that one planner after the other carries out whole, and none goes back.
+    fn steps_by_proxies(&mut self) -> Result<(), String> {
+        let body = json!({ "id": format!("{:016x}", fastrand::u64(1..)), "given": self.clock.now().0 / 1_000_000,
+            "who": "lab", "why": "a drill", "order": "cap", "route": "r", "level": 0.25, "steps": 3, "pause_ms": 400,
+            "by_proxies": true });
+        let (_, admin) = self.leader_admin()?;
+        let told = ask::call(admin, "POST", "/orders", Some(&body.to_string())).map_err(|e| e.1)?;
+        if told.0 != 200 {
+            return Err(format!("the order was refused: {}", told.1));
+        }
+        let (begin, mut here, mut some) = (Instant::now(), vec![0.0; self.belong], 0);
+        while here.iter().any(|part| *part < 1.0) {
+            for (at, before) in here.iter_mut().enumerate() {
+                let view = self.view(at, "/record?stale");
+                let orders = view["orders"].as_array().cloned().unwrap_or_default();
+                let order = orders.iter().find(|order| order["order"] == "cap r 0.25").cloned();
+                let Some(part) = order.and_then(|order| order["here"].as_f64()) else { continue };
+                if part < *before || part > 0.0 && part < 1.0 {
+                    return Err(format!("{} carries out {part} after {before}", name(at)));
+                }
+                *before = part;
+            }
+            some += usize::from(here.contains(&0.0) && here.contains(&1.0));
+            if begin.elapsed() > CEILING {
+                return Err(format!("the order by proxies stays at {here:?}"));
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        if some == 0 {
+            return Err("all planners carried it out at once".into());
+        }
+        Ok(())
     }
 
     /// Every member gets a longer lease, one after the other, and a shorter one again. That nobody goes on before the other
--- a/crates/member/src/orders.rs
+++ b/crates/member/src/orders.rs
@@ -37,6 +37,11 @@
     order.wish.as_ref().map(|wish| (wish, part)).filter(|_| part > 0.0)
 }
 
+/// Which part of an order this planner carries out now.
+pub fn part_here(kept: &Kept, now: Moment, among: &Among) -> f64 {
+    in_force(kept, now, among).map_or(0.0, |force| force.1)
+}
+
 fn weight(service: &Service, at: &str, wished: f64, part: f64) -> f64 {
     let listed = service.listed(at).map_or(wished, |listed| listed.weight);
     listed + (wished - listed) * part
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -216,14 +216,18 @@
         self.stand_by(now, None, out);
     }
 
+    fn among(&self) -> orders::Among {
+        let others = self.member.sharers().into_values().chain([self.name.clone()]);
+        orders::Among { name: self.name.clone(), all: others.collect() }
+    }
+
     /// What the record says, told to the service: of these subjects, or all of it.
     fn stand_by(&mut self, now: Moment, subjects: Option<&BTreeSet<Subject>>, out: &mut Outbox) {
         if !self.started {
             return;
         }
         let record = &self.member.record;
-        let others = self.member.sharers().into_values().chain([self.name.clone()]);
-        let among = orders::Among { name: self.name.clone(), all: others.collect() };
+        let among = self.among();
         let these = subjects.and_then(|subjects| orders::of(record, &self.service, now, subjects, &among));
         let whole = || orders::whole(record, &self.service, now, &among);
         let stands = these.unwrap_or_else(|| self.service.standing().towards(&whole()));
@@ -309,7 +313,7 @@
                 self.service.answer(link, status, &body.to_string(), out);
             }
             (Some(Purpose::Look(link)), Reply::Look { fresh, age }) => {
-                let view = self.view(fresh, age);
+                let view = self.view(now, fresh, age);
                 self.service.answer(link, 200, &view, out);
             }
             (Some(Purpose::Look(link)), _) => {
@@ -468,8 +472,8 @@
         }
     }
 
-    fn view(&self, fresh: bool, age: Span) -> String {
-        let record = &self.member.record;
+    fn view(&self, now: Moment, fresh: bool, age: Span) -> String {
+        let (record, among) = (&self.member.record, self.among());
         let orders: Vec<serde_json::Value> = record
             .orders()
             .filter_map(|(_, kept)| {
@@ -477,7 +481,7 @@
                 let words = order.wish.as_ref()?.words();
                 Some(json!({ "number": kept.number, "order": words, "who": order.who, "why": order.why,
                     "until": order.until, "given": kept.given, "steps": order.steps, "reached": kept.reached,
-                    "back": kept.back }))
+                    "back": kept.back, "here": orders::part_here(kept, now, &among) }))
             })
             .collect();
         let drains: Vec<serde_json::Value> = record
