--- a/crates/counts/src/own.rs
+++ b/crates/counts/src/own.rs
@@ -57,10 +57,6 @@
         }
     }
 
-    pub fn add(&mut self, key: &str, more: f64) {
-        self.set(key, self.value(key) + more);
-    }
-
     /// Counts of this kind that are no longer told of go to nothing, and are forgotten once all have heard so.
     pub fn only(&mut self, prefix: &str, keys: &BTreeMap<String, f64>) {
         let gone: Vec<String> = self
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -173,10 +173,6 @@
         }
     }
 
-    pub fn due(&self) -> Moment {
-        self.due
-    }
-
     pub fn take(&mut self) -> Vec<(Id, Message)> {
         std::mem::take(&mut self.out)
     }
--- a/crates/member/src/sharing.rs
+++ b/crates/member/src/sharing.rs
@@ -62,7 +62,6 @@
     told_at: Moment,
     looked: Moment,
     elsewhere: Option<f64>,
-    share: Option<f64>,
     believed: BTreeMap<Id, State>,
     /// By planner: its start, tries and drops as last told; and what came of all together.
     tried_by: BTreeMap<Id, (u64, f64, f64)>,
@@ -92,7 +91,6 @@
             told_at: Moment(0),
             looked: Moment(0),
             elsewhere: None,
-            share: None,
             believed: BTreeMap::new(),
             tried_by: BTreeMap::new(),
             tried: (0.0, 0.0),
@@ -180,14 +178,8 @@
         self.own.only("work/", &work.into_iter().filter(|work| work.1 > 0.0).collect());
     }
 
-    /// Every now and then: says, asks, and makes hints. `share`: what of the cold budget may be used here, in parts.
-    pub fn look(
-        &mut self,
-        now: Moment,
-        seats: &Seats,
-        share: Option<f64>,
-        service: &mut Service,
-    ) -> Vec<Wants> {
+    /// Every now and then: says, asks, and makes hints.
+    pub fn look(&mut self, now: Moment, seats: &Seats, service: &mut Service) -> Vec<Wants> {
         self.become_one(now, seats);
         let mut wants = Vec::new();
         self.gossip.tick(now);
@@ -197,10 +189,6 @@
             let before = self.believed.insert(*id, state).unwrap_or(State::Alive);
             wants.extend((before != state).then(|| Wants::Heard(*id, said(state))));
         }
-        if share != self.share {
-            self.share = share;
-            wants.push(Wants::Hint(Hint::Share(share)));
-        }
         if now.since(self.told_at) < self.shares.every {
             return wants;
         }
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -10,7 +10,7 @@
 use crate::sharing::{Seats, Sharing, Wants as Shared};
 use crate::slices::{Holder, Slices, Wants};
 use crate::words::{word, Change};
-use pewtergap_control::{Asked, ProbeOver, Service};
+use pewtergap_control::{Asked, Hint, ProbeOver, Service};
 use pewtergap_node::{Effect, Input, Level, Link, Node, Outbox};
 use pewtergap_record::{
     Cap, Clean, Command, Drain, Hand, Order, Subject, TakeNumber, Weight, What, Wish, BOOKS, RELEASE,
@@ -159,6 +159,8 @@
     slices: Option<Slices>,
     releaser: Releaser,
     sharing: Option<Sharing>,
+    /// What the module was last told of its part.
+    lent: Option<f64>,
     has_duties: bool,
 }
 
@@ -170,6 +172,7 @@
         Together {
             service,
             releaser: Releaser::default(),
+            lent: None,
             sharing: home.shares.map(|shares| Sharing::new(shares, home.seed)),
             has_duties: home.duties.is_some(),
             slices: (home.slices.0 > 0).then(|| Slices::new(home.slices.0, home.slices.1)),
@@ -378,12 +381,22 @@
         let Some(sharing) = &mut self.sharing else { return };
         let own = (self.member.id(), self.member.start_of_disk());
         let seats = Seats { own, name: self.name.clone(), others: self.member.sharers() };
-        let share = self.member.cold_share(now);
-        let wants = sharing.look(now, &seats, share, &mut self.service);
+        let wants = sharing.look(now, &seats, &mut self.service);
         self.member.demands = sharing.demands(now);
         self.do_shared(now, wants, out);
     }
 
+    /// The module's part of a budget, before anything is done by it: one that was stopped for longer than its lease would
+    /// write cold servers' lines by its old part until the next look.
+    fn lend(&mut self, now: Moment, out: &mut Outbox) {
+        if self.sharing.is_some() && self.started {
+            let share = self.member.cold_share(now);
+            if std::mem::replace(&mut self.lent, share) != share {
+                self.service.hint(now, Hint::Share(share), out);
+            }
+        }
+    }
+
     fn do_shared(&mut self, now: Moment, wants: Vec<Shared>, out: &mut Outbox) {
         for want in wants {
             match want {
@@ -569,6 +582,7 @@
 impl Node for Together {
     fn handle(&mut self, now: Moment, input: Input<'_>, out: &mut Outbox) {
         let over = matches!(input, Input::Due { timer: GONE });
+        self.lend(now, out);
         match input {
             Input::Start => {
                 self.member.handle(now, Input::Start, out);
