Lines of a table that nobody follows are not held back by a filled channel

Ruled out: late marks, the pace (2,000 as stated), the order of bindings, messages to one proxy. At fault: push(), 'room' and 'full', which held lines of a table without followers to a claim on the channel, though they are sent to nobody; binds() hands no empty table out. Now such lines go at once. Test in traces.rs: without the mend none of five is bound, with it all are.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -725,7 +725,8 @@
             let filled = jammed || queued > claims[0];
             let gates = known.is_none_or(|step| stale(step) && !filled);
             let head = head + if gates { self.routes.len() as f64 } else { 0.0 };
-            let room = claims[haste] - queued;
+            // What nobody follows is sent to nobody: held back, it kept the first of a zone from their table.
+            let room = if users.is_empty() { f64::INFINITY } else { claims[haste] - queued };
             let fits = (room / users.len().max(1) as f64 - head).max(0.0) as usize;
             let removed = |at: ServerIx| changes.iter().any(|change| change.0 == at && change.1 <= 0.0);
             let warm = |line: &Share| self.warmth(now, line.0) == RAMP.len() - 1;
@@ -751,7 +752,7 @@
             let whole = (claims[2] / users.len().max(1) as f64 - head).max(1.0) as usize;
             changes.truncate(if haste == 2 { whole } else { fits });
             let cost = changes.len() as f64 + head;
-            let full = queued + cost * users.len() as f64 > claims[2];
+            let full = !users.is_empty() && queued + cost * users.len() as f64 > claims[2];
             let idle = changes.is_empty() && !gates;
             late += if haste == 2 && full { cost * users.len() as f64 } else { 0.0 };
             if idle || full || !users.iter().all(|p| self.may_tell(now, *p, haste)) {
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -389,6 +389,26 @@
     insta::assert_snapshot!(stage.trace);
 }
 
+#[test]
+fn the_first_proxies_of_a_zone_get_their_table_though_the_channel_is_filled() {
+    // Seen on a small day of restarts: a planner's proxies came to one that had none of their zone. Their new table
+    // was to be filled by ordinary lines, which wait in a filled channel, and so 23 proxies kept for 4 s what had
+    // drained. Lines of a table that nobody follows are sent to nobody.
+    let mut stage = Stage::new(Terms { proxies: 85, ..terms() });
+    let zones: Vec<usize> = (0..40).map(|s| s / 20).collect();
+    let joins = |proxies: std::ops::Range<usize>, zone: usize| proxies.map(move |p| joined(p, zone, 3.0));
+    stage.at(0, &[kept(&zones)].into_iter().chain(joins(0..75, 0)).collect::<Vec<_>>());
+    stage.at(400, &[Event::Tick]);
+    let before = waiting(&stage.trace, 0..85) / 4_000.0;
+    assert!(before > 0.3 && before < 0.6, "{before} of the limit waits: no ordinary line may go");
+    stage.at(500, &joins(75..80, 1).collect::<Vec<_>>());
+    stage.pass(1_000, 1_500);
+    let bound = (75..80).filter(|p| stage.trace.contains(&format!(" bind p{p} ")));
+    assert_eq!(bound.count(), 5, "all are handed their table within a second");
+    let after = waiting(&stage.trace, 0..85) / 4_000.0;
+    assert!(after <= 0.85, "{after} of the limit waits");
+}
+
 /// Lines that wait by the wire's count when nothing is confirmed: a message's head and mark for each proxy and
 /// turn, a line for each that follows a table, a whole table for each that is handed one.
 fn waiting(trace: &str, joined: std::ops::Range<usize>) -> f64 {
