Reactor: last words before a reset are read; nothing is heard behind an exit

Now the link is read to its end first. The kernel keeps what came before a reset: checked, the test reads it. - Behind an exit the rest of the same poll, of the words and of the doors was still handed out: a planner that had been told to end answered signs of life and took connections in. It is told as want of room, as descriptors were.

--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -253,6 +253,10 @@
                 other => other?,
             }
             for event in &events {
+                // Who has asked for the exit promises nothing any more: what else this poll has is not heard.
+                if self.exit.is_some() {
+                    break;
+                }
                 match event.token() {
                     WAKER => self.hear_words(),
                     SIGNALS => self.hear_signals(),
@@ -263,8 +267,13 @@
                 self.settle();
             }
             for (place, link) in std::mem::take(&mut self.again) {
-                self.read(place, link);
-                self.settle();
+                if self.exit.is_none() {
+                    self.read(place, link);
+                    self.settle();
+                }
+            }
+            if self.exit.is_some() {
+                break;
             }
             let now = self.clock.now();
             let (due, later): (Vec<_>, Vec<_>) =
@@ -313,7 +322,8 @@
             self.give(place.0, Input::Knocked);
             self.settle();
         }
-        while let Ok(told) = self.words.try_recv() {
+        while self.exit.is_none() {
+            let Ok(told) = self.words.try_recv() else { return };
             match told {
                 Told::End => self.exit = Some(self.exit.unwrap_or(0)),
                 Told::Link(place, stream, door) => {
@@ -387,11 +397,11 @@
             }
             Effect::Connect { link, to, from } => match Conn::connect(to, from) {
                 Ok(conn) => self.admit(place, link, conn),
-                // That this side has no room says nothing of the peer: taken for a refusal it was a dead server.
-                Err(e) if matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS)) => {
-                    self.pending.push_back((place, Pending::Closed(link, Ended::Overflow)));
+                Err(e) => {
+                    // That this side has no room says nothing of the peer: taken for a refusal it was a dead server.
+                    let why = if no_room(&e) { Ended::Overflow } else { Ended::Refused };
+                    self.pending.push_back((place, Pending::Closed(link, why)));
                 }
-                Err(_) => self.pending.push_back((place, Pending::Closed(link, Ended::Refused))),
             },
             Effect::Send { link, bytes } => {
                 let most = self.most_unwritten;
@@ -400,7 +410,7 @@
                 let went = conn.write();
                 let over = conn.unwritten() > most;
                 match went {
-                    Err(why) => self.drop_link(place, link, why),
+                    Err(why) => self.broken(place, link, why),
                     Ok(()) if over => self.drop_link(place, link, Ended::Overflow),
                     Ok(()) => self.finished(place, link),
                 }
@@ -523,7 +533,7 @@
         let token = self.token();
         let both = Interest::READABLE | Interest::WRITABLE;
         if self.poll.registry().register(&mut conn.stream, token, both).is_err() {
-            self.pending.push_back((place, Pending::Closed(link, Ended::Refused)));
+            self.pending.push_back((place, Pending::Closed(link, Ended::Overflow)));
             return;
         }
         self.sources.insert(token, Source::Link { place, link });
@@ -541,6 +551,17 @@
         }
     }
 
+    /// Nothing can be written any more. What the peer had said before it broke the link may still wait to be read: a
+    /// server's answer right ahead of its reset was thrown away, and the server taken for dead.
+    fn broken(&mut self, place: usize, link: Link, why: Ended) {
+        let Some((_, conn)) = self.slots[place].links.get_mut(&link) else { return };
+        conn.give_up(why);
+        if conn.paused || conn.finishing {
+            return self.drop_link(place, link, why);
+        }
+        self.again.push_back((place, link));
+    }
+
     /// Closes a link that was to be finished once all of it is written.
     fn finished(&mut self, place: usize, link: Link) {
         let done = |conn: &Conn| conn.finishing && conn.open && conn.unwritten() == 0;
@@ -609,7 +630,7 @@
         let Some((_, conn)) = self.slots[place].links.get_mut(&link) else { return };
         match conn.write() {
             Ok(()) => self.finished(place, link),
-            Err(why) => self.drop_link(place, link, why),
+            Err(why) => self.broken(place, link, why),
         }
     }
 
@@ -633,6 +654,12 @@
     }
 }
 
+/// Whether a connection could not be opened for want of something on this side.
+fn no_room(e: &io::Error) -> bool {
+    use libc::{EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS, ENOMEM};
+    matches!(e.raw_os_error(), Some(EMFILE | ENFILE | ENOBUFS | ENOMEM | EADDRNOTAVAIL))
+}
+
 fn log(line: &Line) {
     let fields: Vec<String> = line.fields.iter().map(|(name, value)| format!("{name}={value}")).collect();
     let (event, fields) = (line.event, fields.join(" "));
--- a/crates/reactor/src/sockets.rs
+++ b/crates/reactor/src/sockets.rs
@@ -56,12 +56,15 @@
     /// Bytes of the first buffer that are written.
     done: usize,
     count: usize,
+    /// Nothing can be written any more, and why; what has come is still read.
+    broken: Option<Ended>,
 }
 
 impl Conn {
     fn new(stream: TcpStream, open: bool) -> Conn {
         let _ = stream.set_nodelay(true);
-        Conn { stream, open, paused: false, finishing: false, unwritten: VecDeque::new(), done: 0, count: 0 }
+        let unwritten = VecDeque::new();
+        Conn { stream, open, paused: false, finishing: false, unwritten, done: 0, count: 0, broken: None }
     }
 
     /// A connection that stands already, from another reactor.
@@ -101,7 +104,17 @@
         }
     }
 
+    /// From here on nothing is written; the link ends for this reason once all that came is read.
+    pub fn give_up(&mut self, why: Ended) {
+        self.broken = Some(why);
+        self.unwritten.clear();
+        (self.done, self.count) = (0, 0);
+    }
+
     pub fn queue(&mut self, bytes: Vec<u8>) {
+        if self.broken.is_some() {
+            return;
+        }
         self.count += bytes.len();
         if !bytes.is_empty() {
             self.unwritten.push_back(bytes);
@@ -141,9 +154,11 @@
     pub fn read(&mut self, buffer: &mut [u8]) -> Taken {
         loop {
             return match self.stream.read(buffer) {
-                Ok(0) => Taken::Ended(Ended::Done),
+                Ok(0) => Taken::Ended(self.broken.unwrap_or(Ended::Done)),
                 Ok(count) => Taken::Bytes(count),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => Taken::Nothing,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.broken.map_or(Taken::Nothing, Taken::Ended)
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
                 Err(_) => Taken::Ended(Ended::Reset),
             };
--- a/crates/reactor/tests/sockets.rs
+++ b/crates/reactor/tests/sockets.rs
@@ -3,11 +3,12 @@
 use pewtergap_node::{Effect, Ended, Input, Level, Link, Node, Outbox};
 use pewtergap_reactor::{Clock, Handle, Reactor};
 use pewtergap_time::{Moment, Span};
+use socket2::SockRef;
 use std::any::Any;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -69,6 +70,19 @@
                 }
                 return;
             }
+            Input::Word("end") => {
+                out.push(Effect::Exit { code: 7 });
+                "asked to end".into()
+            }
+            Input::Word("say") => {
+                self.links.iter().for_each(|link| out.send(*link, b"late".to_vec()));
+                return;
+            }
+            Input::Word("strange") => {
+                // An address of documentation: no machine has it.
+                out.connect("127.0.0.1:1".parse().unwrap(), Some("192.0.2.1".parse().unwrap()));
+                return;
+            }
             Input::Word("taken") => {
                 out.push(Effect::Listen { door: 2, at: self.at.unwrap() });
                 return;
@@ -160,6 +174,47 @@
     assert_eq!(stage.hear(), "closed Done");
 }
 
+#[test]
+fn what_a_peer_said_before_it_broke_the_link_is_heard_though_a_write_fails_first() {
+    // A server's complete answer right ahead of its reset: the question could not be written any more, and the answer
+    // was thrown away with the link.
+    let stage = stage();
+    let mut peer = stage.connect();
+    let held = stage.held.lock().unwrap();
+    stage.tell("hold");
+    assert_eq!(stage.hear(), "holding");
+    // Behind the hold in the same round, so that the write comes before any look at what has arrived.
+    stage.tell("say");
+    peer.write_all(b"answer").unwrap();
+    SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(peer);
+    drop(held);
+    assert_eq!(stage.hear(), "6 bytes");
+    assert_eq!(stage.hear(), format!("closed {:?}", Ended::Reset));
+}
+
+#[test]
+fn what_comes_behind_an_exit_in_the_same_round_is_not_heard() {
+    let stage = stage();
+    let held = stage.held.lock().unwrap();
+    stage.tell("hold");
+    assert_eq!(stage.hear(), "holding");
+    stage.tell("end");
+    stage.tell("timers");
+    stage.tell("too late");
+    drop(held);
+    assert_eq!(stage.hear(), "asked to end");
+    // The node goes with its reactor, and nothing was told in between.
+    assert!(stage.heard.recv_timeout(CEILING).is_err_and(|e| e == RecvTimeoutError::Disconnected));
+}
+
+#[test]
+fn what_this_side_lacks_is_not_told_as_a_refusal_of_the_peer() {
+    let stage = stage();
+    stage.tell("strange");
+    assert_eq!(stage.hear(), format!("closed {:?}", Ended::Overflow));
+}
+
 #[test]
 fn timers_ring_in_their_order_and_nobody_there_is_told_as_refused() {
     let stage = stage();
