Platform: crossings at start, reload, the watch, probes and collectors are settled

Now once a second until it can be read, by one timer however many signals came, and again once discovery has failed four times in a row. - Watch: a body without a length was thrown away; a connection whose end was announced was asked again and cost a failure each time; a second answer behind the first stood for the next one; a list that took over 0.7 s in pieces never came whole. - Probes: the former address's or start's answer was told of the present server, a gone server's of whoever came back; want of descriptors was told as silence. - Collectors: each cut left a silent connection for good. Four a zone are kept. Names: config, server_list, tables, transitions for charge, roll, books, manners.

--- a/crates/control/src/probes.rs
+++ b/crates/control/src/probes.rs
@@ -61,6 +61,15 @@
         self.open.remove(&link).map(|_| link)
     }
 
+    /// The server has started anew or listens elsewhere: what the former one still says, or its end, tells nothing of
+    /// it. The probe that is under way ends untold, and the server is asked again.
+    pub fn renew(&mut self, server: usize) -> Option<Link> {
+        let link = *self.open.iter().find(|open| open.1.server == server)?.0;
+        self.open.remove(&link);
+        self.ask(server);
+        Some(link)
+    }
+
     /// The server to ask next, if one waits and there is room.
     pub fn next_asked(&mut self) -> Option<usize> {
         (self.open.len() < self.asked.most_open).then(|| self.waiting.pop_front())?
@@ -106,26 +115,36 @@
                         open.body.extend(data);
                     }
                 }
-                Ok(Some(Part::End)) => {
-                    if let (Some((util, in_hand)), Some(heard)) = (&self.asked.in_body, &mut open.heard) {
-                        let text = String::from_utf8_lossy(&open.body);
-                        let report = LoadReport::read_as(&text, util, in_hand);
-                        heard.1 = Load { util: report.util, in_hand: report.in_hand };
-                    }
-                    return self.end(link, ProbeEnd::Erring);
-                }
+                Ok(Some(Part::End)) => return self.whole(link),
                 Ok(None) => return None,
                 Err(_) => return self.end(link, ProbeEnd::Erring),
             }
         }
     }
 
+    /// The answer is complete.
+    fn whole(&mut self, link: Link) -> Option<(usize, ProbeEnd, Load)> {
+        let open = self.open.get_mut(&link)?;
+        if let (Some((util, in_hand)), Some(heard)) = (&self.asked.in_body, &mut open.heard) {
+            let text = String::from_utf8_lossy(&open.body);
+            let report = LoadReport::read_as(&text, util, in_hand);
+            heard.1 = Load { util: report.util, in_hand: report.in_hand };
+        }
+        self.end(link, ProbeEnd::Erring)
+    }
+
     pub fn closed(&mut self, link: Link, why: Ended) -> Option<(usize, ProbeEnd, Load)> {
-        let end = match why {
-            Ended::Refused | Ended::Reset | Ended::Done => ProbeEnd::Dead,
-            Ended::Overflow | Ended::Ours | Ended::Handed => ProbeEnd::Silent,
-        };
-        self.end(link, end)
+        // A body without a length is complete with the end of the connection.
+        let open = self.open.get_mut(&link)?;
+        if why == Ended::Done && open.reader.close() == Ok(Some(Part::End)) {
+            return self.whole(link);
+        }
+        match why {
+            Ended::Refused | Ended::Reset | Ended::Done => self.end(link, ProbeEnd::Dead),
+            Ended::Ours | Ended::Handed => self.end(link, ProbeEnd::Silent),
+            // This side had no room for the call, which says nothing of the server: it is asked again in its turn.
+            Ended::Overflow => self.open.remove(&link).and(None),
+        }
     }
 
     /// Probes whose time is up.
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,6 +1,6 @@
 //! What the platform tells a planner at its start, by a file and a few variables.
 
-use crate::roll::{Answer, Target};
+use crate::server_list::{Answer, Target};
 use pewtergap_start::Start;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -12,7 +12,7 @@
     pub sockets: usize,
 }
 
-pub struct Charge {
+pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -41,9 +41,9 @@
     }
 }
 
-impl Charge {
+impl Config {
     /// `variable` looks up one of the platform's variables.
-    pub fn read(json: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Charge, String> {
+    pub fn read(json: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let file: Value = serde_json::from_str(json).map_err(|e| format!("not JSON: {e}"))?;
         if !file.is_object() {
             return Err("not an object".into());
@@ -80,7 +80,7 @@
         if start.zone_names.is_empty() || start.fleet.proxies == 0 {
             return Err("settings: the zones or the number of proxies are missing".into());
         }
-        Ok(Charge {
+        Ok(Config {
             name: told("name", "NODE_NAME")?,
             listen: address("listen", &told("listen", "NODE_LISTEN")?)?,
             discovery: address("discovery", &told("discovery", "NODE_DISCOVERY")?)?,
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -1,7 +1,8 @@
 //! Follows discovery: the whole list, then watches on a kept connection, each going on at once.
 //!
 //! What goes wrong ends the connection; the next one begins with the whole list, which repairs whatever was
-//! missed. No wait is so long that a change could count as told while a silent connection is still waited on.
+//! missed. A connection that ends as its last answer announced has missed nothing: the next one goes on from there.
+//! No wait is so long that a change could count as told while a silent connection is still waited on.
 
 use pewtergap_http::{request, Bounds, Part, Reader, Side};
 use pewtergap_node::{Link, Outbox};
@@ -10,8 +11,10 @@
 
 /// What a watch asks to be held for.
 const WATCH: Span = Span::millis(1_500);
-/// For an answer beyond that, and for one that should come at once.
+/// For an answer beyond that, and for one that should come at once; and for more of it while it comes in pieces.
 const ANSWER: Span = Span::millis(700);
+/// However many pieces: by then a change that was held back with them would count as told.
+const LONGEST: Span = Span::millis(5_000);
 const DIAL: Span = Span::millis(500);
 /// Between attempts: the first, and the longest.
 const BACK_OFF: (Span, Span) = (Span::millis(40), Span::millis(640));
@@ -37,6 +40,11 @@
     body: Vec<u8>,
     status: u16,
     failures: i32,
+    /// When the answer that is waited for was asked.
+    asked: Moment,
+    /// The answer announced that the connection ends with it; and from which version the next one goes on.
+    last: bool,
+    follow: Option<u64>,
 }
 
 impl Discovery {
@@ -50,6 +58,9 @@
             body: Vec::new(),
             status: 0,
             failures: 0,
+            asked: Moment(0),
+            last: false,
+            follow: None,
         }
     }
 
@@ -66,10 +77,15 @@
         self.until
     }
 
+    /// Attempts in a row that came to nothing.
+    pub fn failures(&self) -> i32 {
+        self.failures
+    }
+
     /// Discovery is at another address now.
     pub fn move_to(&mut self, now: Moment, at: SocketAddr, out: &mut Outbox) {
         self.drop_link(out);
-        (self.at, self.failures) = (at, 0);
+        (self.at, self.failures, self.follow) = (at, 0, None);
         self.dial(now, out);
     }
 
@@ -84,6 +100,7 @@
         (self.phase, self.until) = (Phase::Dialling, now + DIAL);
         self.reader = Reader::new(Side::Answers, BOUNDS);
         self.body = Vec::new();
+        self.last = false;
     }
 
     /// Its time is up: dial, or say what did not come.
@@ -106,15 +123,25 @@
         self.drop_link(out);
         let rest = BACK_OFF.0.times(2f64.powi(self.failures.min(16))).min(BACK_OFF.1);
         self.failures += 1;
+        self.follow = None;
         (self.phase, self.until) = (Phase::Resting, now + rest);
     }
 
     pub fn opened(&mut self, now: Moment, out: &mut Outbox) {
-        self.ask(now, PATH.to_string(), Phase::Listing, ANSWER, out);
+        match self.follow.take() {
+            Some(since) => self.watch(now, since, out),
+            None => self.ask(now, PATH.to_string(), Phase::Listing, ANSWER, out),
+        }
     }
 
     /// Goes on with a watch for what is newer.
     pub fn watch(&mut self, now: Moment, since: u64, out: &mut Outbox) {
+        if std::mem::take(&mut self.last) {
+            self.drop_link(out);
+            self.dial(now, out);
+            self.follow = Some(since);
+            return;
+        }
         let target = format!("{PATH}?since={since}&timeout_ms={}", WATCH.0 / 1_000_000);
         self.ask(now, target, Phase::Watching, WATCH + ANSWER, out);
     }
@@ -123,12 +150,13 @@
         let Some(link) = self.link else { return };
         let host = self.at.to_string();
         out.send(link, request("GET", &target, &[("host", &host)], None));
-        (self.phase, self.until) = (phase, now + within);
+        (self.phase, self.until, self.asked) = (phase, now + within, now);
     }
 
     /// The bodies of answers that are complete; what cannot be read is an error.
-    pub fn bytes(&mut self, bytes: &[u8]) -> Result<Option<Vec<u8>>, &'static str> {
+    pub fn bytes(&mut self, now: Moment, bytes: &[u8]) -> Result<Option<Vec<u8>>, &'static str> {
         self.reader.push(bytes);
+        self.until = self.until.max((now + ANSWER).min(self.asked + LONGEST));
         loop {
             match self.reader.take() {
                 Ok(None) => return Ok(None),
@@ -136,7 +164,7 @@
                     return Err("an answer that was not asked for");
                 }
                 Ok(Some(Part::Head(head))) => {
-                    self.status = head.status();
+                    (self.status, self.last) = (head.status(), !head.keep_alive);
                     self.body.clear();
                 }
                 Ok(Some(Part::Data(data))) => self.body.extend(data),
@@ -147,6 +175,18 @@
         }
     }
 
+    /// The peer ended the connection in order: an answer without a length is complete with it.
+    pub fn ended(&mut self) -> Option<Vec<u8>> {
+        self.link = None;
+        let whole = self.reader.close() == Ok(Some(Part::End)) && self.status == 200;
+        whole.then(|| std::mem::take(&mut self.body))
+    }
+
+    /// Something stands behind the answer that nobody asked for.
+    pub fn overran(&self) -> bool {
+        self.link.is_some() && !self.reader.idle()
+    }
+
     /// An answer was good; what follows goes on from it.
     pub fn went_well(&mut self) {
         self.failures = 0;
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -1,11 +1,11 @@
 //! The platform's planner as a node: messages to events, orders to messages.
 
-use crate::books::Books;
-use crate::charge::{Charge, Limits};
+use crate::config::{Config, Limits};
 use crate::discovery::Discovery;
-use crate::peers::{kind, manner, Effect as Does, Kind, Peer, Peers, Stand, Stream};
+use crate::peers::{kind, transition, Effect as Does, Kind, Peer, Peers, Stand, Stream};
 use crate::peers::{JOINED, MOST_MARKS, STRANGERS};
-use crate::roll::{Answer, News, Roll, Target};
+use crate::server_list::{Answer, News, ServerList, Target};
+use crate::tables::Tables;
 use pewtergap_control::probes::Probes;
 use pewtergap_control::Probing;
 use pewtergap_node::{Effect, Ended, Input, Level, Link, Node, Outbox};
@@ -33,8 +33,15 @@
 const PROBED: Span = Span::millis(400);
 /// Incomplete messages of all peers together may take one part in so many of the memory.
 const HELD: u64 = 16;
-/// A file that is being replaced is read again so often, so long apart.
-const READ_AGAIN: (u32, Span) = (5, Span::millis(100));
+/// A file that is being replaced is read again so often, so long apart; from then on this far apart.
+const READ_AGAIN: (u32, Span, Span) = (5, Span::millis(100), Span::millis(1_000));
+/// After so many failures of discovery in a row the file is read: its address may have been written late, or the file
+/// may have stood unreadable while the signal was heard.
+const LOST: i32 = 4;
+/// An address that the process before still holds is tried again so long apart, up to so long.
+const HELD_ADDRESS: (Span, Span) = (Span::millis(100), Span::millis(10_000));
+/// Connections of one zone's collector: the present one, and former ones that the network has not ended yet.
+const MOST_COLLECTORS: usize = 4;
 /// Log lines in a second; what goes beyond is counted.
 const MOST_LOGGED: f64 = 40.0;
 const TALLY: Span = Span::millis(5_000);
@@ -48,6 +55,7 @@
     pub const DISCOVERY: u64 = 4;
     pub const PROBES: u64 = 5;
     pub const RELOAD: u64 = 6;
+    pub const LISTEN: u64 = 7;
 }
 
 /// Counted since the last tally line.
@@ -86,21 +94,25 @@
     routes: Vec<String>,
     most_proxies: u64,
     /// A stream that leaves a message unanswered and says nothing for so long counts as left.
-    deaf_after: Span,
+    unresponsive_after: Span,
     planner: Planner,
     servers: Door<String>,
     proxies: Door<u64>,
-    /// Where each server is probed, by index.
-    endpoints: Vec<Option<SocketAddr>>,
-    roll: Roll,
+    /// Where each server is probed and when it started, by index.
+    endpoints: Vec<Option<(SocketAddr, Option<Moment>)>>,
+    server_list: ServerList,
     discovery: Discovery,
     peers: Peers,
-    books: Books,
+    tables: Tables,
     probes: Probes,
     events: Vec<Event>,
     turn_set: bool,
     woken: Option<Moment>,
     read_again: u32,
+    /// When the file is read next, if that is due; when it was read last without a signal.
+    reload: Option<Moment>,
+    reread: Moment,
+    started: Moment,
     tally: Tally,
     tallied: Moment,
     /// When a line was logged last, and how many more may be.
@@ -113,13 +125,14 @@
 }
 
 impl Platform {
-    pub fn new(now: Moment, charge: Charge, file: String) -> Platform {
-        let Charge { name, listen, discovery, seed, limits, known, start } = charge;
+    pub fn new(now: Moment, config: Config, file: String) -> Platform {
+        let Config { name, listen, discovery, seed, limits, known, start } = config;
         let most_proxies = start.fleet.proxies as u64;
         // Twice what a full channel takes to empty, and the way there and back.
         let empties = start.channel.most_waiting / start.channel.lines_per_s;
         let empties = if empties.is_finite() { Span::of_seconds(empties) } else { LONGEST_EMPTIES };
-        let deaf_after = empties.min(LONGEST_EMPTIES).times(2.0) + start.channel.longest_way.times(2.0);
+        let unresponsive_after =
+            empties.min(LONGEST_EMPTIES).times(2.0) + start.channel.longest_way.times(2.0);
         let drain_grace = start.pledge.drain_grace;
         let planner = start.planner(now, seed);
         let probing = Probing {
@@ -136,20 +149,23 @@
             zones: start.zone_names,
             routes: start.route_names,
             most_proxies,
-            deaf_after,
+            unresponsive_after,
             planner,
             servers: Door::default(),
             proxies: Door::default(),
             endpoints: Vec::new(),
-            roll: Roll::kept(now, known.0, known.1, drain_grace),
+            server_list: ServerList::kept(now, known.0, known.1, drain_grace),
             discovery: Discovery::new(discovery),
             peers: Peers::default(),
-            books: Books::default(),
+            tables: Tables::default(),
             probes: Probes::new(probing),
             events: vec![Event::Tick],
             turn_set: false,
             woken: None,
             read_again: 0,
+            reload: None,
+            reread: now,
+            started: now,
             tally: Tally::default(),
             tallied: now,
             logged: (now, MOST_LOGGED),
@@ -157,7 +173,7 @@
     }
 
     fn start(&mut self, now: Moment, out: &mut Outbox) {
-        let known: Vec<Target> = self.roll.known().cloned().collect();
+        let known: Vec<Target> = self.server_list.known().cloned().collect();
         if !known.is_empty() {
             self.tell_list(now, ListKind::Kept, &known, out);
         }
@@ -199,15 +215,34 @@
         self.discovery.fail(now, out);
         self.log(now, Level::Warn, "discovery_failed", vec![("why", why.into())], out);
         out.wake(timer::DISCOVERY, self.discovery.until());
+        if self.discovery.failures() >= LOST
+            && now.since(self.reread) >= READ_AGAIN.2
+            && self.reload.is_none()
+        {
+            self.reread = now;
+            out.push(Effect::Fetch { name: self.file.clone() });
+        }
     }
 
     fn discovery_heard(&mut self, now: Moment, bytes: &[u8], out: &mut Outbox) {
-        let body = match self.discovery.bytes(bytes) {
-            Ok(None) => return,
-            Ok(Some(body)) => body,
-            Err(why) => return self.discovery_failed(now, why, out),
-        };
-        let Ok(answer) = Answer::read(&body) else {
+        match self.discovery.bytes(now, bytes) {
+            Ok(None) => {}
+            Ok(Some(body)) => self.answered(now, &body, out),
+            Err(why) => self.discovery_failed(now, why, out),
+        }
+    }
+
+    /// The connection to discovery ended; with it an answer may be complete.
+    fn discovery_ended(&mut self, now: Moment, why: Ended, out: &mut Outbox) {
+        match Some(why).filter(|why| *why == Ended::Done).and_then(|_| self.discovery.ended()) {
+            Some(body) => self.answered(now, &body, out),
+            None => self.discovery_failed(now, "the connection broke", out),
+        }
+    }
+
+    /// Takes an answer of discovery in.
+    fn answered(&mut self, now: Moment, body: &[u8], out: &mut Outbox) {
+        let Ok(answer) = Answer::read(body) else {
             return self.discovery_failed(now, "an answer that is no list", out);
         };
         for unread in answer.targets.iter().filter_map(|target| target.as_ref().err()) {
@@ -216,26 +251,31 @@
             self.log(now, Level::Warn, "list_entry_refused", fields, out);
         }
         let version = answer.version;
-        match self.roll.take(now, answer) {
+        match self.server_list.take(now, answer) {
             News::Nothing => {}
             News::Stale => {
                 let fields =
-                    vec![("version", version.to_string()), ("known", self.roll.version().to_string())];
+                    vec![("version", version.to_string()), ("known", self.server_list.version().to_string())];
                 self.log(now, Level::Warn, "list_stale", fields, out);
             }
             News::Changes(changes) => self.tell_list(now, ListKind::Changes, &changes, out),
             News::Complete(all) => self.tell_list(now, ListKind::Complete, &all, out),
         }
         // A watch from a version that discovery has not reached yet would say nothing.
-        if self.roll.doubts() {
+        if self.server_list.doubts() {
             return self.discovery_failed(now, "a whole list of a lower version", out);
         }
+        // Taken for the answer to the next question, it would put each later answer to the wrong one.
+        if self.discovery.overran() {
+            return self.discovery_failed(now, "more than the answer", out);
+        }
         self.discovery.went_well();
-        self.discovery.watch(now, self.roll.version(), out);
+        self.discovery.watch(now, self.server_list.version(), out);
         out.wake(timer::DISCOVERY, self.discovery.until());
     }
 
     fn tell_list(&mut self, now: Moment, kind: ListKind, targets: &[Target], out: &mut Outbox) {
+        let before = self.endpoints.clone();
         if kind != ListKind::Changes {
             self.endpoints.fill(None);
         }
@@ -252,7 +292,8 @@
             if self.endpoints.len() <= server {
                 self.endpoints.resize(server + 1, None);
             }
-            self.endpoints[server] = Some(target.at).filter(|_| target.state != Listed::Deleted);
+            let stays = target.state != Listed::Deleted;
+            self.endpoints[server] = stays.then_some((target.at, target.started));
             let (cell, state, weight) = (target.cell, target.state, target.weight);
             entries.push(Entry { server, zone, cell, state, weight, last_start: target.started });
             if kind == ListKind::Changes && shown.len() < SHOWN {
@@ -260,14 +301,29 @@
                 shown.push(format!("{}={state:?}{started}", target.name));
             }
         }
+        for (server, known) in before.into_iter().enumerate().filter(|(_, known)| known.is_some()) {
+            if self.endpoints[server] != known {
+                self.former_probe(server, out);
+            }
+        }
         let fields = vec![
             ("kind", format!("{kind:?}")),
-            ("version", self.roll.version().to_string()),
+            ("version", self.server_list.version().to_string()),
             ("entries", entries.len().to_string()),
             ("changes", shown.join(" ")),
         ];
         self.log(now, Level::Info, "list", fields, out);
         self.event(now, Event::List { kind, entries }, out);
+        self.ask_next(now, out);
+    }
+
+    /// A server is another one, or none, under its name: what its probe brings would be told of the wrong one.
+    fn former_probe(&mut self, server: usize, out: &mut Outbox) {
+        let gone = self.endpoints[server].is_none();
+        let link = if gone { self.probes.forget(server) } else { self.probes.renew(server) };
+        if let Some(link) = link {
+            out.cut(link);
+        }
     }
 
     // ---- turns
@@ -314,7 +370,7 @@
                 | Order::Mark { .. } => {}
             }
         }
-        let (mark, messages) = self.books.carry_out(&orders, &self.servers, &self.routes);
+        let (mark, messages) = self.tables.carry_out(&orders, &self.servers, &self.routes);
         if !messages.is_empty() {
             let lines: usize = messages.iter().map(|message| message.lines).sum();
             self.tally.messages += messages.len() as u64;
@@ -346,7 +402,7 @@
 
     fn ask_next(&mut self, now: Moment, out: &mut Outbox) {
         while let Some(server) = self.probes.next_asked() {
-            let Some(at) = self.endpoints.get(server).copied().flatten() else { continue };
+            let Some((at, _)) = self.endpoints.get(server).copied().flatten() else { continue };
             let link = out.connect(at, None);
             let until = self.probes.begin(now, server, link);
             out.wake(timer::PROBES, until);
@@ -371,6 +427,12 @@
         self.ask_next(now, out);
     }
 
+    /// A probe had no room on this side. Others that wait would have none either; they are asked with the next.
+    fn no_room(&mut self, now: Moment, out: &mut Outbox) {
+        *self.tally.probes.entry("no room").or_default() += 1;
+        self.log(now, Level::Warn, "probe_without_room", vec![], out);
+    }
+
     fn late_probes(&mut self, now: Moment, out: &mut Outbox) {
         for (link, server) in self.probes.late(now) {
             out.cut(link);
@@ -386,7 +448,8 @@
     }
 
     fn accepted(&mut self, now: Moment, link: Link, out: &mut Outbox) {
-        let peer = Peer { stand: Stand::Stranger, reader: Reader::new(STRANGERS), since: now, proxy: 0 };
+        let reader = Reader::new(STRANGERS);
+        let peer = Peer { stand: Stand::Stranger, reader, since: now, proxy: 0, zone: 0 };
         self.peers.all.insert(link, peer);
         // Whoever joins finds room as long as somebody is there who has not.
         while self.peers.all.len() > self.room() {
@@ -421,7 +484,7 @@
             if self.peers.streams.remove(&peer.proxy).is_some_and(|stream| stream.silent) {
                 return;
             }
-            self.books.forget(peer.proxy);
+            self.tables.forget(peer.proxy);
             self.tally.leaves += 1;
             self.event(now, Event::Left { proxy: peer.proxy }, out);
         }
@@ -445,7 +508,9 @@
             self.speaks(now, link, peer.proxy, out);
         }
         peer.reader.push(bytes);
+        let before = peer.stand;
         let heard = self.listen_to(now, link, &mut peer, out);
+        let collects = (before != peer.stand && peer.stand == Stand::Collector).then_some(peer.zone);
         peer.reader.shrink();
         self.peers.held += peer.reader.held();
         self.peers.all.insert(link, peer);
@@ -455,6 +520,23 @@
             Ok(()) if self.peers.held > most => self.turn_away(now, link, "messages too long for all", out),
             Ok(()) => {}
         }
+        if let Some(zone) = collects {
+            self.former_collectors(now, zone, out);
+        }
+    }
+
+    /// A collector that was cut off comes again, and its former connection stands silent for good: kept, each cut left
+    /// one more, and no proxy's joining would find its descriptor free in the end.
+    fn former_collectors(&mut self, now: Moment, zone: usize, out: &mut Outbox) {
+        let of_zone = |peer: &Peer| peer.stand == Stand::Collector && peer.zone == zone;
+        let collectors = self.peers.all.iter().filter(|(_, peer)| of_zone(peer));
+        let mut collectors: Vec<(Moment, Link)> =
+            collectors.map(|(link, peer)| (peer.since, *link)).collect();
+        collectors.sort();
+        let over = collectors.len().saturating_sub(MOST_COLLECTORS);
+        for (_, link) in collectors.into_iter().take(over) {
+            self.turn_away(now, link, "another collector of the zone", out);
+        }
     }
 
     /// A stream that was silent is heard again: to the module its proxy comes anew and is handed its table whole.
@@ -473,15 +555,15 @@
     /// Streams that went silent count as left, or all that is ordered after their oldest unanswered message would
     /// count as waiting and fill the account. The connection stays: to end it is not ours, and it may come back.
     fn silence(&mut self, now: Moment, out: &mut Outbox) {
-        let deaf_after = self.deaf_after;
-        let overdue = self.peers.streams.iter().filter(|(_, stream)| stream.overdue(now, deaf_after));
+        let unresponsive_after = self.unresponsive_after;
+        let overdue = self.peers.streams.iter().filter(|(_, stream)| stream.overdue(now, unresponsive_after));
         let overdue: Vec<usize> = overdue.map(|(proxy, _)| *proxy).collect();
         for proxy in overdue {
             if let Some(stream) = self.peers.streams.get_mut(&proxy) {
                 stream.silent = true;
                 stream.marks.clear();
             }
-            self.books.forget(proxy);
+            self.tables.forget(proxy);
             self.tally.leaves += 1;
             self.log(now, Level::Warn, "silent", vec![("proxy", self.proxies.name(proxy).to_string())], out);
             self.event(now, Event::Left { proxy }, out);
@@ -491,8 +573,8 @@
     /// What came spoilt may have been the answer to a mark: that would count as waiting until the next answer on the
     /// stream. Whether the proxy has what it was sent cannot be known, so it is handed its table anew.
     fn tell_anew(&mut self, now: Moment, out: &mut Outbox) {
-        let deaf_after = self.deaf_after;
-        let unsure = |stream: &Stream| !stream.silent && stream.unsure(now, deaf_after);
+        let unresponsive_after = self.unresponsive_after;
+        let unsure = |stream: &Stream| !stream.silent && stream.unsure(now, unresponsive_after);
         let unsure = self.peers.streams.iter().filter(|(_, stream)| unsure(stream));
         let unsure: Vec<(usize, usize, f64)> =
             unsure.map(|(proxy, stream)| (*proxy, stream.zone, stream.calls_per_s)).collect();
@@ -501,7 +583,7 @@
                 stream.marks.clear();
                 stream.spoilt = None;
             }
-            self.books.forget(proxy);
+            self.tables.forget(proxy);
             self.log(
                 now,
                 Level::Warn,
@@ -522,12 +604,12 @@
         peer: &mut Peer,
         out: &mut Outbox,
     ) -> Result<(), String> {
-        let Peer { stand, reader, since, proxy } = peer;
+        let Peer { stand, reader, since, proxy, zone: at } = peer;
         loop {
             let Some(items) = reader.take().map_err(|wrong| wrong.to_string())? else { return Ok(()) };
             let said = read(&items);
             let what = said.as_ref().map_or(Kind::Spoilt, kind);
-            let (next, does) = manner(*stand, what);
+            let (next, does) = transition(*stand, what);
             let omitted = match (does, said) {
                 (Does::Pong, _) => {
                     out.send(link, pong());
@@ -538,8 +620,11 @@
                         Said::Joins { proxy: number, zone, calls_per_s, bare } => {
                             *proxy = self.join(now, link, (number, zone, calls_per_s, bare), out)?;
                         }
-                        Said::Collects { zone } if self.zones.iter().any(|known| known == zone) => {}
-                        _ => return Err("az: the zone does not exist".into()),
+                        Said::Collects { zone } => {
+                            let known = self.zones.iter().position(|known| known == zone);
+                            *at = known.ok_or("az: the zone does not exist")?;
+                        }
+                        _ => return Err("this is not how to join".into()),
                     }
                     (*stand, *since) = (next, now);
                     reader.set_bounds(JOINED);
@@ -579,7 +664,7 @@
                 (former.stand, former.since) = (Stand::Former, now);
             }
         }
-        self.books.forget(proxy);
+        self.tables.forget(proxy);
         self.peers.streams.insert(
             proxy,
             Stream {
@@ -670,6 +755,10 @@
         }
         self.silence(now, out);
         self.tell_anew(now, out);
+        // An answer that comes in pieces moved its time on.
+        if now >= self.discovery.until() {
+            self.look(now, out);
+        }
         if now.since(self.tallied) >= TALLY {
             self.tallied = now;
             let mut tally = std::mem::take(&mut self.tally);
@@ -684,7 +773,7 @@
             let fields = vec![
                 ("peers", self.peers.all.len().to_string()),
                 ("proxies", self.peers.streams.len().to_string()),
-                ("servers", self.roll.known().count().to_string()),
+                ("servers", self.server_list.known().count().to_string()),
                 ("unanswered", unanswered.to_string()),
                 ("dropping", worst.join(",")),
                 ("since", format!("{tally:?}")),
@@ -703,22 +792,25 @@
             "NODE_DISCOVERY" => Some(self.discovery.at().to_string()),
             _ => None,
         };
-        match text.and_then(|text| Charge::read(&text, told)) {
+        match text.and_then(|text| Config::read(&text, told)) {
             Err(why) => {
                 self.log(now, Level::Error, "configuration_refused", vec![("why", why)], out);
-                if self.read_again > 0 {
-                    self.read_again -= 1;
-                    out.wake(timer::RELOAD, now + READ_AGAIN.1);
+                // However many signals came, one timer stands: each would keep its own going.
+                if self.reload.is_none() {
+                    let rest = if self.read_again > 0 { READ_AGAIN.1 } else { READ_AGAIN.2 };
+                    self.read_again = self.read_again.saturating_sub(1);
+                    self.reload = Some(now + rest);
+                    out.wake(timer::RELOAD, now + rest);
                 }
             }
-            Ok(charge) => {
-                self.read_again = 0;
-                let fields = vec![("discovery", charge.discovery.to_string())];
+            Ok(config) => {
+                (self.read_again, self.reload) = (0, None);
+                let fields = vec![("discovery", config.discovery.to_string())];
                 self.log(now, Level::Info, "configuration", fields, out);
-                self.limits = charge.limits;
+                self.limits = config.limits;
                 self.probes.allow(most_probes(self.limits));
-                if charge.discovery != self.discovery.at() {
-                    self.discovery.move_to(now, charge.discovery, out);
+                if config.discovery != self.discovery.at() {
+                    self.discovery.move_to(now, config.discovery, out);
                     out.wake(timer::DISCOVERY, self.discovery.until());
                 }
             }
@@ -733,8 +825,13 @@
             Input::Listening { at, .. } => out.log(Level::Info, "listening", vec![("at", at.to_string())]),
             Input::NotListening { why, .. } => {
                 out.log(Level::Error, "not_listening", vec![("why", why)]);
-                out.push(Effect::Exit { code: 3 });
+                if now.since(self.started) < HELD_ADDRESS.1 {
+                    out.wake(timer::LISTEN, now + HELD_ADDRESS.0);
+                } else {
+                    out.push(Effect::Exit { code: 3 });
+                }
             }
+            Input::Due { timer: timer::LISTEN } => out.push(Effect::Listen { door: DOOR, at: self.listen }),
             Input::Accepted { link, .. } => self.accepted(now, link, out),
             Input::Opened { link } if self.discovery.has(link) => {
                 self.discovery.opened(now, out);
@@ -753,14 +850,11 @@
                 }
             }
             Input::Bytes { link, bytes } => self.heard(now, link, bytes, out),
-            Input::Closed { link, .. } if self.discovery.has(link) => {
-                self.discovery_failed(now, "the connection broke", out);
-            }
-            Input::Closed { link, why } if self.probes.knows(link) => {
-                if let Some(probed) = self.probes.closed(link, why) {
-                    self.probed(now, probed, out);
-                }
-            }
+            Input::Closed { link, why } if self.discovery.has(link) => self.discovery_ended(now, why, out),
+            Input::Closed { link, why } if self.probes.knows(link) => match self.probes.closed(link, why) {
+                Some(probed) => self.probed(now, probed, out),
+                None => self.no_room(now, out),
+            },
             Input::Closed { link, why } => self.closed(now, link, why, out),
             Input::Due { timer: timer::TURN } => self.turn(now, out),
             Input::Due { timer: timer::WOKEN } if self.woken.is_some_and(|at| at <= now) => {
@@ -770,10 +864,12 @@
             Input::Due { timer: timer::SWEEP } => self.sweep(now, out),
             Input::Due { timer: timer::DISCOVERY } if now >= self.discovery.until() => self.look(now, out),
             Input::Due { timer: timer::PROBES } => self.late_probes(now, out),
-            Input::Due { timer: timer::RELOAD } | Input::Reload => {
-                if matches!(input, Input::Reload) {
-                    self.read_again = READ_AGAIN.0;
-                }
+            Input::Reload => {
+                self.read_again = READ_AGAIN.0;
+                out.push(Effect::Fetch { name: self.file.clone() });
+            }
+            Input::Due { timer: timer::RELOAD } if self.reload.is_some_and(|at| at <= now) => {
+                self.reload = None;
                 out.push(Effect::Fetch { name: self.file.clone() });
             }
             Input::File { bytes, .. } => self.reload(now, bytes, out),
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -64,7 +64,7 @@
 
 /// The first row that fits counts. Who has not joined is turned away at the first wrong word; who has joined
 /// loses no more than the message.
-pub const MANNERS: &[(&[Stand], &[Kind], Stand, Effect)] = &[
+pub const TRANSITIONS: &[(&[Stand], &[Kind], Stand, Effect)] = &[
     (&[Stranger], &[Ping], Stranger, Pong),
     (&[Collector], &[Ping], Collector, Pong),
     (&[Proxy], &[Ping], Proxy, Pong),
@@ -78,8 +78,8 @@
     (&[Former], &[Ping, Collects, Sums, Joins, Applied, Arrivals, Spoilt], Former, Omit),
 ];
 
-pub fn manner(stand: Stand, kind: Kind) -> (Stand, Effect) {
-    let row = MANNERS.iter().find(|row| row.0.contains(&stand) && row.1.contains(&kind));
+pub fn transition(stand: Stand, kind: Kind) -> (Stand, Effect) {
+    let row = TRANSITIONS.iter().find(|row| row.0.contains(&stand) && row.1.contains(&kind));
     row.map_or((stand, Omit), |row| (row.2, row.3))
 }
 
@@ -88,8 +88,9 @@
     pub reader: Reader,
     /// Since when it stands as it does.
     pub since: Moment,
-    /// Index of the proxy, where it is one.
+    /// Index of the proxy, where it is one; of the zone, where it collects.
     pub proxy: usize,
+    pub zone: usize,
 }
 
 /// A joined proxy's stream.
@@ -111,15 +112,15 @@
 impl Stream {
     /// A healthy one would have said something by now: messages wait for their answers, and nothing else came. Two
     /// of them: one answer may have come spoilt, and a proxy that is only idle must still be told of drains.
-    pub fn overdue(&self, now: Moment, deaf_after: Span) -> bool {
-        let unanswered = self.marks.get(1).is_some_and(|sent| now.since(sent.1) > deaf_after);
-        !self.silent && unanswered && now.since(self.heard) > deaf_after
+    pub fn overdue(&self, now: Moment, unresponsive_after: Span) -> bool {
+        let unanswered = self.marks.get(1).is_some_and(|sent| now.since(sent.1) > unresponsive_after);
+        !self.silent && unanswered && now.since(self.heard) > unresponsive_after
     }
 
     /// A mark is open for long, and since it was sent something came that could not be read.
-    pub fn unsure(&self, now: Moment, deaf_after: Span) -> bool {
+    pub fn unsure(&self, now: Moment, unresponsive_after: Span) -> bool {
         self.marks.front().is_some_and(|(_, sent)| {
-            now.since(*sent) > deaf_after && self.spoilt.is_some_and(|spoilt| spoilt >= *sent)
+            now.since(*sent) > unresponsive_after && self.spoilt.is_some_and(|spoilt| spoilt >= *sent)
         })
     }
 }
--- a/crates/platform/src/server_list.rs
+++ b/crates/platform/src/server_list.rs
@@ -111,7 +111,7 @@
 const DOUBTED: (u32, Span) = (5, Span::millis(15_000));
 
 #[derive(Debug, Default)]
-pub struct Roll {
+pub struct ServerList {
     version: u64,
     listed: BTreeMap<String, Target>,
     /// A whole list has come since the start.
@@ -123,13 +123,13 @@
     back: Option<(u64, u32, Moment)>,
 }
 
-impl Roll {
+impl ServerList {
     /// As held before a start: what it says is told now.
-    pub fn kept(now: Moment, version: u64, known: Vec<Target>, grace: Span) -> Roll {
+    pub fn kept(now: Moment, version: u64, known: Vec<Target>, grace: Span) -> ServerList {
         let listed = known.into_iter().filter(|t| t.state != Listed::Deleted);
         let listed: BTreeMap<String, Target> = listed.map(|t| (t.name.clone(), t)).collect();
         let left = listed.values().any(|target| target.state != Listed::Running).then_some(now);
-        Roll { version, listed, complete: false, grace, left, back: None }
+        ServerList { version, listed, complete: false, grace, left, back: None }
     }
 
     /// The last whole list went back and is not believed: it has to be asked for again.
--- a/crates/platform/src/tables.rs
+++ b/crates/platform/src/tables.rs
@@ -9,7 +9,7 @@
 /// Lines in one part of a message; a longer table goes in several.
 const LINES_A_PART: usize = 4_000;
 
-/// Routes it is for as a sum of 2^k, level, manner of trying again.
+/// Routes it is for as a sum of 2^k, level, transition of trying again.
 type Gate = (u64, f64, u8);
 
 /// What a proxy is to be told: for these routes, of this table, the whole of it or the changes.
@@ -34,13 +34,13 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Books {
+pub struct Tables {
     tables: BTreeMap<usize, Standing>,
     /// Table by routes, for each proxy that was given one on its present stream.
     follows: BTreeMap<usize, Vec<(u64, usize)>>,
 }
 
-impl Books {
+impl Tables {
     /// A stream begins or ends: it follows nothing until it is given something.
     pub fn forget(&mut self, proxy: usize) {
         self.follows.remove(&proxy);
