--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -20,6 +20,7 @@
 pub use alone::{alone, GoesOn};
 pub use books::Receiver;
 pub use member::{digest, Duties, Member, PartView, Post, Reply, Request, SeatView, Told, MOST_MEMBERS};
+pub use orders::Among;
 pub use sharing::{Shares, COLD};
 pub use slices::names as slice_names;
 pub use together::Together;
--- a/crates/member/src/orders.rs
+++ b/crates/member/src/orders.rs
@@ -19,7 +19,7 @@
 
 impl Among {
     /// Whether this planner is in that part of them, drawn anew for each order so that no planner goes first in all.
-    fn within(&self, number: u64, part: f64) -> bool {
+    pub fn within(&self, number: u64, part: f64) -> bool {
         let draw = |name: &str| xxh3_64(format!("{number}\n{name}").as_bytes());
         let before = self.all.iter().filter(|name| draw(name) < draw(&self.name)).count();
         before < (self.all.len().max(1) as f64 * part - 1e-9).ceil() as usize
@@ -118,23 +118,3 @@
     }
     Some(all)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::Among;
-
-    #[test]
-    fn steps_by_proxies_take_planner_after_planner_and_none_goes_back() {
-        let all: Vec<String> = ["a", "b", "c"].map(str::to_string).into();
-        for number in 1..50 {
-            let within = |part: f64| -> Vec<bool> {
-                let among = all.iter().map(|name| Among { name: name.clone(), all: all.clone() });
-                among.map(|among| among.within(number, part)).collect()
-            };
-            let counts = [0.0, 0.25, 0.5, 0.75, 1.0].map(|part| within(part).iter().filter(|w| **w).count());
-            assert_eq!(counts, [0, 1, 2, 3, 3]);
-            let goes_on = within(0.25).iter().zip(within(0.75)).all(|(before, after)| !before || after);
-            assert!(goes_on, "order {number}");
-        }
-    }
-}
