--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -7,6 +7,9 @@
 use pewtergap_planner::{Span, Throttle};
 use serde_json::Value;
 
+/// Orders name routes as a sum of 2^k; one more was taken for the first.
+const MOST_ROUTES: usize = 64;
+
 pub struct Start {
     pub fleet: Fleet,
     pub routes: Vec<Route>,
@@ -129,6 +132,9 @@
     if routes.is_empty() {
         return Err("Profiles is missing or empty".into());
     }
+    if routes.len() > MOST_ROUTES {
+        return Err(format!("Profiles holds {}, and an order can name {MOST_ROUTES}", routes.len()));
+    }
     let zone_names = names(text, "Zones")?;
     Ok(Start {
         fleet: Fleet {
