--- a/crates/platform/tests/crossings.rs
+++ b/crates/platform/tests/crossings.rs
@@ -122,6 +122,22 @@
     }
 }
 
+#[test]
+fn a_dial_that_stands_after_it_was_given_up_is_asked_nothing() {
+    let mut hand = Hand::new(&settings(10, 256));
+    let given_up = hand.dial(85);
+    while hand.dial(85) == given_up {
+        hand.pass(10);
+    }
+    hand.seen();
+    hand.give(Input::Opened { link: given_up });
+    hand.discovery(given_up, r#"{"rev":9,"all":true,"targets":[]}"#);
+    assert_eq!((hand.seen(), hand.lists), (String::new(), 1), "only the list as held was told");
+    let present = hand.dial(85);
+    hand.give(Input::Opened { link: present });
+    assert!(hand.seen().starts_with(&format!("{}: GET /discovery/hosts", present.0)));
+}
+
 #[test]
 fn however_many_signals_come_the_file_is_read_again_by_one_timer() {
     let mut hand = Hand::new(&settings(10, 256));
--- a/crates/reactor/tests/sockets.rs
+++ b/crates/reactor/tests/sockets.rs
@@ -208,6 +208,26 @@
     assert!(stage.heard.recv_timeout(CEILING).is_err_and(|e| e == RecvTimeoutError::Disconnected));
 }
 
+#[test]
+fn one_that_always_has_more_to_read_holds_up_nobody() {
+    let stage = stage();
+    let (mut much, mut little) = (stage.connect(), stage.connect());
+    let held = stage.held.lock().unwrap();
+    stage.tell("hold");
+    assert_eq!(stage.hear(), "holding");
+    // As much as the kernel takes: many reads' worth.
+    much.set_nonblocking(true).unwrap();
+    let mut sent = 0;
+    while let Ok(count) = much.write(&[1; 64 * 1024]) {
+        sent += count;
+    }
+    assert!(sent > 8 * 64 * 1024, "{sent} bytes are no flood");
+    little.write_all(b"hello").unwrap();
+    drop(held);
+    let told: Vec<String> = (0..4).map(|_| stage.hear()).collect();
+    assert!(told.contains(&"5 bytes".to_string()), "{told:?}");
+}
+
 #[test]
 fn what_this_side_lacks_is_not_told_as_a_refusal_of_the_peer() {
     let stage = stage();
