--- /dev/null
+++ b/crates/planner/tests/crowd.rs
@@ -0,0 +1,109 @@
+//! All proxies come to one planner, and servers drain: what is ordered has to arrive through a channel with a pace.
+
+mod stage;
+
+use pewtergap_planner::*;
+use stage::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// What the wire counts beside the lines of a message: its head, and its mark.
+const BESIDE: usize = 4;
+const LINES_PER_S: usize = 2_000;
+const STEP_MS: u64 = 50;
+
+/// A message on its way: to whom, its mark, its lines, and whether no drained server is left once it is applied.
+type Sent = (usize, u64, usize, bool);
+
+#[derive(Default)]
+struct Wire {
+    tables: BTreeMap<usize, BTreeSet<usize>>,
+    follows: BTreeMap<usize, usize>,
+    drained: BTreeSet<usize>,
+    waiting: VecDeque<Sent>,
+    /// Lines the channel could have taken since its last message left.
+    room: usize,
+    clean: BTreeSet<usize>,
+}
+
+impl Wire {
+    fn write(&mut self, orders: &[Order]) {
+        let mut changed: BTreeMap<usize, usize> = BTreeMap::new();
+        let (mut bound, mut marked) = (BTreeSet::new(), None);
+        for order in orders {
+            match order {
+                Order::Line { table, server, weight } => {
+                    let lines = self.tables.entry(*table).or_default();
+                    let _ = if *weight > 0.0 { lines.insert(*server) } else { lines.remove(server) };
+                    *changed.entry(*table).or_default() += 1;
+                }
+                Order::Bind { proxy, table, .. } => {
+                    self.follows.insert(*proxy, *table);
+                    bound.insert(*proxy);
+                }
+                Order::Mark { mark } => marked = Some(*mark),
+                _ => {}
+            }
+        }
+        let Some(mark) = marked else { return };
+        for (proxy, table) in &self.follows {
+            let lines = match (bound.contains(proxy), changed.get(table)) {
+                (true, _) => 1 + self.tables[table].len(),
+                (false, Some(lines)) => *lines,
+                (false, None) => continue,
+            };
+            let clean = self.tables[table].is_disjoint(&self.drained);
+            self.waiting.push_back((*proxy, mark, lines + BESIDE, clean));
+        }
+    }
+
+    /// Lets one step's lines through, and tells what has been applied.
+    fn step(&mut self) -> Vec<Event> {
+        self.room += LINES_PER_S * STEP_MS as usize / 1_000;
+        let mut applied = Vec::new();
+        while let Some((proxy, mark, lines, clean)) = self.waiting.front().copied() {
+            if lines > self.room {
+                return applied;
+            }
+            self.room -= lines;
+            self.waiting.pop_front();
+            let _ = if clean { self.clean.insert(proxy) } else { self.clean.remove(&proxy) };
+            applied.push(Event::Applied { proxy, mark });
+        }
+        self.room = 0;
+        applied
+    }
+}
+
+#[test]
+fn all_proxies_that_come_to_one_planner_are_told_of_a_drain_within_its_grace() {
+    let terms =
+        Terms { zones: 3, proxies: 240, planners: 5, most_waiting: 4_400.0, longest_way: ms(300), ..terms() };
+    let mut stage = Stage::new(terms);
+    let mut wire = Wire::default();
+    let zones: Vec<usize> = (0..200).map(|server| server % 3).collect();
+    for at in (0..8_300).step_by(STEP_MS as usize) {
+        let mut events = wire.step();
+        match at {
+            0 => {
+                events.push(kept(&zones));
+                events.extend((0..48).map(|proxy| joined(proxy, 0, 6.0)));
+            }
+            // The other four planners are killed; their proxies dial again within 0.6 s.
+            5_000..5_600 => {
+                let first = 48 + (at - 5_000) as usize / STEP_MS as usize * 16;
+                events.extend((first..first + 16).map(|proxy| joined(proxy, proxy % 3, 6.0)));
+            }
+            6_000 => {
+                wire.drained = (0..30).map(|server| server * 5).collect();
+                wire.clean.clear();
+                let entries = wire.drained.iter().map(|at| entry(*at, at % 3, Listed::Stopping, 1.0, None));
+                events.push(Event::List { kind: ListKind::Changes, entries: entries.collect() });
+            }
+            _ => {}
+        }
+        events.push(Event::Tick);
+        let orders = stage.planner.turn(START + ms(at), &events);
+        wire.write(&orders);
+    }
+    assert_eq!(wire.clean.len(), 240, "proxies without a drained server 2.3 s after the planner was told");
+}
--- a/crates/planner/tests/stage/mod.rs
+++ b/crates/planner/tests/stage/mod.rs
@@ -1,5 +1,8 @@
 //! A planner on a bare stage: events in by short calls, orders out as text.
 
+// Each test file uses its own part.
+#![allow(dead_code)]
+
 use pewtergap_planner::*;
 use std::fmt::Write;
 
@@ -15,6 +18,7 @@
 pub struct Terms {
     pub zones: usize,
     pub proxies: usize,
+    pub planners: usize,
     pub crossing_price: f64,
     pub messages_most: usize,
     pub most_waiting: f64,
@@ -33,6 +37,7 @@
     Terms {
         zones: 2,
         proxies: 4,
+        planners: 1,
         crossing_price: 0.08,
         messages_most: usize::MAX,
         most_waiting: 4000.0,
@@ -69,7 +74,7 @@
             Fleet {
                 zones: t.zones,
                 proxies: t.proxies,
-                planners: 1,
+                planners: t.planners,
                 on_request: false,
                 ask_within: ms(0),
                 crossing_price: t.crossing_price,
