--- a/crates/planner/tests/crowd.rs
+++ b/crates/planner/tests/crowd.rs
@@ -11,18 +11,18 @@
 const LINES_PER_S: usize = 2_000;
 const STEP_MS: u64 = 50;
 
-/// A message on its way: to whom, its mark, its lines, and whether no drained server is left once it is applied.
-type Sent = (usize, u64, usize, bool);
+/// A message on its way: to whom, its mark, its lines, and the servers its proxy goes to once it is applied.
+type Sent = (usize, u64, usize, BTreeSet<usize>);
 
 #[derive(Default)]
 struct Wire {
     tables: BTreeMap<usize, BTreeSet<usize>>,
     follows: BTreeMap<usize, usize>,
-    drained: BTreeSet<usize>,
     waiting: VecDeque<Sent>,
     /// Lines the channel could have taken since its last message left.
     room: usize,
-    clean: BTreeSet<usize>,
+    /// What each proxy was told last; one that was told nothing goes on with what its former planner gave it.
+    told: BTreeMap<usize, BTreeSet<usize>>,
 }
 
 impl Wire {
@@ -51,8 +51,7 @@
                 (false, Some(lines)) => *lines,
                 (false, None) => continue,
             };
-            let clean = self.tables[table].is_disjoint(&self.drained);
-            self.waiting.push_back((*proxy, mark, lines + BESIDE, clean));
+            self.waiting.push_back((*proxy, mark, lines + BESIDE, self.tables[table].clone()));
         }
     }
 
@@ -60,13 +59,13 @@
     fn step(&mut self) -> Vec<Event> {
         self.room += LINES_PER_S * STEP_MS as usize / 1_000;
         let mut applied = Vec::new();
-        while let Some((proxy, mark, lines, clean)) = self.waiting.front().copied() {
-            if lines > self.room {
+        while let Some((_, _, lines, _)) = self.waiting.front() {
+            if *lines > self.room {
                 return applied;
             }
             self.room -= lines;
-            self.waiting.pop_front();
-            let _ = if clean { self.clean.insert(proxy) } else { self.clean.remove(&proxy) };
+            let Some((proxy, mark, _, servers)) = self.waiting.pop_front() else { break };
+            self.told.insert(proxy, servers);
             applied.push(Event::Applied { proxy, mark });
         }
         self.room = 0;
@@ -80,6 +79,7 @@
         Terms { zones: 3, proxies: 240, planners: 5, most_waiting: 4_400.0, longest_way: ms(300), ..terms() };
     let mut stage = Stage::new(terms);
     let mut wire = Wire::default();
+    let drained: BTreeSet<usize> = (0..30).map(|server| server * 5).collect();
     let zones: Vec<usize> = (0..200).map(|server| server % 3).collect();
     for at in (0..8_300).step_by(STEP_MS as usize) {
         let mut events = wire.step();
@@ -94,9 +94,7 @@
                 events.extend((first..first + 16).map(|proxy| joined(proxy, proxy % 3, 6.0)));
             }
             6_000 => {
-                wire.drained = (0..30).map(|server| server * 5).collect();
-                wire.clean.clear();
-                let entries = wire.drained.iter().map(|at| entry(*at, at % 3, Listed::Stopping, 1.0, None));
+                let entries = drained.iter().map(|at| entry(*at, at % 3, Listed::Stopping, 1.0, None));
                 events.push(Event::List { kind: ListKind::Changes, entries: entries.collect() });
             }
             _ => {}
@@ -105,5 +103,6 @@
         let orders = stage.planner.turn(START + ms(at), &events);
         wire.write(&orders);
     }
-    assert_eq!(wire.clean.len(), 240, "proxies without a drained server 2.3 s after the planner was told");
+    let rid = wire.told.values().filter(|servers| servers.is_disjoint(&drained)).count();
+    assert_eq!(rid, 240, "proxies without a drained server 2.3 s after the planner was told");
 }
