--- a/crates/pewtergap/tests/crossings.rs
+++ b/crates/pewtergap/tests/crossings.rs
@@ -278,6 +278,21 @@
     assert!(told.contains("lines s-2:0"), "{told}");
 }
 
+#[test]
+fn a_reset_within_an_order_is_followed_by_the_whole_table_on_the_next_stream() {
+    let rows = (0..3_000).map(|at| row(&format!("s-{at:08x}"), nobody(), "Ready")).collect();
+    let told = Told { rows, proxies: 4, ..Told::new(nobody()) };
+    let planner = Process::ready("half-order", &told);
+    let mut former = Peer::joined(planner.at, 1);
+    // Its order has begun and is not at its end.
+    assert!(former.some(1_000).starts_with(b"*"));
+    former.reset();
+    let mut present = Peer::joined(planner.at, 1);
+    let order = present.hear();
+    assert!(order.starts_with("CONFIG ") && order.contains(" whole 1 "), "{}", &order[..60]);
+    assert_eq!(order.matches("s-0000").count(), 3_000, "the table is whole");
+}
+
 // ---- floods
 
 #[test]
--- a/crates/pewtergap/tests/peer/mod.rs
+++ b/crates/pewtergap/tests/peer/mod.rs
@@ -311,6 +311,13 @@
         self.raw(format!("HTTP/1.1 200 OK\r\n{headers}content-length: {length}\r\n\r\n{body}").as_bytes());
     }
 
+    /// So many bytes as they come, of whatever message.
+    pub fn some(&mut self, count: usize) -> Vec<u8> {
+        let mut bytes = vec![0; count];
+        self.stream.read_exact(&mut bytes).expect("bytes");
+        bytes
+    }
+
     /// Everything up to the end, whether that is in order or a reset.
     pub fn rest(&mut self) -> Vec<u8> {
         let mut all = Vec::new();
--- a/crates/platform/tests/crossings.rs
+++ b/crates/platform/tests/crossings.rs
@@ -210,3 +210,20 @@
     hand.say(links[999], "PING");
     assert!(hand.seen().contains("PONG"));
 }
+
+#[test]
+fn a_flood_of_what_would_be_logged_is_counted_and_not_written() {
+    let mut hand = Hand::new(&settings(400, 1024));
+    let links: Vec<Link> = (0..400).map(|number| hand.joined(number)).collect();
+    hand.pass(100);
+    let before = hand.logged;
+    for link in links {
+        hand.give(Input::Closed { link, why: Ended::Overflow });
+    }
+    assert!((1..=40).contains(&(hand.logged - before)), "{} lines for 400 ends", hand.logged - before);
+    hand.pass(2_000);
+    let later = hand.logged;
+    let link = hand.joined(1);
+    hand.give(Input::Closed { link, why: Ended::Overflow });
+    assert!(hand.logged > later, "and is written again once there is room");
+}
--- a/crates/platform/tests/hand/mod.rs
+++ b/crates/platform/tests/hand/mod.rs
@@ -44,6 +44,8 @@
     pub lists: usize,
     /// Probes that ended badly, as logged.
     pub bad_probes: Vec<String>,
+    /// Lines of the log, whatever they say.
+    pub logged: usize,
 }
 
 impl Hand {
@@ -52,7 +54,8 @@
         let node = Platform::new(START, config, "config.json".into());
         let (out, due, done, dialled) = (Outbox::default(), vec![], vec![], vec![]);
         let (lists, bad_probes) = (0, vec![]);
-        let mut hand = Hand { node, out, now: START, due, done, dialled, lists, bad_probes };
+        let logged = 0;
+        let mut hand = Hand { node, out, now: START, due, done, dialled, lists, bad_probes, logged };
         hand.give(Input::Start);
         hand
     }
@@ -60,6 +63,7 @@
     pub fn give(&mut self, input: Input<'_>) {
         self.node.handle(self.now, input, &mut self.out);
         for effect in std::mem::take(&mut self.out.effects) {
+            self.logged += usize::from(matches!(effect, Effect::Log(_)));
             match effect {
                 Effect::Wake { timer, at } => self.due.push((at, timer)),
                 Effect::Connect { link, to, .. } => self.dialled.push((link, to)),
