--- a/crates/control/src/probes.rs
+++ b/crates/control/src/probes.rs
@@ -57,6 +57,10 @@
     /// The server's place is given up: its probe, if one is under way, ends untold.
     pub fn forget(&mut self, server: usize) -> Option<Link> {
         self.waiting.retain(|waiting| *waiting != server);
+        self.give_up(server)
+    }
+
+    fn give_up(&mut self, server: usize) -> Option<Link> {
         let link = *self.open.iter().find(|open| open.1.server == server)?.0;
         self.open.remove(&link).map(|_| link)
     }
@@ -64,8 +68,7 @@
     /// The server has started anew or listens elsewhere: what the former one still says, or its end, tells nothing of
     /// it. The probe that is under way ends untold, and the server is asked again.
     pub fn renew(&mut self, server: usize) -> Option<Link> {
-        let link = *self.open.iter().find(|open| open.1.server == server)?.0;
-        self.open.remove(&link);
+        let link = self.give_up(server)?;
         self.ask(server);
         Some(link)
     }
--- a/crates/platform/src/boot.rs
+++ b/crates/platform/src/boot.rs
@@ -35,8 +35,7 @@
     }
 
     fn read(&mut self, now: Moment, until: Moment, bytes: Result<&[u8], String>, out: &mut Outbox) {
-        let text = bytes.and_then(|bytes| String::from_utf8(bytes.to_vec()).map_err(|e| e.to_string()));
-        match text.and_then(|text| Config::read(&text, &self.variables)) {
+        match Config::of_file(bytes, &self.variables) {
             Ok(config) => {
                 let mut planner = Box::new(Platform::new(now, config, self.file.clone()));
                 planner.handle(now, Input::Start, out);
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -42,6 +42,15 @@
 }
 
 impl Config {
+    /// From what a file holds, or why it could not be read.
+    pub fn of_file(
+        bytes: Result<&[u8], String>,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Config, String> {
+        let text = std::str::from_utf8(bytes?).map_err(|e| e.to_string())?;
+        Config::read(text, variable)
+    }
+
     /// `variable` looks up one of the platform's variables.
     pub fn read(json: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let file: Value = serde_json::from_str(json).map_err(|e| format!("not JSON: {e}"))?;
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -138,8 +138,9 @@
     pub fn watch(&mut self, now: Moment, since: u64, out: &mut Outbox) {
         if std::mem::take(&mut self.last) {
             self.drop_link(out);
-            self.dial(now, out);
             self.follow = Some(since);
+            // One that answers at once and closes each time would be dialled as fast as it answers.
+            (self.phase, self.until) = (Phase::Resting, now + BACK_OFF.0);
             return;
         }
         let target = format!("{PATH}?since={since}&timeout_ms={}", WATCH.0 / 1_000_000);
--- a/crates/platform/src/tables.rs
+++ b/crates/platform/src/tables.rs
@@ -9,7 +9,7 @@
 /// Lines in one part of a message; a longer table goes in several.
 const LINES_A_PART: usize = 4_000;
 
-/// Routes it is for as a sum of 2^k, level, transition of trying again.
+/// Routes it is for as a sum of 2^k, level, way of trying again.
 type Gate = (u64, f64, u8);
 
 /// What a proxy is to be told: for these routes, of this table, the whole of it or the changes.
--- a/crates/platform/tests/crossings.rs
+++ b/crates/platform/tests/crossings.rs
@@ -158,6 +158,48 @@
     assert!((10..=15).contains(&before), "five soon, then one a second: {before} in 10 s");
 }
 
+#[test]
+fn a_signal_while_the_next_reading_is_a_second_away_has_the_file_read_soon_again() {
+    let mut hand = Hand::new(&settings(10, 256));
+    let torn = |hand: &mut Hand| hand.give(Input::File { name: "config.json", bytes: Ok(b"{") });
+    let fetched = |hand: &mut Hand, ms: u64| {
+        hand.done.clear();
+        hand.pass(ms);
+        hand.done.iter().any(|done| matches!(done, Effect::Fetch { .. }))
+    };
+    hand.give(Input::Reload);
+    torn(&mut hand);
+    for _ in 0..5 {
+        assert!(fetched(&mut hand, 100));
+        torn(&mut hand);
+    }
+    assert!(!fetched(&mut hand, 300), "from here on once a second");
+    hand.give(Input::Reload);
+    torn(&mut hand);
+    assert!(fetched(&mut hand, 100), "the new file may be on its way as the first was");
+}
+
+#[test]
+fn one_that_answers_at_once_and_closes_each_time_is_dialled_at_a_pace() {
+    let mut hand = Hand::new(&settings(10, 256));
+    let begin = hand.dialled.len();
+    let mut answered = hand.dial(85);
+    let end = hand.now + Span::millis(1_000);
+    let body = r#"{"rev":5,"all":false,"targets":[]}"#;
+    let answer =
+        format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    while hand.now < end && hand.dialled.len() < 100 {
+        hand.give(Input::Opened { link: answered });
+        hand.give(Input::Bytes { link: answered, bytes: answer.as_bytes() });
+        while hand.dial(85) == answered && hand.now < end {
+            hand.pass(1);
+        }
+        answered = hand.dial(85);
+    }
+    let dials = hand.dialled.iter().skip(begin).filter(|dialled| dialled.1.port() == 85).count();
+    assert!((5..=26).contains(&dials), "{dials} dials in a second");
+}
+
 #[test]
 fn the_address_is_tried_for_ten_seconds_and_then_given_up() {
     let mut hand = Hand::new(&settings(10, 256));
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -556,6 +556,7 @@
     fn broken(&mut self, place: usize, link: Link, why: Ended) {
         let Some((_, conn)) = self.slots[place].links.get_mut(&link) else { return };
         conn.give_up(why);
+        // Nobody reads these any more, so their end would never be seen.
         if conn.paused || conn.finishing {
             return self.drop_link(place, link, why);
         }
