Watch: words, scope and the cache by place, where what is built on them begins

The words of a watch, what a scope holds, and the state by key and by last place: each key stands once, a watcher is a cursor.

--- /dev/null
+++ b/crates/watch/src/cache.rs
@@ -0,0 +1,122 @@
+//! What the record says, by key and by the place that changed each key last.
+//!
+//! | input | next | who is behind it |
+//! | --- | --- | --- |
+//! | a key changes at a place | it stands there, and no longer where it stood | cursors below that place |
+//! | a key goes at a place | a tombstone stands there | as above, and walks that have passed the key |
+//! | more tombstones than [`MOST_TOMBSTONES`] | the oldest is forgotten, `forgotten` is its place | cursors below it begin anew |
+//! | the whole of another place | what differs changes there; `forgotten` is that place | all below it begin anew |
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Keys that are gone and remembered as such; who was away for longer gets a snapshot.
+pub const MOST_TOMBSTONES: usize = 10_000;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Entry {
+    place: (u64, u32),
+    /// None: a tombstone.
+    value: Option<Arc<[u8]>>,
+}
+
+/// What a walk comes upon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    pub key: Arc<str>,
+    pub place: u64,
+    pub value: Option<Arc<[u8]>>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Cache {
+    head: u64,
+    forgotten: u64,
+    entries: BTreeMap<Arc<str>, Entry>,
+    /// Places, and which of a place: several keys may change at one.
+    order: BTreeMap<(u64, u32), Arc<str>>,
+    tombstones: BTreeMap<(u64, u32), ()>,
+}
+
+impl Cache {
+    /// The place that is applied.
+    pub fn head(&self) -> u64 {
+        self.head
+    }
+
+    /// A cursor below it may have missed that a key went.
+    pub fn forgotten(&self) -> u64 {
+        self.forgotten
+    }
+
+    /// Keys that stand, and all bytes of theirs.
+    pub fn size(&self) -> (usize, usize) {
+        let standing = self.entries.iter().filter_map(|(key, entry)| Some((key, entry.value.as_ref()?)));
+        standing.fold((0, 0), |(keys, bytes), (key, value)| (keys + 1, bytes + key.len() + value.len()))
+    }
+
+    /// What the commands up to this place changed; a place at or below the head changes nothing.
+    pub fn apply(&mut self, place: u64, changes: impl IntoIterator<Item = (String, Option<Vec<u8>>)>) {
+        if place <= self.head {
+            return;
+        }
+        self.head = place;
+        for (key, value) in changes {
+            self.put(place, key.as_str().into(), value.map(Arc::from));
+        }
+        while self.tombstones.len() > MOST_TOMBSTONES {
+            let Some((at, ())) = self.tombstones.pop_first() else { break };
+            self.forgotten = self.forgotten.max(at.0);
+            if let Some(key) = self.order.remove(&at) {
+                self.entries.remove(&key);
+            }
+        }
+    }
+
+    /// All that stands at a place, where the way to it is not known: the record was read from a snapshot.
+    pub fn restore(&mut self, place: u64, all: BTreeMap<String, Vec<u8>>) {
+        if place < self.head {
+            return;
+        }
+        let gone: Vec<Arc<str>> =
+            self.entries.keys().filter(|key| !all.contains_key(&***key)).cloned().collect();
+        for key in gone {
+            if let Some(entry) = self.entries.remove(&key) {
+                self.order.remove(&entry.place);
+                self.tombstones.remove(&entry.place);
+            }
+        }
+        for (key, value) in all {
+            self.put(place, key.as_str().into(), Some(value.into()));
+        }
+        (self.head, self.forgotten) = (place, place);
+    }
+
+    fn put(&mut self, place: u64, key: Arc<str>, value: Option<Arc<[u8]>>) {
+        let stood = self.entries.get(&key);
+        // Nothing is told that says what was said.
+        if stood.map_or(value.is_none(), |stood| stood.value == value) {
+            return;
+        }
+        if let Some(stood) = stood {
+            self.order.remove(&stood.place);
+            self.tombstones.remove(&stood.place);
+        }
+        let last = self.order.range((place, 0)..=(place, u32::MAX)).next_back();
+        let at = (place, last.map_or(0, |(at, _)| at.1 + 1));
+        if value.is_none() {
+            self.tombstones.insert(at, ());
+        }
+        self.order.insert(at, key.clone());
+        self.entries.insert(key, Entry { place: at, value });
+    }
+
+    /// What stands beyond a place, in order. A walk that begins at the beginning skips what is gone; one that goes on has
+    /// to hear of it.
+    pub fn beyond(&self, place: u64) -> impl Iterator<Item = Found> + '_ {
+        self.order.range((place + 1, 0)..).filter_map(|(at, key)| {
+            let value = self.entries.get(key)?.value.clone();
+            Some(Found { key: key.clone(), place: at.0, value })
+        })
+    }
+}
--- /dev/null
+++ b/crates/watch/src/words.rs
@@ -0,0 +1,321 @@
+//! What planners and control machines say on a watch, and machines to each other of their watchers, as protobuf in the
+//! members' framing.
+//!
+//! A planner dials and says `Hello`; `Welcome` or `Refuse` answers. From then on the machine says `Changes` in pieces, at
+//! most [`MOST_PIECES`] of them not yet answered by `Took`, so that a word of life never waits behind more than those.
+
+use pewtergap_protocol::Checked;
+use prost::{Message, Oneof};
+
+/// Versions of these words that this build speaks, lowest and highest.
+pub const VERSIONS: (u32, u32) = (1, 1);
+pub const MOST_NAME: usize = 256;
+/// Of a key: what it is about, and a name.
+pub const MOST_KEY: usize = MOST_NAME + 16;
+/// Of a value: an order with its reason.
+pub const MOST_VALUE: usize = 4 * 1024;
+/// Names of servers, and of routes, that one scope may have.
+pub const MOST_SCOPE: usize = 4_096;
+/// Entries of a piece, and their bytes; a single entry always fits.
+pub const MOST_ENTRIES: usize = 512;
+pub const MOST_PIECE: usize = 16 * 1024;
+/// Pieces on their way to one watcher.
+pub const MOST_PIECES: usize = 2;
+/// Rows of one word about watchers.
+pub const MOST_ROWS: usize = 512;
+const MOST_WORD: usize = 2 * MOST_SCOPE * (MOST_NAME + 8);
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Word {
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    pub kind: Option<Kind>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Kind {
+    /// First, from the planner.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    #[prost(message, tag = "2")]
+    Welcome(Welcome),
+    /// The machine's last word on a link.
+    #[prost(message, tag = "3")]
+    Refuse(Refuse),
+    #[prost(message, tag = "4")]
+    Changes(Changes),
+    /// The planner has this piece.
+    #[prost(message, tag = "5")]
+    Took(Took),
+    /// A word of life from the planner, at most one a second; answered by `Alive`.
+    #[prost(message, tag = "6")]
+    Ping(Ping),
+    #[prost(message, tag = "7")]
+    Alive(Alive),
+    /// Another scope from here on: all within it is told anew.
+    #[prost(message, tag = "8")]
+    Rescope(ScopeTold),
+    /// A snapshot has to wait, so long; the watch stands meanwhile.
+    #[prost(message, tag = "9")]
+    Later(Later),
+    /// The planner ends in order and is expected no more.
+    #[prost(message, tag = "10")]
+    Leave(Leave),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    #[prost(uint32, tag = "1")]
+    pub lowest: u32,
+    #[prost(uint32, tag = "2")]
+    pub highest: u32,
+    /// Whose state it holds; 0: nobody's yet.
+    #[prost(fixed64, tag = "3")]
+    pub record: u64,
+    /// All within its scope up to this place is applied; 0: nothing.
+    #[prost(uint64, tag = "4")]
+    pub place: u64,
+    /// How far a snapshot that was broken off has come, 0: none was. It goes on there, at any machine.
+    #[prost(uint64, tag = "5")]
+    pub cursor: u64,
+    #[prost(string, tag = "6")]
+    pub planner: String,
+    /// Which start of the planner, and which of its watches in that start: the highest of both is where it is.
+    #[prost(uint64, tag = "7")]
+    pub start: u64,
+    #[prost(uint64, tag = "8")]
+    pub turn: u64,
+    #[prost(message, required, tag = "9")]
+    pub scope: ScopeTold,
+}
+
+/// Zones, and what concerns everybody, are in each scope.
+#[derive(Clone, PartialEq, Message)]
+pub struct ScopeTold {
+    #[prost(bool, tag = "1")]
+    pub all_servers: bool,
+    #[prost(string, repeated, tag = "2")]
+    pub servers: Vec<String>,
+    #[prost(bool, tag = "3")]
+    pub all_routes: bool,
+    #[prost(string, repeated, tag = "4")]
+    pub routes: Vec<String>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Welcome {
+    /// Spoken on this link.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    #[prost(fixed64, tag = "2")]
+    pub record: u64,
+    /// The place that is applied here.
+    #[prost(uint64, tag = "3")]
+    pub head: u64,
+    #[prost(string, tag = "4")]
+    pub machine: String,
+}
+
+/// Why a watch is refused or ended. What a planner does next is in its own table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Reason {
+    /// A word that nobody may say here.
+    Bad = 0,
+    /// The versions spoken don't meet.
+    Version = 1,
+    /// The planner holds another record's state.
+    Record = 2,
+    /// This machine is behind the planner's place, or has no record yet.
+    Behind = 3,
+    /// No room for another watch.
+    Full = 4,
+    /// A newer start or watch of the same planner is here.
+    Replaced = 5,
+    /// The planner does not take what is sent, or was not heard.
+    Deaf = 6,
+    /// This machine ends.
+    Stopping = 7,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Refuse {
+    #[prost(enumeration = "Reason", tag = "1")]
+    pub reason: i32,
+    #[prost(string, tag = "2")]
+    pub why: String,
+    /// When it may be tried here again.
+    #[prost(uint64, tag = "3")]
+    pub again_ms: u64,
+}
+
+/// A piece of a walk over the state. Pieces are held until one is `done`; then all of them are applied as one, and the
+/// planner's place is `through`.
+#[derive(Clone, PartialEq, Message)]
+pub struct Changes {
+    /// Counts from 1 on each link.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The walk begins at the beginning: what was held of an earlier one goes, and what is not told is not there.
+    #[prost(bool, tag = "2")]
+    pub anew: bool,
+    /// All that stands up to this place within the scope was told.
+    #[prost(uint64, tag = "3")]
+    pub through: u64,
+    #[prost(bool, tag = "4")]
+    pub done: bool,
+    #[prost(message, repeated, tag = "5")]
+    pub entries: Vec<EntryTold>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct EntryTold {
+    #[prost(string, tag = "1")]
+    pub key: String,
+    #[prost(uint64, tag = "2")]
+    pub place: u64,
+    /// None: it is gone.
+    #[prost(bytes = "vec", optional, tag = "3")]
+    pub value: Option<Vec<u8>>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Took {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// What is in force at this planner.
+    #[prost(uint64, tag = "2")]
+    pub applied: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Ping {
+    #[prost(uint64, tag = "1")]
+    pub token: u64,
+    #[prost(uint64, tag = "2")]
+    pub applied: u64,
+}
+
+/// When the machine answered, all that had been kept `age_ms` before was applied at `head`.
+#[derive(Clone, PartialEq, Message)]
+pub struct Alive {
+    #[prost(uint64, tag = "1")]
+    pub token: u64,
+    #[prost(uint64, tag = "2")]
+    pub head: u64,
+    /// None: the machine has never known.
+    #[prost(uint64, optional, tag = "3")]
+    pub age_ms: Option<u64>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Later {
+    #[prost(uint64, tag = "1")]
+    pub in_ms: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Leave {}
+
+/// What a control machine tells another of its own watchers, on the members' links. An empty one is a word of life.
+#[derive(Clone, PartialEq, Message)]
+pub struct RosterTold {
+    /// Drawn anew for each word; `echo` is the newest one heard from whom this goes to: what a word says is no older than
+    /// the moment at which the word that it echoes was sent.
+    #[prost(fixed64, tag = "1")]
+    pub token: u64,
+    #[prost(fixed64, tag = "2")]
+    pub echo: u64,
+    /// The first of all rows: what was told before by this machine is put aside.
+    #[prost(bool, tag = "3")]
+    pub anew: bool,
+    #[prost(message, repeated, tag = "4")]
+    pub rows: Vec<Row>,
+}
+
+/// A planner, as its machine knows it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Row {
+    #[prost(string, tag = "1")]
+    pub planner: String,
+    #[prost(uint64, tag = "2")]
+    pub start: u64,
+    #[prost(uint64, tag = "3")]
+    pub turn: u64,
+    #[prost(uint64, tag = "4")]
+    pub applied: u64,
+    /// For so long it has not been heard.
+    #[prost(uint64, tag = "5")]
+    pub quiet_ms: u64,
+    /// Its watch stands at the machine that tells.
+    #[prost(bool, tag = "6")]
+    pub here: bool,
+    /// It ended in order.
+    #[prost(bool, tag = "7")]
+    pub left: bool,
+}
+
+fn name(field: &str, text: &str, most: usize) -> Result<(), String> {
+    match text {
+        "" => Err(format!("{field} is missing")),
+        text if text.len() > most => Err(format!("{field} has {} bytes, {most} at most", text.len())),
+        text if text.chars().any(char::is_control) => Err(format!("{field} has control characters")),
+        _ => Ok(()),
+    }
+}
+
+impl ScopeTold {
+    fn check(&self) -> Result<(), String> {
+        for (field, names) in [("servers", &self.servers), ("routes", &self.routes)] {
+            if names.len() > MOST_SCOPE {
+                return Err(format!("{field}: {} of {MOST_SCOPE} at most", names.len()));
+            }
+            names.iter().try_for_each(|text| name(field, text, MOST_NAME))?;
+        }
+        Ok(())
+    }
+}
+
+impl Word {
+    pub fn of(kind: Kind) -> Word {
+        Word { kind: Some(kind) }
+    }
+}
+
+impl Checked for Word {
+    const MOST: usize = MOST_WORD;
+
+    fn check(&self) -> Result<(), String> {
+        match self.kind.as_ref().ok_or("no word")? {
+            Kind::Hello(hello) => {
+                name("planner", &hello.planner, MOST_NAME)?;
+                hello.scope.check()
+            }
+            Kind::Welcome(welcome) => name("machine", &welcome.machine, MOST_NAME),
+            Kind::Changes(changes) => {
+                if changes.entries.len() > MOST_ENTRIES {
+                    return Err(format!("entries: {} of {MOST_ENTRIES} at most", changes.entries.len()));
+                }
+                for entry in &changes.entries {
+                    name("key", &entry.key, MOST_KEY)?;
+                    let bytes = entry.value.as_ref().map_or(0, Vec::len);
+                    if bytes > MOST_VALUE {
+                        return Err(format!("value has {bytes} bytes, {MOST_VALUE} at most"));
+                    }
+                }
+                Ok(())
+            }
+            Kind::Rescope(scope) => scope.check(),
+            Kind::Refuse(_) | Kind::Took(_) | Kind::Ping(_) | Kind::Alive(_) => Ok(()),
+            Kind::Later(_) | Kind::Leave(_) => Ok(()),
+        }
+    }
+}
+
+impl RosterTold {
+    pub fn check(&self) -> Result<(), String> {
+        if self.rows.len() > MOST_ROWS {
+            return Err(format!("rows: {} of {MOST_ROWS} at most", self.rows.len()));
+        }
+        self.rows.iter().try_for_each(|row| name("planner", &row.planner, MOST_NAME))
+    }
+}
