--- a/crates/watch/src/cache.rs
+++ b/crates/watch/src/cache.rs
@@ -2,12 +2,13 @@
 //!
 //! | input | next | who is behind it |
 //! | --- | --- | --- |
-//! | a key changes at a place | it stands there, and no longer where it stood | cursors below that place |
-//! | a key goes at a place | a tombstone stands there | as above, and walks that have passed the key |
-//! | more tombstones than [`MOST_TOMBSTONES`] | the oldest is forgotten, `forgotten` is its place | cursors below it begin anew |
+//! | a key changes at a place | it stands there, and no longer where it stood | watchers below that place |
+//! | a key goes at a place | a tombstone stands there | as above |
+//! | more tombstones than [`MOST_TOMBSTONES`] | the oldest is forgotten, `forgotten` is its place | who is below it begins anew |
 //! | the whole of another place | what differs changes there; `forgotten` is that place | all below it begin anew |
 
 use std::collections::BTreeMap;
+use std::ops::Bound::{Excluded, Unbounded};
 use std::sync::Arc;
 
 /// Keys that are gone and remembered as such; who was away for longer gets a snapshot.
@@ -111,12 +112,20 @@
         self.entries.insert(key, Entry { place: at, value });
     }
 
-    /// What stands beyond a place, in order. A walk that begins at the beginning skips what is gone; one that goes on has
-    /// to hear of it.
-    pub fn beyond(&self, place: u64) -> impl Iterator<Item = Found> + '_ {
-        self.order.range((place + 1, 0)..).filter_map(|(at, key)| {
+    /// What changed beyond a place, or within it beyond a count of its keys, in order; what went is told as gone.
+    pub fn beyond(&self, place: u64, within: u32) -> impl Iterator<Item = (u32, Found)> + '_ {
+        self.order.range((Excluded((place, within)), Unbounded)).filter_map(|(at, key)| {
             let value = self.entries.get(key)?.value.clone();
-            Some(Found { key: key.clone(), place: at.0, value })
+            Some((at.1, Found { key: key.clone(), place: at.0, value }))
         })
     }
+
+    /// The keys that stand, in their order, after one of them; none: from the first.
+    pub fn after(&self, key: Option<&str>) -> impl Iterator<Item = Found> + '_ {
+        let from = key.map_or(Unbounded, Excluded);
+        self.entries
+            .range::<str, _>((from, Unbounded))
+            .filter(|(_, entry)| entry.value.is_some())
+            .map(|(key, entry)| Found { key: key.clone(), place: entry.place.0, value: entry.value.clone() })
+    }
 }
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! **State, not log.** Each key stands once, at the place of the record that changed it last. A watcher is a cursor in
 //! that order: what waits for it is what stands beyond its cursor within its scope, so a thousand changes of one key wait
-//! as one, and nothing is queued for anybody. A snapshot is the same walk from the beginning.
+//! as one, and nothing is queued for anybody.
 #![forbid(unsafe_code)]
 
 pub mod cache;
--- a/crates/watch/src/words.rs
+++ b/crates/watch/src/words.rs
@@ -74,9 +74,10 @@
     /// All within its scope up to this place is applied; 0: nothing.
     #[prost(uint64, tag = "4")]
     pub place: u64,
-    /// How far a snapshot that was broken off has come, 0: none was. It goes on there, at any machine.
-    #[prost(uint64, tag = "5")]
-    pub cursor: u64,
+    /// How far a snapshot that was broken off has come. It goes on there, at any machine that has its base and is not
+    /// behind `seen`.
+    #[prost(message, optional, tag = "5")]
+    pub broken_off: Option<BrokenOff>,
     #[prost(string, tag = "6")]
     pub planner: String,
     /// Which start of the planner, and which of its watches in that start: the highest of both is where it is.
@@ -88,6 +89,19 @@
     pub scope: ScopeTold,
 }
 
+#[derive(Clone, PartialEq, Message)]
+pub struct BrokenOff {
+    /// The place that was applied where it began.
+    #[prost(uint64, tag = "1")]
+    pub base: u64,
+    /// All keys up to this one, in their order, were told; what changed beyond the base follows them.
+    #[prost(string, tag = "2")]
+    pub after: String,
+    /// The highest place of all that was told: a machine that has less would mix what was with what is.
+    #[prost(uint64, tag = "3")]
+    pub seen: u64,
+}
+
 /// Zones, and what concerns everybody, are in each scope.
 #[derive(Clone, PartialEq, Message)]
 pub struct ScopeTold {
@@ -148,22 +162,29 @@
     pub again_ms: u64,
 }
 
-/// A piece of a walk over the state. Pieces are held until one is `done`; then all of them are applied as one, and the
+/// A piece of what has to be told. Pieces are held until one is `done`; then all of them are applied as one, and the
 /// planner's place is `through`.
+///
+/// A snapshot goes through the keys in their order, each as it stands then, and after them through all that changed
+/// beyond the place at which it began: by then both together are the state at `through`. It is no walk by places: a
+/// machine that read the record from a snapshot has all keys at one place, and such a walk could not be broken off.
 #[derive(Clone, PartialEq, Message)]
 pub struct Changes {
     /// Counts from 1 on each link.
     #[prost(uint64, tag = "1")]
     pub number: u64,
-    /// The walk begins at the beginning: what was held of an earlier one goes, and what is not told is not there.
+    /// A snapshot begins: what was held of an earlier one goes, and what is not told until it is done is not there.
     #[prost(bool, tag = "2")]
     pub anew: bool,
-    /// All that stands up to this place within the scope was told.
-    #[prost(uint64, tag = "3")]
+    /// Of a snapshot whose keys are not all told yet: all up to this one are.
+    #[prost(string, optional, tag = "3")]
+    pub after: Option<String>,
+    /// All that changed up to this place within the scope was told; of a snapshot's keys the place at which it began.
+    #[prost(uint64, tag = "4")]
     pub through: u64,
-    #[prost(bool, tag = "4")]
+    #[prost(bool, tag = "5")]
     pub done: bool,
-    #[prost(message, repeated, tag = "5")]
+    #[prost(message, repeated, tag = "6")]
     pub entries: Vec<EntryTold>,
 }
 
@@ -288,6 +309,10 @@
         match self.kind.as_ref().ok_or("no word")? {
             Kind::Hello(hello) => {
                 name("planner", &hello.planner, MOST_NAME)?;
+                let after = hello.broken_off.as_ref().map_or("", |broken| &broken.after);
+                if after.len() > MOST_KEY {
+                    return Err(format!("after has {} bytes, {MOST_KEY} at most", after.len()));
+                }
                 hello.scope.check()
             }
             Kind::Welcome(welcome) => name("machine", &welcome.machine, MOST_NAME),
