--- a/crates/watch/src/cache.rs
+++ b/crates/watch/src/cache.rs
@@ -2,9 +2,10 @@
 //!
 //! | input | next | who is behind it |
 //! | --- | --- | --- |
-//! | a key changes at a place | it stands there, and no longer where it stood | watchers below that place |
+//! | a key changes at a place, to whatever value | it stands there, and no longer where it stood | watchers below that place |
 //! | a key goes at a place | a tombstone stands there | as above |
 //! | more tombstones than [`MOST_TOMBSTONES`] | the oldest is forgotten, `forgotten` is its place | who is below it begins anew |
+//! | a key goes that never stood here | a tombstone: elsewhere it may have stood in between, and been told | as above |
 //! | the whole of another place | what differs changes there; `forgotten` is that place | all below it begin anew |
 
 use std::collections::BTreeMap;
@@ -56,7 +57,9 @@
         standing.fold((0, 0), |(keys, bytes), (key, value)| (keys + 1, bytes + key.len() + value.len()))
     }
 
-    /// What the commands up to this place changed; a place at or below the head changes nothing.
+    /// What the commands up to this place changed; a place at or below the head changes nothing. Several places may come
+    /// as one. What was told of one of those by another machine is not known here: so a change to the value that stood
+    /// already, and the end of a key that did not stand, count as changes too.
     pub fn apply(&mut self, place: u64, changes: impl IntoIterator<Item = (String, Option<Vec<u8>>)>) {
         if place <= self.head {
             return;
@@ -88,18 +91,17 @@
             }
         }
         for (key, value) in all {
-            self.put(place, key.as_str().into(), Some(value.into()));
+            // Whoever is below this place begins anew: nobody needs to be told what says what was said.
+            let stands = self.entries.get(key.as_str()).and_then(|entry| entry.value.as_deref());
+            if stands != Some(&value[..]) {
+                self.put(place, key.as_str().into(), Some(value.into()));
+            }
         }
         (self.head, self.forgotten) = (place, place);
     }
 
     fn put(&mut self, place: u64, key: Arc<str>, value: Option<Arc<[u8]>>) {
-        let stood = self.entries.get(&key);
-        // Nothing is told that says what was said.
-        if stood.map_or(value.is_none(), |stood| stood.value == value) {
-            return;
-        }
-        if let Some(stood) = stood {
+        if let Some(stood) = self.entries.get(&key) {
             self.order.remove(&stood.place);
             self.tombstones.remove(&stood.place);
         }
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -10,8 +10,25 @@
 #![forbid(unsafe_code)]
 
 pub mod cache;
+pub mod choice;
+pub mod client;
+pub mod pieces;
+pub mod roster;
 pub mod scope;
+pub mod server;
+pub mod serving;
+pub mod session;
+pub mod state;
+pub mod terms;
+pub mod watching;
 pub mod words;
 
 pub use cache::Cache;
+pub use client::{Home, Told};
+pub use roster::{InForce, Roster};
 pub use scope::Scope;
+pub use server::View;
+pub use serving::Serving;
+pub use state::Kept;
+pub use terms::Terms;
+pub use watching::Watching;
--- a/crates/watch/src/scope.rs
+++ b/crates/watch/src/scope.rs
@@ -6,10 +6,14 @@
 //! | `route/NAME` | that route is named, or all are |
 //! | `zone/NAME`, `releases`, `duties` | always |
 
-use crate::words::ScopeTold;
+use crate::words::{ScopeTold, MOST_KEY, MOST_NAME, MOST_WORD};
+use prost::Message;
 use std::collections::BTreeSet;
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+/// Bytes of a hello beside its scope.
+const MOST_HELLO: usize = MOST_NAME + MOST_KEY + 256;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Scope {
     /// None: all.
     pub servers: Option<BTreeSet<String>>,
@@ -31,13 +35,24 @@
         }
     }
 
-    pub fn told(&self) -> ScopeTold {
+    /// As it is said, as the so manieth of a planner.
+    pub fn told(&self, number: u64) -> ScopeTold {
         let names = |names: &Option<BTreeSet<String>>| names.iter().flatten().cloned().collect();
         ScopeTold {
             all_servers: self.servers.is_none(),
             servers: names(&self.servers),
             all_routes: self.routes.is_none(),
             routes: names(&self.routes),
+            number,
+        }
+    }
+
+    /// Itself where it can be said, or all: told too much, a planner is not wrong.
+    pub fn sayable(self) -> Scope {
+        let told = self.told(0);
+        match told.check().is_ok() && told.encoded_len() + MOST_HELLO <= MOST_WORD {
+            true => self,
+            false => Scope::ALL,
         }
     }
 }
--- a/crates/watch/src/words.rs
+++ b/crates/watch/src/words.rs
@@ -23,7 +23,8 @@
 pub const MOST_PIECES: usize = 2;
 /// Rows of one word about watchers.
 pub const MOST_ROWS: usize = 512;
-const MOST_WORD: usize = 2 * MOST_SCOPE * (MOST_NAME + 8);
+/// Bytes of a word: what a machine holds of each watcher that has said half of one. A scope that needs more is said as all.
+pub const MOST_WORD: usize = 256 * 1024;
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Word {
@@ -46,7 +47,7 @@
     /// The planner has this piece.
     #[prost(message, tag = "5")]
     Took(Took),
-    /// A word of life from the planner, at most one a second; answered by `Alive`.
+    /// A word of life from the planner, one a second and when something new is in force; answered by `Alive`.
     #[prost(message, tag = "6")]
     Ping(Ping),
     #[prost(message, tag = "7")]
@@ -87,6 +88,9 @@
     pub turn: u64,
     #[prost(message, required, tag = "9")]
     pub scope: ScopeTold,
+    /// What it holds is of another scope: all is told anew, but never of a lower place.
+    #[prost(bool, tag = "10")]
+    pub anew: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -97,9 +101,13 @@
     /// All keys up to this one, in their order, were told; what changed beyond the base follows them.
     #[prost(string, tag = "2")]
     pub after: String,
-    /// The highest place of all that was told: a machine that has less would mix what was with what is.
+    /// The highest place that was applied where any of it was told: a machine that has less would mix what was with what
+    /// is. The entries' places don't do: a key that had gone was not told, and would be missing at a lower place.
     #[prost(uint64, tag = "3")]
     pub seen: u64,
+    /// All keys were told; only what changed beyond the base follows.
+    #[prost(bool, tag = "4")]
+    pub all_keys: bool,
 }
 
 /// Zones, and what concerns everybody, are in each scope.
@@ -113,6 +121,9 @@
     pub all_routes: bool,
     #[prost(string, repeated, tag = "4")]
     pub routes: Vec<String>,
+    /// Counts the planner's scopes, so that it knows which one a piece is of.
+    #[prost(uint64, tag = "5")]
+    pub number: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -127,6 +138,9 @@
     pub head: u64,
     #[prost(string, tag = "4")]
     pub machine: String,
+    /// The snapshot that was broken off goes on; if not, what is held of it is of no use.
+    #[prost(bool, tag = "5")]
+    pub goes_on: bool,
 }
 
 /// Why a watch is refused or ended. What a planner does next is in its own table.
@@ -186,6 +200,12 @@
     pub done: bool,
     #[prost(message, repeated, tag = "6")]
     pub entries: Vec<EntryTold>,
+    /// The place that was applied where this was said.
+    #[prost(uint64, tag = "7")]
+    pub head: u64,
+    /// The number of the scope that this is of.
+    #[prost(uint64, tag = "8")]
+    pub scope: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -214,6 +234,10 @@
     pub token: u64,
     #[prost(uint64, tag = "2")]
     pub applied: u64,
+    /// The token of the newest `Alive` that was heard, 0 before the first: this word is no older than that one. Bytes that
+    /// a cut held back may say what a planner had long ago, and it may have ended since.
+    #[prost(uint64, tag = "3")]
+    pub echo: u64,
 }
 
 /// When the machine answered, all that had been kept `age_ms` before was applied at `head`.
@@ -251,6 +275,9 @@
     pub anew: bool,
     #[prost(message, repeated, tag = "4")]
     pub rows: Vec<Row>,
+    /// All that this machine holds for heard was heard so long ago at most.
+    #[prost(uint64, tag = "5")]
+    pub heard_ms: u64,
 }
 
 /// A planner, as its machine knows it.
@@ -264,10 +291,10 @@
     pub turn: u64,
     #[prost(uint64, tag = "4")]
     pub applied: u64,
-    /// For so long it has not been heard.
+    /// For so long it has not been heard; for one that is `here` see `heard_ms`.
     #[prost(uint64, tag = "5")]
     pub quiet_ms: u64,
-    /// Its watch stands at the machine that tells.
+    /// Its watch stands at the machine that tells, and it is heard.
     #[prost(bool, tag = "6")]
     pub here: bool,
     /// It ended in order.
@@ -285,7 +312,7 @@
 }
 
 impl ScopeTold {
-    fn check(&self) -> Result<(), String> {
+    pub fn check(&self) -> Result<(), String> {
         for (field, names) in [("servers", &self.servers), ("routes", &self.routes)] {
             if names.len() > MOST_SCOPE {
                 return Err(format!("{field}: {} of {MOST_SCOPE} at most", names.len()));
