--- a/crates/watch/src/cache.rs
+++ b/crates/watch/src/cache.rs
@@ -30,8 +30,9 @@
     pub value: Option<Arc<[u8]>>,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Cache {
+    most_tombstones: usize,
     head: u64,
     forgotten: u64,
     entries: BTreeMap<Arc<str>, Entry>,
@@ -40,7 +41,19 @@
     tombstones: BTreeMap<(u64, u32), ()>,
 }
 
+impl Default for Cache {
+    fn default() -> Cache {
+        Cache::remembering(MOST_TOMBSTONES)
+    }
+}
+
 impl Cache {
+    /// So many keys that are gone.
+    pub fn remembering(most_tombstones: usize) -> Cache {
+        let (entries, order, tombstones) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Cache { most_tombstones, head: 0, forgotten: 0, entries, order, tombstones }
+    }
+
     /// The place that is applied.
     pub fn head(&self) -> u64 {
         self.head
@@ -68,7 +81,7 @@
         for (key, value) in changes {
             self.put(place, key.as_str().into(), value.map(Arc::from));
         }
-        while self.tombstones.len() > MOST_TOMBSTONES {
+        while self.tombstones.len() > self.most_tombstones {
             let Some((at, ())) = self.tombstones.pop_first() else { break };
             self.forgotten = self.forgotten.max(at.0);
             if let Some(key) = self.order.remove(&at) {
--- a/crates/watch/src/server.rs
+++ b/crates/watch/src/server.rs
@@ -96,7 +96,7 @@
             terms,
             machine,
             record: None,
-            cache: Cache::default(),
+            cache: Cache::remembering(terms.most_tombstones),
             asked: None,
             sessions: BTreeMap::new(),
             planners: BTreeMap::new(),
@@ -155,7 +155,7 @@
     /// The record's identity. Whoever watched another one begins elsewhere.
     pub fn stands(&mut self, now: Moment, record: u64, acts: &mut Vec<Act>) {
         if self.record.replace(record).is_some_and(|was| was != record) {
-            (self.cache, self.asked) = (Cache::default(), None);
+            (self.cache, self.asked) = (Cache::remembering(self.terms.most_tombstones), None);
             self.shared.clear();
             self.everybody(now, Reason::Record, acts);
         }
--- a/crates/watch/src/serving.rs
+++ b/crates/watch/src/serving.rs
@@ -110,10 +110,8 @@
                     }
                 }
             }
-            Input::Closed { link, .. } => {
-                if self.frames.remove(&link).is_some() {
-                    self.server.closed(now, link, &mut acts);
-                }
+            Input::Closed { link, .. } if self.frames.remove(&link).is_some() => {
+                self.server.closed(now, link, &mut acts);
             }
             Input::Due { timer } if timer == self.timer && self.wake.is_some_and(|wake| wake <= now) => {
                 self.wake = None;
--- a/crates/watch/src/terms.rs
+++ b/crates/watch/src/terms.rs
@@ -1,5 +1,6 @@
 //! Spans and bounds of a watch, at both ends.
 
+use crate::cache::MOST_TOMBSTONES;
 use pewtergap_time::Span;
 
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +25,8 @@
     pub dial: Span,
     /// A snapshot gives way to those that wait after so long, and goes on later.
     pub slot: Span,
+    /// Keys that are gone and remembered as such; whoever is behind them begins anew.
+    pub most_tombstones: usize,
     /// No clock is faster or slower than true time by more than this part.
     pub drift: f64,
 }
@@ -41,6 +44,7 @@
             deaf: Span::millis(5_000),
             dial: Span::millis(2_000),
             slot: Span::millis(2_000),
+            most_tombstones: MOST_TOMBSTONES,
             drift: 0.02,
         }
     }
--- /dev/null
+++ b/crates/watch/tests/cache.rs
@@ -0,0 +1,201 @@
+//! The cache and the walks through it against a plain log: whatever is told in pieces, broken off, gone on with elsewhere,
+//! comes to the prefix of the log at the stated place.
+
+use pewtergap_watch::cache::Cache;
+use pewtergap_watch::pieces::{Position, Shared};
+use pewtergap_watch::state::Held;
+use pewtergap_watch::words::{Changes, Kind, Word};
+use pewtergap_watch::Scope;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::{BTreeMap, BTreeSet};
+
+type Change = (u8, Option<u8>);
+type All = BTreeMap<String, Vec<u8>>;
+
+fn key(key: u8) -> String {
+    let about = ["server", "weight", "route", "zone"][usize::from(key % 4)];
+    format!("{about}/n{}", key / 4)
+}
+
+/// Values of some size, so that a few fill a piece.
+fn value(value: u8) -> Vec<u8> {
+    vec![value; 4_000]
+}
+
+fn prefix(log: &[Change], place: u64, scope: &Scope) -> All {
+    let mut all = All::new();
+    for (at, to) in &log[..place as usize] {
+        match to {
+            Some(to) => drop(all.insert(key(*at), value(*to))),
+            None => drop(all.remove(&key(*at))),
+        }
+    }
+    all.retain(|key, _| scope.holds(key));
+    all
+}
+
+/// What a caller tells of several places at once: each key they touched, as it stands after them.
+fn apply(cache: &mut Cache, log: &[Change], to: u64) {
+    let from = cache.head();
+    if to <= from {
+        return;
+    }
+    let touched: BTreeSet<u8> = log[from as usize..to as usize].iter().map(|change| change.0).collect();
+    let after = prefix(log, to, &Scope::ALL);
+    cache.apply(to, touched.into_iter().map(|at| (key(at), after.get(&key(at)).cloned())));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A machine applies so many places more, as one or one by one.
+    Apply { machine: usize, places: u64, as_one: bool },
+    /// A machine reads the record from a snapshot so many places on.
+    Restore { machine: usize, places: u64 },
+    /// A watcher is told a piece.
+    Piece,
+    /// It changes machines; what was told of a snapshot stays.
+    Move,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (0..2_usize, 1..6_u64, any::<bool>())
+            .prop_map(|(machine, places, as_one)| Step::Apply { machine, places, as_one }),
+        1 => (0..2_usize, 0..9_u64).prop_map(|(machine, places)| Step::Restore { machine, places }),
+        14 => Just(Step::Piece),
+        4 => Just(Step::Move),
+    ]
+}
+
+fn decode(frame: &[u8]) -> Changes {
+    let mut frames = pewtergap_protocol::Frames::<Word>::default();
+    frames.push(frame);
+    match frames.take().expect("it can be read").expect("it is whole").kind {
+        Some(Kind::Changes(changes)) => changes,
+        other => panic!("{other:?}"),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_000, failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
+    #[test]
+    fn a_watcher_holds_the_prefix_at_its_place(
+        log in prop::collection::vec((0..16_u8, prop::option::weighted(0.7, 0..2_u8)), 60..120),
+        steps in prop::collection::vec(step(), 1..120),
+        some in any::<bool>(),
+        most in 3..20_usize,
+    ) {
+        let names = |names: &[&str]| Some(names.iter().map(|name| name.to_string()).collect());
+        let scope = match some {
+            true => Scope { servers: names(&["n0", "n2", "n4"]), routes: names(&["n1"]) },
+            false => Scope::ALL,
+        };
+        let mut caches = [Cache::remembering(most), Cache::remembering(9)];
+        let mut shared = [Shared::default(), Shared::default()];
+        let (mut at, mut place, mut state, mut held) = (0, 0_u64, All::new(), Held::default());
+        let mut position = Position::at(0);
+        let mut anew = true;
+        for step in steps {
+            match step {
+                Step::Apply { machine, places, as_one } => {
+                    let to = (caches[machine].head() + places).min(log.len() as u64);
+                    if as_one {
+                        apply(&mut caches[machine], &log, to);
+                    }
+                    (caches[machine].head() + 1..=to).for_each(|to| apply(&mut caches[machine], &log, to));
+                    shared[machine].clear();
+                }
+                Step::Restore { machine, places } => {
+                    let to = (caches[machine].head() + places).min(log.len() as u64);
+                    caches[machine].restore(to, prefix(&log, to, &Scope::ALL));
+                    shared[machine].clear();
+                }
+                // Never back; a snapshot goes on where the other machine can.
+                Step::Move if caches[1 - at].head() >= place => {
+                    at = 1 - at;
+                    let cache = &caches[at];
+                    let broken = held.snapshot.take().filter(|broken| {
+                        broken.base >= cache.forgotten() && broken.base.max(broken.seen) <= cache.head()
+                    });
+                    let goes_on = place > 0 && place >= cache.forgotten();
+                    anew = !goes_on && broken.is_none();
+                    position = match &broken {
+                        _ if goes_on => Position::at(place),
+                        Some(broken) if broken.all_keys => Position::at(broken.base),
+                        Some(broken) => {
+                            Position::Keys { base: broken.base, after: Some(broken.after.as_str().into()) }
+                        }
+                        None => Position::at(0),
+                    };
+                    match broken {
+                        Some(broken) if !goes_on => held.snapshot = Some(broken),
+                        _ => held = Held::default(),
+                    }
+                }
+                Step::Move => {}
+                Step::Piece => {
+                    let cache = &caches[at];
+                    if anew || position.lost(cache) {
+                        (position, anew) = (Position::Keys { base: cache.head(), after: None }, true);
+                    }
+                    let piece = shared[at].piece(cache, (1, &scope), &position, anew);
+                    (position, anew) = (piece.next.clone(), false);
+                    let changes = decode(&piece.frame(7, 3));
+                    prop_assert_eq!((changes.number, changes.scope, changes.done), (7, 3, piece.done));
+                    prop_assert!(changes.entries.len() == 1 || changes.encoded_len_of_entries() <= 16 * 1024);
+                    let through = changes.through;
+                    held.take(changes).expect("little is held");
+                    if piece.done {
+                        let done = std::mem::take(&mut held);
+                        if done.snapshot.is_some() {
+                            state.clear();
+                        }
+                        for (key, value) in done.entries {
+                            match value {
+                                Some(value) => drop(state.insert(key, value)),
+                                None => drop(state.remove(&key)),
+                            }
+                        }
+                        prop_assert!(through >= place);
+                        place = through;
+                        prop_assert_eq!(&state, &prefix(&log, place, &scope));
+                    }
+                }
+            }
+        }
+    }
+}
+
+trait Entries {
+    fn encoded_len_of_entries(&self) -> usize;
+}
+
+impl Entries for Changes {
+    fn encoded_len_of_entries(&self) -> usize {
+        self.entries.iter().map(|entry| entry.key.len() + entry.value.as_ref().map_or(0, Vec::len)).sum()
+    }
+}
+
+#[test]
+fn tombstones_are_bounded_and_a_key_that_comes_back_is_none() {
+    let mut cache = Cache::remembering(2);
+    for place in 1..=4 {
+        cache.apply(place, [(format!("zone/{place}"), Some(vec![1]))]);
+    }
+    cache.apply(5, [("zone/1".to_string(), None)]);
+    cache.apply(6, [("zone/2".to_string(), None)]);
+    assert_eq!((cache.forgotten(), cache.size().0), (0, 2));
+    cache.apply(7, [("zone/1".to_string(), Some(vec![2]))]);
+    cache.apply(8, [("zone/3".to_string(), None)]);
+    assert_eq!(cache.forgotten(), 0);
+    cache.apply(9, [("zone/4".to_string(), None)]);
+    assert_eq!((cache.forgotten(), cache.size().0), (6, 1));
+    let told: Vec<(u64, bool)> =
+        cache.beyond(6, u32::MAX).map(|found| (found.1.place, found.1.value.is_some())).collect();
+    assert_eq!(told, [(7, true), (8, false), (9, false)]);
+    // Nothing goes back.
+    cache.apply(9, [("zone/9".to_string(), Some(vec![1]))]);
+    cache.restore(8, BTreeMap::new());
+    assert_eq!((cache.head(), cache.size().0), (9, 1));
+}
