--- a/crates/watch/src/client.rs
+++ b/crates/watch/src/client.rs
@@ -5,7 +5,7 @@
 //! | resting | its moment has come | dialling | the first machine by rendezvous that may be dialled |
 //! | dialling | the link stands | asking | hello, with record, place and what was broken off |
 //! | asking | welcome, its record, its place or a later one | watching | a word of life; told |
-//! | asking | welcome of another record, or of a lower place | resting | left: never back |
+//! | asking | welcome of another record, of a version that was not offered, or of a lower place | resting | left: never back |
 //! | dialling, asking | refused, closed, or nothing in time | resting | the machine's own back-off, and a pause |
 //! | watching | a piece | watching | took; if done all held are applied as one |
 //! | watching | a piece out of its order, a place below the own, more than is held | resting | left |
@@ -104,7 +104,7 @@
     applied: u64,
     /// The last piece on this link.
     number: u64,
-    /// What was said to be in force, and when anything was.
+    /// What was said to be in force, and when by a word of its own.
     said: u64,
     said_at: Moment,
     pinged: Moment,
@@ -244,6 +244,9 @@
     }
 
     fn welcome(&mut self, now: Moment, welcome: Welcome, acts: &mut Vec<Act>) {
+        if !(VERSIONS.0..=VERSIONS.1).contains(&welcome.version) {
+            return self.wrong(now, &format!("version {} was not offered", welcome.version), acts);
+        }
         let own = self.kept.place;
         if self.kept.record != 0 && welcome.record != self.kept.record {
             return self.wrong(now, "another record stands there", acts);
@@ -470,7 +473,11 @@
     /// Each word upward that says what is in force says the newest.
     fn say(&mut self, now: Moment, word: Kind, acts: &mut Vec<Act>) {
         if matches!(word, Kind::Took(_) | Kind::Ping(_)) {
-            (self.said, self.said_at) = (self.applied, now);
+            self.said = self.applied;
+        }
+        // What was just taken is in force a moment later, and that is not to wait.
+        if matches!(word, Kind::Ping(_)) {
+            self.said_at = now;
         }
         acts.push(Act::Say(word));
     }
--- a/crates/watch/src/roster.rs
+++ b/crates/watch/src/roster.rs
@@ -54,6 +54,8 @@
     whereabouts: Whereabouts,
     /// What it said was so then or later. Of one at another machine: see [`Machine::vouched`].
     heard: Moment,
+    /// When a machine told of it.
+    came: Moment,
     /// Under which number its last change stands.
     changed: u64,
 }
@@ -69,6 +71,8 @@
     echo: u64,
     /// It has echoed one of ours: if it stops to, it has begun anew.
     echoed: bool,
+    /// When it was last told all anew.
+    anew: Option<Moment>,
     /// Changes up to this one it has been told, and up to where all rows are told.
     told: u64,
     whole: Option<u64>,
@@ -79,7 +83,7 @@
 impl Machine {
     /// All that it was told is to be told again.
     fn forgets(&mut self) {
-        (self.said, self.told, self.whole) = (None, 0, None);
+        (self.said, self.told, self.whole, self.anew) = (None, 0, None, None);
     }
 }
 
@@ -196,11 +200,14 @@
                 was.heard = was.heard.max(vouched);
                 return;
             }
-            let row = Known { watch, applied, whereabouts: here, heard: vouched, changed: 0 };
+            let row = Known { watch, applied, whereabouts: here, heard: vouched, came: vouched, changed: 0 };
             self.put(planner, row);
             return;
         }
-        self.put(planner, Known { watch, applied, whereabouts: here, heard: vouched, changed: 0 });
+        self.put(
+            planner,
+            Known { watch, applied, whereabouts: here, heard: vouched, came: vouched, changed: 0 },
+        );
     }
 
     /// Its watch here ended.
@@ -239,6 +246,7 @@
             sent: VecDeque::new(),
             echo: 0,
             echoed: false,
+            anew: None,
             told: 0,
             whole: None,
             said: None,
@@ -253,7 +261,9 @@
         word.check()?;
         let number = self.number(now, from).ok_or(format!("{MOST_MACHINES} machines tell rows already"))?;
         let Some(machine) = self.of.get_mut(&number) else { return Ok(()) };
-        if word.echo == 0 && machine.echoed {
+        // The first that it was told may have been lost though the link stands.
+        let unanswered = machine.anew.is_some_and(|anew| now.since(anew) >= self.terms.machine_silent);
+        if word.echo == 0 && (machine.echoed || unanswered) {
             machine.forgets();
         }
         machine.echoed = word.echo != 0;
@@ -309,7 +319,7 @@
             Some(was) if was.watch.0 == watch.0 => (row.applied.max(was.applied), heard),
             Some(_) => (row.applied, heard),
         };
-        let changed = Known { watch, applied, whereabouts, heard, changed: 0 };
+        let changed = Known { watch, applied, whereabouts, heard, came: now, changed: 0 };
         let same = self
             .known
             .get(&row.planner)
@@ -388,6 +398,9 @@
         let Some(machine) = self.of.get_mut(&number) else { return Vec::new() };
         machine.whole = whole.filter(|whole| rest || told < *whole);
         machine.told = told;
+        if anew {
+            machine.anew = Some(now);
+        }
         for (at, word) in words.iter_mut().enumerate() {
             word.token = self.rng.u64(1..);
             (word.echo, word.heard_ms, word.anew) = (machine.echo, heard_ms, anew && at == 0);
@@ -473,9 +486,11 @@
             Whereabouts::Unheard(_) | Whereabouts::Left => (known.heard, Span(0)),
         };
         let quiet = now.since(heard);
-        match quiet < bound {
-            true => Ok(quiet),
-            false => Err(quiet),
+        match (quiet < bound, known.whereabouts) {
+            (true, _) => Ok(quiet),
+            // Nothing vouches for it yet: not counted, and unheard for no longer than it is known of.
+            (false, Whereabouts::At(_)) => Err(quiet.min(now.since(known.came))),
+            (false, _) => Err(quiet),
         }
     }
 
