--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod day;
 pub mod days;
 pub mod explore;
+pub mod explore_watch;
 mod list;
 pub mod measure;
 mod members;
