--- a/crates/agree/src/ballot.rs
+++ b/crates/agree/src/ballot.rs
@@ -61,9 +61,17 @@
         last >= self.log.last()
     }
 
+    /// By the newest entry. No disk that observes ever votes later, so whoever asks it goes by members that never were.
+    fn observes(&self) -> bool {
+        self.log.members.1.observes(self.id)
+    }
+
     pub(crate) fn weigh_trial(&mut self, now: Moment, from: Id, term: Term, last: (Term, Index)) {
-        let granted =
-            term > self.log.term && self.newer_or_same(last) && !self.holds_on(now) && now >= self.hushed;
+        let granted = term > self.log.term
+            && self.newer_or_same(last)
+            && !self.holds_on(now)
+            && now >= self.hushed
+            && !self.observes();
         // A grant speaks of the term it is for, a refusal of ours: so that one far behind learns of it.
         let term = if granted { term } else { self.log.term };
         let message = crate::Message { term, say: Say::Trialled { granted } };
@@ -90,7 +98,11 @@
 
     pub(crate) fn weigh(&mut self, now: Moment, from: Id, last: (Term, Index)) {
         let free = self.log.vote == 0 || self.log.vote == from;
-        let granted = self.role == Role::Follower && free && self.newer_or_same(last) && now >= self.hushed;
+        let granted = self.role == Role::Follower
+            && free
+            && self.newer_or_same(last)
+            && now >= self.hushed
+            && !self.observes();
         if granted {
             if self.log.vote == 0 {
                 self.vote_for(from);
--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -1,7 +1,7 @@
 //! Agreement on a log among 1 to 7 members: Raft ("In Search of an Understandable Consensus Algorithm", 2014) with
 //! the dissertation's trial votes, leaders that give up without a majority's answers, hand-over, reads that confirm
 //! leadership, learners, and changes of members one voter at a time (with the erratum: none before the leader has
-//! committed in its own term).
+//! committed in its own term). Beside the voters any number of observers are kept up to date; they never vote.
 //!
 //! A state machine without I/O, clock or thread: inputs are method calls that carry the moment, what it wants done
 //! comes out of `take`. It contains no transport, no disk and no meaning of commands. Call `tick` at `due()` or
@@ -45,6 +45,9 @@
     pub name: String,
     pub at: String,
     pub votes: bool,
+    /// It is fed like all others and never gets a vote: no majority counts it, it grants nobody one and never stands. Its
+    /// disk stays an observer for good; to vote, its place has to be given up and another disk to come.
+    pub observes: bool,
 }
 
 impl Members {
@@ -64,6 +67,10 @@
         self.find(id).is_some_and(|member| member.votes)
     }
 
+    pub fn observes(&self, id: Id) -> bool {
+        self.find(id).is_some_and(|member| member.observes)
+    }
+
     /// More than half of the voters.
     pub fn majority(&self) -> usize {
         self.voters().count() / 2 + 1
@@ -195,7 +202,7 @@
     NotLeader,
     /// Nothing of its own term is committed yet, or another change of members is under way.
     NotYet,
-    /// It is no change of one voter, or leaves none.
+    /// It is no change of one voter, or leaves none; or it gives an observer a vote.
     Leap,
     /// Too much waits.
     Full,
--- a/crates/agree/tests/stage/mod.rs
+++ b/crates/agree/tests/stage/mod.rs
@@ -49,7 +49,7 @@
 }
 
 pub fn founders(count: u64) -> Members {
-    let member = |id| Member { id, name: format!("m{id}"), at: String::new(), votes: true };
+    let member = |id| Member { id, name: format!("m{id}"), at: String::new(), votes: true, observes: false };
     Members { list: (1..=count).map(member).collect(), retired: Vec::new() }
 }
 
--- /dev/null
+++ b/crates/control/src/admin.rs
@@ -0,0 +1,72 @@
+//! The admin door: requests over HTTP as they come whole, and their answers. What is asked for is others' to know.
+
+use pewtergap_http::{answer, Bounds, First, Part, Reader, Side};
+use pewtergap_node::{Link, Outbox};
+use std::collections::BTreeMap;
+
+/// Connections at once; more are turned away.
+const MOST: usize = 64;
+const BOUNDS: Bounds = Bounds { head: 4096, body: 16 * 1024 };
+
+/// A request that came whole.
+pub struct Asked {
+    pub link: Link,
+    pub method: String,
+    pub target: String,
+    pub body: Vec<u8>,
+}
+
+#[derive(Default)]
+pub struct Admin {
+    links: BTreeMap<Link, (Reader, Option<Asked>)>,
+}
+
+impl Admin {
+    pub fn has(&self, link: Link) -> bool {
+        self.links.contains_key(&link)
+    }
+
+    pub fn accepted(&mut self, link: Link, out: &mut Outbox) {
+        if self.links.len() >= MOST {
+            return out.cut(link);
+        }
+        self.links.insert(link, (Reader::new(Side::Requests, BOUNDS), None));
+    }
+
+    /// Whether it was one of these.
+    pub fn closed(&mut self, link: Link) -> bool {
+        self.links.remove(&link).is_some()
+    }
+
+    pub fn bytes(&mut self, link: Link, bytes: &[u8], out: &mut Outbox) -> Vec<Asked> {
+        let Some((reader, open)) = self.links.get_mut(&link) else { return Vec::new() };
+        reader.push(bytes);
+        let mut asked = Vec::new();
+        loop {
+            match reader.take() {
+                Ok(Some(Part::Head(head))) => {
+                    if let First::Request { method, target } = &head.first {
+                        let (method, target) = (method.clone(), target.clone());
+                        *open = Some(Asked { link, method, target, body: Vec::new() });
+                    }
+                }
+                Ok(Some(Part::Data(data))) => open.iter_mut().for_each(|asked| asked.body.extend(&data)),
+                Ok(Some(Part::End)) => asked.extend(open.take()),
+                Ok(None) => return asked,
+                Err(wrong) => {
+                    let why = wrong.to_string();
+                    out.send(link, answer(wrong.status, &[("connection", "close")], Some(why.as_bytes())));
+                    out.finish(link);
+                    return Vec::new();
+                }
+            }
+        }
+    }
+
+    /// Who asked may have gone.
+    pub fn answer(&self, link: Link, status: u16, kind: &str, body: &str, out: &mut Outbox) {
+        if self.has(link) {
+            out.send(link, answer(status, &[("content-type", kind)], Some(body.as_bytes())));
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 //! (`intake`), how orders become versions of tables (`tables`), which probe is under way (`probes`).
 #![forbid(unsafe_code)]
 
+mod admin;
 pub mod channel;
 pub mod intake;
 mod kept;
@@ -18,9 +19,10 @@
 pub mod tables;
 pub mod watch;
 
+pub use admin::{Admin, Asked};
 pub use pewtergap_planner::ProbeEnd;
 pub use probes::Probing;
-pub use service::{Asked, Charge, Doors, DrainTold, Hint, ProbeOver, Service};
+pub use service::{Charge, Doors, DrainTold, Hint, ProbeOver, Service};
 pub use sight::{Met, Sight};
 pub use standing::{Standing, Stands};
 pub use streams::Reports;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,5 +1,6 @@
 //! The service as a node: inputs to events, orders to messages.
 
+use crate::admin::{Admin, Asked};
 use crate::channel::Channel;
 use crate::intake::Intake;
 use crate::kept;
@@ -10,7 +11,6 @@
 use crate::streams::{Reports, Sent, Stream, Streams, MOST_UNANSWERED};
 use crate::tables::Tables;
 use crate::watch::{Source, Told, Watch};
-use pewtergap_http::{answer, Bounds, First, Part, Reader, Side};
 use pewtergap_node::{Effect, Ended, Input, Level, Link, Node, Outbox};
 use pewtergap_planner::door::Door;
 use pewtergap_planner::{Entry, Event, ListKind, Listed, Load, Order, Planner, ProbeEnd};
@@ -50,7 +50,6 @@
 const KEEP: Span = Span::millis(300);
 /// For last words to be written.
 const FAREWELL: Span = Span::millis(200);
-const MOST_ADMIN: usize = 64;
 
 mod timer {
     pub const TURN: u64 = 1;
@@ -81,14 +80,6 @@
     worst_ack: Span,
 }
 
-/// A request at the admin door that is not answered here.
-pub struct Asked {
-    pub link: Link,
-    pub method: String,
-    pub target: String,
-    pub body: Vec<u8>,
-}
-
 /// How a probe from here ended: utilization and calls in hand, where they were told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ProbeOver {
@@ -150,7 +141,7 @@
     probes_wanted: BTreeSet<usize>,
     pub probe_asks: Vec<String>,
     pub probe_ends: Vec<ProbeOver>,
-    admin: BTreeMap<Link, (Reader, Option<Asked>)>,
+    admin: Admin,
     /// Prefixes of what is answered by others, and what waits for them.
     pub elsewhere: &'static [&'static str],
     pub asked: Vec<Asked>,
@@ -201,7 +192,7 @@
             probes_wanted: BTreeSet::new(),
             probe_asks: Vec::new(),
             probe_ends: Vec::new(),
-            admin: BTreeMap::new(),
+            admin: Admin::default(),
             elsewhere: &[],
             asked: Vec::new(),
             standing: Standing::default(),
@@ -762,6 +753,11 @@
         self.roll.known().iter().filter(move |known| known.1.zone == zone).map(|known| known.0)
     }
 
+    /// All that are listed, once a list was heard.
+    pub fn names(&self) -> Option<impl Iterator<Item = &String> + '_> {
+        self.listed.then(|| self.roll.known().keys())
+    }
+
     pub fn zone_of(&self, at: &str) -> Option<&str> {
         self.roll.known().get(at).map(|known| known.zone.as_str())
     }
@@ -777,31 +773,7 @@
     // ---- health and metrics
 
     fn admin(&mut self, link: Link, bytes: &[u8], out: &mut Outbox) {
-        let Some((reader, open)) = self.admin.get_mut(&link) else { return };
-        reader.push(bytes);
-        let mut asked = Vec::new();
-        loop {
-            match reader.take() {
-                Ok(Some(Part::Head(head))) => {
-                    if let First::Request { method, target } = &head.first {
-                        let (method, target) = (method.clone(), target.clone());
-                        *open = Some(Asked { link, method, target, body: Vec::new() });
-                    }
-                }
-                Ok(Some(Part::Data(data))) => open.iter_mut().for_each(|asked| asked.body.extend(&data)),
-                Ok(Some(Part::End)) => asked.extend(open.take()),
-                Ok(None) => break,
-                Err(wrong) => {
-                    out.send(
-                        link,
-                        answer(wrong.status, &[("connection", "close")], Some(wrong.to_string().as_bytes())),
-                    );
-                    out.finish(link);
-                    return;
-                }
-            }
-        }
-        for asked in asked {
+        for asked in self.admin.bytes(link, bytes, out) {
             if self.elsewhere.iter().any(|prefix| asked.target.starts_with(prefix)) {
                 self.asked.push(asked);
                 continue;
@@ -812,18 +784,13 @@
                 "/metrics" => (200, self.metrics()),
                 _ => (404, "there are /healthz and /metrics\n".to_string()),
             };
-            out.send(
-                link,
-                answer(status, &[("content-type", "text/plain; version=0.0.4")], Some(body.as_bytes())),
-            );
+            self.admin.answer(link, status, "text/plain; version=0.0.4", &body, out);
         }
     }
 
     /// The answer to what was asked elsewhere; who asked may have gone.
     pub fn answer(&mut self, link: Link, status: u16, json: &str, out: &mut Outbox) {
-        if self.admin.contains_key(&link) {
-            out.send(link, answer(status, &[("content-type", "application/json")], Some(json.as_bytes())));
-        }
+        self.admin.answer(link, status, "application/json", json, out);
     }
 
     /// Whether the list names this very start of a server, or an earlier one.
@@ -962,13 +929,7 @@
 
     fn accepted(&mut self, now: Moment, link: Link, door: u32, out: &mut Outbox) {
         if door == ADMIN {
-            if self.admin.len() >= MOST_ADMIN {
-                out.cut(link);
-                return;
-            }
-            let reader = Reader::new(Side::Requests, Bounds { head: 4096, body: 16 * 1024 });
-            self.admin.insert(link, (reader, None));
-            return;
+            return self.admin.accepted(link, out);
         }
         if self.streams.by_link.len() >= self.reports.most_streams {
             self.counts.refused_streams += 1;
@@ -991,7 +952,7 @@
                 self.probe_ended(now, server, end, load, out);
             }
             self.ask_next(now, out);
-        } else if self.admin.remove(&link).is_none() {
+        } else if !self.admin.closed(link) {
             if why == Ended::Overflow {
                 out.log(Level::Warn, "stream_closed", vec![("why", "it does not read".into())]);
             }
@@ -1009,7 +970,7 @@
                 self.probe_ended(now, server, end, load, out);
                 self.ask_next(now, out);
             }
-        } else if self.admin.contains_key(&link) {
+        } else if self.admin.has(link) {
             self.admin(link, bytes, out);
         } else {
             self.heard(now, link, bytes, out);
--- a/crates/lab/src/explore.rs
+++ b/crates/lab/src/explore.rs
@@ -292,6 +292,8 @@
             receiver: None,
             shares: Some(self.shares()),
             slices: (0, Span(0)),
+            observers: Vec::new(),
+            watches: false,
         };
         let member = Arc::new(Mutex::new(Member::new(post)));
         let answers = Arc::new(Mutex::new(Answers::default()));
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -4,11 +4,12 @@
 //! no other members named it is a cluster of one, the same code on its own disk.
 #![forbid(unsafe_code)]
 
+pub mod admin;
 mod alone;
 pub mod books;
 mod disk;
 mod member;
-mod orders;
+pub mod orders;
 mod peers;
 pub mod releaser;
 pub mod shared;
@@ -19,7 +20,9 @@
 
 pub use alone::{alone, GoesOn};
 pub use books::Receiver;
-pub use member::{digest, Duties, Member, PartView, Post, Reply, Request, SeatView, Told, MOST_MEMBERS};
+pub use member::{
+    digest, Duties, Member, PartView, Post, Reply, Request, SeatView, Told, DOOR, MOST_MEMBERS, MOST_OBSERVERS, TIMERS,
+};
 pub use orders::Among;
 pub use sharing::{Shares, COLD};
 pub use slices::names as slice_names;
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -18,6 +18,7 @@
 use pewtergap_record::{Answer, Clean, Command, Record, Subject, What};
 use pewtergap_store::Fault;
 use pewtergap_time::{Moment, Span};
+use pewtergap_watch::words::RosterTold;
 use prost::Message;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
@@ -48,8 +49,10 @@
 const COMPACTED: (usize, u64) = (4_096, 1_024);
 /// Ids that were replaced, remembered.
 const MOST_RETIRED: usize = 64;
-/// Changes of members that an operator's command may make.
+/// Members that vote or learn in order to.
 pub const MOST_MEMBERS: usize = 7;
+/// Members that never vote.
+pub const MOST_OBSERVERS: usize = 32;
 
 /// Who this member is and whom it knows of.
 #[derive(Clone, Debug)]
@@ -74,6 +77,10 @@
     pub shares: Option<Shares>,
     /// Slices of each zone's servers, 0: every planner asks all of them; and how long a probe may take.
     pub slices: (usize, Span),
+    /// Who is let in as an observer, and where each is reached from here.
+    pub observers: Vec<(String, SocketAddr)>,
+    /// It serves watches: others tell it whom they serve.
+    pub watches: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -104,6 +111,8 @@
         token: u64,
         reply: Reply,
     },
+    /// The record was read from a snapshot: what led to it is not known.
+    Restored,
     /// The record says something else of these; none: of anything.
     Changed(Option<BTreeSet<Subject>>),
     /// The number of this start is on disk.
@@ -112,6 +121,8 @@
     Probes(Id, word::Kind),
     /// Of what members share.
     Shared(Id, word::Kind),
+    /// Whom another control machine serves.
+    Roster(String, RosterTold),
     /// A way to a member broke.
     Lost(Id),
 }
@@ -176,6 +187,8 @@
     /// Its door is open and its timers run.
     open: bool,
     pub told: Vec<Told>,
+    /// Where watches are served: all subjects that commands may have changed since they were taken.
+    pub touched: BTreeSet<Subject>,
 }
 
 impl Member {
@@ -186,6 +199,7 @@
         let own = Hello {
             lease: home.duties.as_ref().map_or(0, |d| d.lease.length.0 / 1_000_000),
             shares: home.shares.is_some(),
+            watches: home.watches,
             ..own
         };
         Member {
@@ -218,6 +232,7 @@
             given_up: false,
             open: false,
             told: Vec::new(),
+            touched: BTreeSet::new(),
             home,
         }
     }
@@ -241,6 +256,11 @@
         self.own.id
     }
 
+    /// Of which cluster its record is; 0: it belongs to none yet.
+    pub fn cluster(&self) -> u64 {
+        self.own.cluster
+    }
+
     pub fn start_of_disk(&self) -> u64 {
         self.own.start
     }
@@ -326,6 +346,7 @@
         }
         let known = members.named(&hello.name).is_some()
             || members.list.is_empty() && self.home.members.iter().any(|member| member.0 == hello.name);
+        let known = known || self.home.observers.iter().any(|observer| observer.0 == hello.name);
         let known = known || !self.belongs() && self.hearsay.iter().any(|seat| seat.name == hello.name);
         if !known || hello.name == self.own.name {
             return self.refuse(link, Refuse::of("a stranger: no member has this name"), out);
@@ -471,6 +492,13 @@
                     self.told.push(Told::Shared(from, kind));
                 }
             }
+            word::Kind::Roster(told) => {
+                let name = agree.member(from).map(|member| member.name.clone());
+                // Told and lost, they are told anew with the next link.
+                if let Some(name) = name.filter(|_| self.home.watches && self.told.len() < MOST_WAITING) {
+                    self.told.push(Told::Roster(name, told));
+                }
+            }
             word::Kind::Renew(renew) => self.renews(now, from, renew),
             word::Kind::HandOn(asked) => self.hand_on(now, &asked, out),
             word::Kind::Hello(_) | word::Kind::Welcome(_) | word::Kind::Refuse(_) => {}
@@ -534,6 +562,9 @@
                     Does::Commit { index, entry } => {
                         if let Body::Command(bytes) = entry.body {
                             if let Ok(command) = Command::decode(bytes.as_slice()) {
+                                if self.home.watches {
+                                    self.touched.extend(self.record.touched(&command));
+                                }
                                 self.record.apply(index, &command);
                                 applied = true;
                                 self.proposed.remove(&command.id);
@@ -545,7 +576,11 @@
                         }
                     }
                     Does::Restore(snapshot) => match Record::read(&snapshot.data) {
-                        Ok(record) => (self.record, touched) = (record, None),
+                        Ok(record) => {
+                            (self.record, touched) = (record, None);
+                            self.touched.clear();
+                            self.told.push(Told::Restored);
+                        }
                         Err(why) => return self.end(out, "record_refused", &why),
                     },
                     Does::Readable { token, index } => match self.reads.remove(&token) {
@@ -696,7 +731,8 @@
     /// Who belongs and shares, ourselves apart, as far as a way to them stands or stood.
     pub fn sharers(&self) -> BTreeMap<Id, String> {
         let members = self.agree().map(|agree| agree.settled_members()).unwrap_or_default();
-        let others = members.list.into_iter().filter(|member| member.id != 0 && member.id != self.own.id);
+        let shares = |member: &Seated| member.id != 0 && member.id != self.own.id && !member.observes;
+        let others = members.list.into_iter().filter(shares);
         others.map(|member| (member.id, member.name)).collect()
     }
 
@@ -707,6 +743,18 @@
         knows && self.peers.send(to, lane, kind, out)
     }
 
+    /// Others that belong, serve watches and can be told something now.
+    pub fn machines(&self) -> BTreeMap<Id, String> {
+        let Some(agree) = self.agree() else { return BTreeMap::new() };
+        let serve = self.peers.bulk_ways().filter(|hello| hello.watches && agree.member(hello.id).is_some());
+        serve.map(|hello| (hello.id, hello.name.clone())).collect()
+    }
+
+    /// Tells another control machine whom this one serves.
+    pub fn tell_roster(&self, to: Id, told: RosterTold, out: &mut Outbox) -> bool {
+        self.peers.send(to, Lane::Bulk, word::Kind::Roster(told), out)
+    }
+
     pub fn draw(&mut self) -> u64 {
         self.rng.u64(1..)
     }
@@ -721,6 +769,7 @@
                 name: member.name.clone(),
                 id: format!("{:016x}", member.id),
                 votes: member.votes,
+                observes: member.observes,
                 leads: agree.leader() == Some(member.id),
                 here,
                 linked: here || self.peers.welcome(&member.name).is_some_and(|hello| hello.id == member.id),
@@ -776,6 +825,7 @@
     pub name: String,
     pub id: String,
     pub votes: bool,
+    pub observes: bool,
     pub leads: bool,
     pub here: bool,
     pub linked: bool,
--- a/crates/member/src/member/leading.rs
+++ b/crates/member/src/member/leading.rs
@@ -1,7 +1,7 @@
 //! What a leader does for the others: lets them in, gives votes, changes who belongs, cleans.
 
 use super::*;
-use pewtergap_record::CLEANING;
+use pewtergap_record::{CLEANING, OBSERVERS};
 
 impl Member {
     /// An operator's change of members. What is so already is no change.
@@ -21,10 +21,12 @@
                 }
             }
             (None, true) => return Ok(()),
-            (None, false) if members.list.len() >= MOST_MEMBERS => return Err(Refusal::Full),
+            (None, false) if members.list.iter().filter(|m| !m.observes).count() >= MOST_MEMBERS => {
+                return Err(Refusal::Full)
+            }
             (None, false) => {
                 let (name, at) = (change.name.clone(), change.at.clone());
-                members.list.push(Seated { id: 0, name, at, votes: false });
+                members.list.push(Seated { id: 0, name, at, votes: false, observes: false });
             }
         }
         agree.change(now, members).map(drop)
@@ -70,8 +72,12 @@
             wants = Some(("member_let_in", name.clone()));
             break;
         }
+        if wants.is_none() && self.record.format() >= OBSERVERS {
+            wants = seat_observer(&self.home.observers, &knocking, &mut members);
+        }
         if wants.is_none() {
-            let ready = members.list.iter().position(|m| !m.votes && m.id != 0 && agree.caught_up(m.id));
+            let learns = |m: &Seated| !m.votes && !m.observes && m.id != 0;
+            let ready = members.list.iter().position(|m| learns(m) && agree.caught_up(m.id));
             if let Some(at) = ready {
                 members.list[at].votes = true;
                 wants = Some(("member_votes", members.list[at].name.clone()));
@@ -96,6 +102,26 @@
     }
 }
 
+/// Who knocks under a name that the settings have as an observer's is seated as one, with its disk's number: a place that
+/// waits for a disk would keep the record from being raised. What the settings no longer name stays until an operator
+/// removes it.
+fn seat_observer(
+    observers: &[(String, SocketAddr)],
+    knocking: &BTreeMap<String, Id>,
+    members: &mut Members,
+) -> Option<(&'static str, String)> {
+    let seated = members.list.iter().filter(|member| member.observes).count();
+    let new = |name: &String, id: &Id| members.named(name).is_none() && !members.retired.contains(id);
+    let (name, at, id) = observers
+        .iter()
+        .filter_map(|(name, at)| Some((name, at, knocking.get(name)?)))
+        .find(|(name, _, id)| new(name, id))
+        .filter(|_| seated < MOST_OBSERVERS)?;
+    let (id, name, at) = (*id, name.clone(), at.to_string());
+    members.list.push(Seated { id, name: name.clone(), at, votes: false, observes: true });
+    Some(("observer_let_in", name))
+}
+
 /// Takes a member's id out; `stays`: its name waits for another disk.
 pub(super) fn retire(members: &mut Members, at: usize, stays: bool) {
     let id = members.list[at].id;
--- a/crates/member/src/member/opening.rs
+++ b/crates/member/src/member/opening.rs
@@ -132,7 +132,7 @@
         if self.record.format() > self.home.format {
             return self.too_new(out);
         }
-        self.told.push(Told::Changed(None));
+        self.told.extend([Told::Restored, Told::Changed(None)]);
     }
 
     /// All founders are known and none belongs to anything: each of them comes to the same cluster by itself.
@@ -151,15 +151,10 @@
                     _ => return,
                 },
             };
-            founders.push(Seat { id, name: name.clone(), at: String::new(), votes: true });
+            founders.push(Seat::founder(id, name));
         }
         if founders.is_empty() {
-            founders.push(Seat {
-                id: self.own.id,
-                name: self.own.name.clone(),
-                at: String::new(),
-                votes: true,
-            });
+            founders.push(Seat::founder(self.own.id, &self.own.name));
         }
         self.belong(now, founders, out);
     }
--- a/crates/member/src/member/parted.rs
+++ b/crates/member/src/member/parted.rs
@@ -106,7 +106,8 @@
 
     pub(super) fn belong_ids(&self) -> Vec<Id> {
         let members = self.agree().map(|agree| agree.settled_members()).unwrap_or_default();
-        members.list.iter().map(|member| member.id).filter(|id| *id != 0).collect()
+        let have_parts = members.list.iter().filter(|member| member.id != 0 && !member.observes);
+        have_parts.map(|member| member.id).collect()
     }
 
     fn deal(&mut self, now: Moment, till: &mut Till, belong: &[Id], out: &mut Outbox) {
--- a/crates/member/src/orders.rs
+++ b/crates/member/src/orders.rs
@@ -18,9 +18,13 @@
 }
 
 impl Among {
-    /// Whether this planner is in that part of them, drawn anew for each order so that no planner goes first in all.
+    /// Whether this planner is in that part of them, drawn anew for each order so that no planner goes first in all. Where
+    /// nobody knows them all, about that part of them is.
     pub fn within(&self, number: u64, part: f64) -> bool {
         let draw = |name: &str| xxh3_64(format!("{number}\n{name}").as_bytes());
+        if self.all.is_empty() {
+            return (draw(&self.name) as f64) < part * u64::MAX as f64;
+        }
         let before = self.all.iter().filter(|name| draw(name) < draw(&self.name)).count();
         before < (self.all.len().max(1) as f64 * part - 1e-9).ceil() as usize
     }
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -4,6 +4,7 @@
 //! Two links to each: what settles who leads never waits behind entries and snapshots. A link that does not take what
 //! is written is closed by the driver's bound, and dialled again.
 
+use crate::member::{MOST_MEMBERS, MOST_OBSERVERS};
 use crate::words::{word, Hello, Refuse, Word};
 use pewtergap_agree::Id;
 use pewtergap_node::{Link, Outbox};
@@ -16,8 +17,9 @@
 const BACK_OFF: (Span, Span) = (Span::millis(50), Span::millis(1_000));
 /// A welcome that does not come by then: the way is cut, or somebody else is there.
 const WELCOMED: Span = Span::millis(1_000);
-/// Links that came in at once; strangers beyond it are turned away.
-const MOST_INCOMING: usize = 64;
+/// Links that came in at once; strangers beyond it are turned away. Two of each other member, and some that are dialled anew
+/// before the old ones are seen to be broken.
+const MOST_INCOMING: usize = 2 * (MOST_MEMBERS + MOST_OBSERVERS) + 18;
 /// Who came in and has not said who it is by then is closed.
 const PATIENCE: Span = Span::millis(2_000);
 
@@ -228,6 +230,11 @@
         newest.into_iter().map(|(name, (_, id))| (name, id)).collect()
     }
 
+    /// Others to whom a way for all that is long stands.
+    pub fn bulk_ways(&self) -> impl Iterator<Item = &Hello> + '_ {
+        self.peers.values().filter_map(|peer| peer.ways[Lane::Bulk as usize].welcome.as_ref())
+    }
+
     pub fn welcomes(&self) -> Vec<Hello> {
         self.peers.values().filter_map(|peer| peer.ways[0].welcome.clone()).collect()
     }
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -3,20 +3,18 @@
 //! The service never waits for the member, but once: before its first word to any proxy it takes the number of its
 //! start from the record. Where none comes in time it counts on from its own last number and the calendar.
 
+use crate::admin;
 use crate::books::Books;
 use crate::member::{Member, Post, Reply, Request, Told, DOOR, TIMERS};
 use crate::orders;
 use crate::releaser::Releaser;
 use crate::sharing::{Seats, Sharing, Wants as Shared};
 use crate::slices::{Holder, Slices, Wants};
-use crate::words::{word, Change};
+use crate::words::word;
 use pewtergap_control::{Asked, Hint, ProbeOver, Service};
 use pewtergap_node::{Effect, Input, Level, Link, Node, Outbox};
-use pewtergap_record::{
-    Cap, Clean, Command, Drain, Hand, Order, Subject, TakeNumber, Weight, What, Wish, BOOKS, RELEASE,
-};
+use pewtergap_record::{Command, Drain, Standing, Subject, TakeNumber, What, BOOKS, RELEASE};
 use pewtergap_time::{Moment, Span};
-use serde::Deserialize;
 use serde_json::json;
 use std::any::Any;
 use std::collections::{BTreeMap, BTreeSet};
@@ -46,103 +44,6 @@
     Books,
 }
 
-/// An order as it is given at the admin door.
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Given {
-    /// 16 hexadecimal digits, drawn by who gives it and the same when it is given again.
-    id: String,
-    /// When it was given first, milliseconds of the calendar.
-    given: u64,
-    who: String,
-    why: String,
-    #[serde(default)]
-    until: u64,
-    order: String,
-    #[serde(default)]
-    server: String,
-    #[serde(default)]
-    route: String,
-    #[serde(default)]
-    weight: f64,
-    #[serde(default)]
-    level: f64,
-    #[serde(default)]
-    zone: String,
-    /// 0: it binds at once.
-    #[serde(default)]
-    steps: u32,
-    #[serde(default)]
-    pause_ms: u64,
-    /// Steps are a share of the planners with their proxies.
-    #[serde(default)]
-    by_proxies: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Changed {
-    name: String,
-    #[serde(default)]
-    at: String,
-    /// Another disk may come under the name.
-    #[serde(default)]
-    replace: bool,
-}
-
-/// A duty that an operator wants at a planner; with no planner wherever it falls.
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Handed {
-    id: String,
-    given: u64,
-    who: String,
-    why: String,
-    duty: String,
-    #[serde(default)]
-    to: String,
-}
-
-impl Handed {
-    fn command(self) -> Result<Command, String> {
-        let hand = Hand { duty: self.duty, to: self.to, who: self.who, why: self.why };
-        Ok(Command { id: id_of(&self.id)?, given: self.given, what: Some(What::Hand(hand)) })
-    }
-}
-
-fn id_of(text: &str) -> Result<u64, String> {
-    u64::from_str_radix(text, 16).map_err(|_| format!("id: '{text}' is not 16 hexadecimal digits"))
-}
-
-impl Given {
-    fn command(self) -> Result<Command, String> {
-        let id = id_of(&self.id)?;
-        let nothing = Clean::default();
-        let wish = match self.order.as_str() {
-            "drain" => Wish::Drain(self.server),
-            "take-back" => Wish::TakeBack(self.server),
-            "weight" => Wish::Weight(Weight { server: self.server, weight: self.weight }),
-            "free-weight" => Wish::FreeWeight(self.server),
-            "cap" => Wish::Cap(Cap { route: self.route, level: self.level }),
-            "uncap" => Wish::Uncap(self.route),
-            "drain-zone" => Wish::DrainZone(self.zone),
-            "take-back-zone" => Wish::TakeBackZone(self.zone),
-            "hold-duties" => Wish::HoldDuties(nothing),
-            "let-duties" => Wish::LetDuties(nothing),
-            "hold-releases" => Wish::HoldReleases(nothing),
-            "let-releases" => Wish::LetReleases(nothing),
-            other => return Err(format!("order: '{other}' is none")),
-        };
-        let (steps, pause) = (self.steps, self.pause_ms);
-        let (who, why, until, by_proxies) = (self.who, self.why, self.until, self.by_proxies);
-        if by_proxies && steps == 0 {
-            return Err("by_proxies: steps are missing".into());
-        }
-        let order = Order { who, why, until, wish: Some(wish), steps, pause, by_proxies };
-        Ok(Command { id, given: self.given, what: Some(What::Order(order)) })
-    }
-}
-
 pub struct Together {
     service: Service,
     member: Member,
@@ -251,15 +152,13 @@
         let refuse = |why: String| json!({ "refused": why }).to_string();
         match (method.as_str(), target.as_str()) {
             ("POST", "/orders") => {
-                let given = serde_json::from_slice::<Given>(&body).map_err(|e| e.to_string());
-                match given.and_then(Given::command) {
+                match admin::order(&body) {
                     Ok(command) => self.ask(now, Purpose::Answer(link), Request::Command(command), out),
                     Err(why) => self.service.answer(link, 400, &refuse(why), out),
                 }
             }
             ("POST", "/duties") => {
-                let given = serde_json::from_slice::<Handed>(&body).map_err(|e| e.to_string());
-                match given.and_then(Handed::command) {
+                match admin::hand(&body) {
                     Ok(command) => self.ask(now, Purpose::Answer(link), Request::Command(command), out),
                     Err(why) => self.service.answer(link, 400, &refuse(why), out),
                 }
@@ -272,24 +171,14 @@
                 let view = self.duties_view(now);
                 self.service.answer(link, 200, &view, out);
             }
-            ("POST", "/members") => match serde_json::from_slice::<Changed>(&body) {
-                Ok(changed) => {
-                    let seats = self.member.seats(now);
-                    let seat = seats.iter().find(|seat| seat.name == changed.name);
-                    let old = seat.filter(|_| changed.replace).map(|seat| u64::from_str_radix(&seat.id, 16));
-                    let change = Change {
-                        name: changed.name,
-                        at: changed.at,
-                        old: old.and_then(Result::ok).unwrap_or(0),
-                    };
-                    self.ask(now, Purpose::Answer(link), Request::Change(change), out)
-                }
-                Err(e) => self.service.answer(link, 400, &refuse(e.to_string()), out),
+            ("POST", "/members") => match admin::change(&body, &self.member.seats(now)) {
+                Ok(change) => self.ask(now, Purpose::Answer(link), Request::Change(change), out),
+                Err(why) => self.service.answer(link, 400, &refuse(why), out),
             },
             ("GET", "/record?stale") => self.ask(now, Purpose::Look(link), Request::Stale, out),
             ("GET", "/record") => self.ask(now, Purpose::Look(link), Request::Fresh, out),
             ("GET", "/members") => {
-                let view = json!({ "name": self.name, "members": self.member.seats(now) }).to_string();
+                let view = admin::members_view(&self.name, &self.member, now);
                 self.service.answer(link, 200, &view, out);
             }
             _ => {
@@ -307,12 +196,7 @@
                 self.number(now, number, out);
             }
             (Some(Purpose::Answer(link)), reply) => {
-                let (status, body) = match reply {
-                    Reply::Kept(number) => (200, json!({ "answer": "kept", "number": number })),
-                    Reply::Refused(why) => (409, json!({ "answer": "refused", "why": why })),
-                    Reply::NoMajority => (503, json!({ "answer": "no majority" })),
-                    Reply::Unknown | Reply::Look { .. } => (504, json!({ "answer": "unknown" })),
-                };
+                let (status, body) = admin::reply(&reply);
                 self.service.answer(link, status, &body.to_string(), out);
             }
             (Some(Purpose::Look(link)), Reply::Look { fresh, age }) => {
@@ -486,27 +370,9 @@
     }
 
     fn view(&self, now: Moment, fresh: bool, age: Span) -> String {
-        let (record, among) = (&self.member.record, self.among());
-        let orders: Vec<serde_json::Value> = record
-            .orders()
-            .filter_map(|(_, kept)| {
-                let order = kept.order.as_ref()?;
-                let words = order.wish.as_ref()?.words();
-                Some(json!({ "number": kept.number, "order": words, "who": order.who, "why": order.why,
-                    "until": order.until, "given": kept.given, "steps": order.steps, "reached": kept.reached,
-                    "back": kept.back, "here": orders::part_here(kept, now, &among) }))
-            })
-            .collect();
-        let drains: Vec<serde_json::Value> = record
-            .drains()
-            .map(|d| json!({ "server": d.server, "started": d.started, "told": d.told, "grace": d.grace }))
-            .collect();
-        let age = age.0 / 1_000_000;
-        let (applied, term) = self.member.agree().map_or((0, 0), |agree| (agree.applied(), agree.term()));
-        json!({ "fresh": fresh, "age_ms": age, "index": applied, "term": term, "format": record.format(), "number": record.number(),
-            "orders": orders, "drains": drains, "start": self.member.start_of_disk(),
-            "id": format!("{:016x}", self.member.id()) })
-        .to_string()
+        let among = self.among();
+        let here = |kept: &Standing| orders::part_here(kept, now, &among);
+        admin::record_view(&self.member, fresh, age, here).to_string()
     }
 
     /// Drains that the list told are kept, in the background: tables have changed already.
@@ -570,6 +436,8 @@
                         let heard = self.sharing.as_mut().map(|sharing| sharing.hear(now, from, kind));
                         self.do_shared(now, heard.unwrap_or_default(), out);
                     }
+                    // Control machines alone serve watches; and what was restored is told as changed.
+                    Told::Roster(..) | Told::Restored => {}
                     Told::Lost(id) => self.sharing.iter_mut().for_each(|sharing| sharing.lost(id)),
                 }
             }
--- a/crates/member/src/words.rs
+++ b/crates/member/src/words.rs
@@ -15,7 +15,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Word {
-    #[prost(oneof = "word::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
+    #[prost(oneof = "word::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18")]
     pub kind: Option<word::Kind>,
 }
 
@@ -63,6 +63,9 @@
         Counts(crate::shared::Counts),
         #[prost(message, tag = "17")]
         Evidence(crate::shared::EvidenceTold),
+        /// Whom a control machine serves, and what is in force there. To those only whose hello says that they serve watches.
+        #[prost(message, tag = "18")]
+        Roster(pewtergap_watch::words::RosterTold),
     }
 }
 
@@ -100,6 +103,9 @@
     /// It shares what it sees: whoever is older closes a link on words that it does not know.
     #[prost(bool, tag = "12")]
     pub shares: bool,
+    /// It serves watches, and wants to hear whom others serve.
+    #[prost(bool, tag = "13")]
+    pub watches: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -125,6 +131,9 @@
     pub at: String,
     #[prost(bool, tag = "4")]
     pub votes: bool,
+    /// From format 4 on: a build that reads no such field takes an observer for one that learns, and gives it a vote.
+    #[prost(bool, tag = "5")]
+    pub observes: bool,
 }
 
 /// Who belongs.
@@ -388,6 +397,7 @@
             word::Kind::Gossip(gossiped) => gossiped.check(),
             word::Kind::Counts(counts) => counts.check(),
             word::Kind::Evidence(told) => told.check(),
+            word::Kind::Roster(told) => told.check(),
             _ => Ok(()),
         }
     }
@@ -399,6 +409,12 @@
     }
 }
 
+impl Seat {
+    pub fn founder(id: Id, name: &str) -> Seat {
+        Seat { id, name: name.into(), votes: true, ..Seat::default() }
+    }
+}
+
 impl Word {
     pub fn of(kind: word::Kind) -> Word {
         Word { kind: Some(kind) }
@@ -406,12 +422,15 @@
 }
 
 pub fn seats(members: &Members) -> Seats {
-    let seat = |m: &Member| Seat { id: m.id, name: m.name.clone(), at: m.at.clone(), votes: m.votes };
+    let seat = |m: &Member| {
+        let (name, at) = (m.name.clone(), m.at.clone());
+        Seat { id: m.id, name, at, votes: m.votes, observes: m.observes }
+    };
     Seats { list: members.list.iter().map(seat).collect(), retired: members.retired.clone() }
 }
 
 pub fn members(seats: Seats) -> Members {
-    let member = |s: Seat| Member { id: s.id, name: s.name, at: s.at, votes: s.votes };
+    let member = |s: Seat| Member { id: s.id, name: s.name, at: s.at, votes: s.votes, observes: s.observes };
     Members { list: seats.list.into_iter().map(member).collect(), retired: seats.retired }
 }
 
--- a/crates/member/tests/hand.rs
+++ b/crates/member/tests/hand.rs
@@ -40,6 +40,8 @@
             receiver: None,
             shares: None,
             slices: (0, Span(0)),
+            observers: Vec::new(),
+            watches: false,
         };
         let member = Member::new(post);
         let (out, due, seen) = (Outbox::default(), Vec::new(), Vec::new());
@@ -227,7 +229,7 @@
     hand.pass(1_500);
     assert!(hand.dialled.len() > before, "it dials again");
     let founders: Vec<Seat> =
-        (5..8).map(|id| Seat { id, name: format!("m{id}"), at: String::new(), votes: true }).collect();
+        (5..8).map(|id| Seat { id, name: format!("m{id}"), at: String::new(), votes: true, observes: false }).collect();
     let cluster = pewtergap_member::digest(&founders);
     for link in hand.dialled.clone().into_iter().skip(before) {
         for name in ["b", "c"] {
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -53,8 +53,11 @@
 pub const CLEANING: &str = "cleaning";
 pub const BOOKS: &str = "books";
 pub const RELEASE: &str = "release";
-/// Formats of commands that this build can carry out.
-pub const FORMATS: (u32, u32) = (1, 3);
+/// Formats of commands that this build can carry out. Format 4 has no command of its own: it says that everybody who
+/// belongs knows observers.
+pub const FORMATS: (u32, u32) = (1, 4);
+/// From this format on there may be observers; a build that knows none would give them votes.
+pub const OBSERVERS: u32 = 4;
 /// Budgets that are parted.
 pub const MOST_BUDGETS: usize = 16;
 /// An id is remembered for so long after it was given, in milliseconds: longer than anybody goes on asking.
@@ -449,6 +452,24 @@
         self.ids.retain(|_, past| past.given >= horizon);
     }
 
+    /// What a command may change, before it is carried out; too much is not wrong.
+    pub fn touched(&self, command: &Command) -> Vec<Subject> {
+        match &command.what {
+            Some(What::Clean(clean)) => {
+                let over = |s: &Standing| s.order.as_ref().is_none_or(|o| o.until > 0 && o.until <= clean.now);
+                let orders = self.orders.iter().filter(|(_, standing)| over(standing));
+                let drains = self.drains.values().filter(|d| d.told + d.grace + DRAINED <= clean.now);
+                let drains = drains.map(|drain| Subject::Server(drain.server.clone()));
+                orders.map(|(subject, _)| subject.clone()).chain(drains).collect()
+            }
+            Some(What::Step(step)) => {
+                let stepped = self.orders.iter().find(|(_, standing)| standing.number == step.order);
+                stepped.map(|(subject, _)| subject.clone()).into_iter().collect()
+            }
+            _ => command.subject().into_iter().collect(),
+        }
+    }
+
     /// Whether a clean at this moment would end anything.
     pub fn has_run_out(&self, now: u64) -> bool {
         let ended = |s: &Standing| s.order.as_ref().is_some_and(|o| o.until > 0 && o.until <= now);
@@ -462,6 +483,22 @@
         self.orders.iter()
     }
 
+    /// For whoever carries out no commands and is told by others what stands on a subject, or of which start of a server a
+    /// drain runs. None: nothing.
+    pub fn set(&mut self, subject: Subject, standing: Option<Standing>) {
+        match standing {
+            Some(standing) => drop(self.orders.insert(subject, standing)),
+            None => drop(self.orders.remove(&subject)),
+        }
+    }
+
+    pub fn set_drain(&mut self, server: &str, drain: Option<Drain>) {
+        match drain {
+            Some(drain) => drop(self.drains.insert(server.into(), drain)),
+            None => drop(self.drains.remove(server)),
+        }
+    }
+
     pub fn duties(&self) -> &BTreeMap<String, Duty> {
         &self.duties
     }
--- /dev/null
+++ b/crates/tier/src/lib.rs
@@ -0,0 +1,14 @@
+//! The tier as processes: a control machine (a member of the record that serves watches) and a planner that watches one
+//! instead of being a member itself. Both are nodes: no socket, clock or thread.
+//!
+//! Not in here: agreement, words and machines of a watch, what an order means at a planner, decisions.
+#![forbid(unsafe_code)]
+
+pub mod keys;
+mod kept;
+mod machine;
+mod planner;
+
+pub use kept::Kept;
+pub use machine::{ControlMachine, Home};
+pub use planner::{Watches, WatchingPlanner};
