--- a/crates/agree/tests/schedules.rs
+++ b/crates/agree/tests/schedules.rs
@@ -2,6 +2,7 @@
 
 mod stage;
 
+use pewtergap_agree::{Refusal, Role};
 use proptest::prelude::*;
 use stage::*;
 
@@ -9,7 +10,10 @@
 type Step = (u8, u8, u8);
 
 fn play(members: u64, steps: &[Step], plant: Plant) -> Stage {
-    let mut stage = Stage::new(members, plant);
+    play_on(Stage::new(members, plant), steps, plant)
+}
+
+fn play_on(mut stage: Stage, steps: &[Step], plant: Plant) -> Stage {
     let mut commands = 0u64;
     for (what, whom, much) in steps {
         let ids = stage.ids();
@@ -97,6 +101,86 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 600, ..kept_failures() })]
+
+    #[test]
+    fn observers_follow_and_never_vote_stand_or_lead_whatever_is_delivered_lost_cut_or_killed(
+        voters in prop::sample::select(vec![1u64, 3]),
+        observers in 1u64..4,
+        steps in steps(700),
+    ) {
+        let stage = play_on(Stage::with_observers(voters, observers, Plant::Nothing), &steps, Plant::Nothing);
+        prop_assert_eq!(&stage.wrong, &None);
+        // All faults have passed: whoever observes has what is committed.
+        let applied = |id| stage.agree(id).map(|agree| agree.applied());
+        let leader = stage.leader().and_then(applied);
+        for id in voters + 1..=voters + observers {
+            prop_assert_eq!(applied(id), leader, "observer {}", id);
+        }
+    }
+}
+
+#[test]
+fn observers_alone_keep_nothing_confirm_no_read_and_hold_no_leader_up() {
+    let mut stage = Stage::with_observers(3, 4, Plant::Nothing);
+    stage.settle(2_000);
+    let leader = stage.leader().expect("a leader");
+    let propose = |stage: &mut Stage| stage.with(leader, |agree, _| agree.propose(b"x".to_vec()));
+    propose(&mut stage).expect("running").expect("taken in");
+    stage.settle(500);
+    let kept = stage.agree(leader).expect("running").commit();
+    assert!((4..=7).all(|id| stage.agree(id).expect("running").applied() == kept), "all observers have it");
+    // Four of seven hear the leader, none of them a voter.
+    for voter in (1..=3).filter(|id| *id != leader) {
+        stage.set_cut(leader, voter, true);
+        stage.set_cut(voter, leader, true);
+    }
+    let (_, index) = propose(&mut stage).expect("running").expect("taken in");
+    let reads = stage.read;
+    stage.read(leader);
+    stage.settle(200);
+    assert_eq!(stage.agree(4).expect("running").last().1, index, "observers have it on disk");
+    assert_eq!(stage.agree(leader).expect("running").commit(), kept, "and nobody counts them");
+    assert_eq!(stage.read, reads, "nor for a read");
+    stage.settle(2_000);
+    assert_ne!(stage.leader(), Some(leader), "it gave up, the other two go on");
+    stage.heal();
+    stage.settle(2_000);
+    assert_eq!(stage.wrong, None);
+}
+
+#[test]
+fn an_observer_gets_a_snapshot_and_no_change_gives_it_a_vote() {
+    let mut stage = Stage::with_observers(3, 1, Plant::Nothing);
+    stage.settle(2_000);
+    stage.kill(4, 0);
+    let leader = stage.leader().expect("a leader");
+    for at in 0..50u64 {
+        stage.with(leader, |agree, _| agree.propose(at.to_be_bytes().to_vec()));
+        stage.settle(20);
+    }
+    stage.with(leader, |agree, _| {
+        let at = agree.applied();
+        agree.compact(at, at.to_be_bytes().to_vec(), 0);
+    });
+    stage.start(4);
+    stage.settle(2_000);
+    let (has, wanted) = (stage.agree(4).expect("running"), stage.agree(leader).expect("running"));
+    assert_eq!((has.applied(), has.role()), (wanted.applied(), Role::Follower));
+    assert!(has.entry(10).is_none(), "it came by a snapshot");
+    let leader = stage.leader().expect("a leader");
+    let mut raised = stage.agree(leader).expect("running").members().clone();
+    for observes in [true, false] {
+        let seat = raised.list.iter_mut().find(|member| member.id == 4).expect("it belongs");
+        (seat.votes, seat.observes) = (true, observes);
+        let members = raised.clone();
+        let refused = stage.with(leader, |agree, now| agree.change(now, members)).expect("running");
+        assert_eq!(refused, Err(Refusal::Leap), "observes stays {observes}");
+    }
+    assert_eq!(stage.wrong, None);
+}
+
 /// Whether some of these schedules finds what is planted; which ones is the same every time.
 fn found(plant: Plant) -> Option<String> {
     (0..4_000).find_map(|seed| {
--- a/crates/agree/tests/stage/mod.rs
+++ b/crates/agree/tests/stage/mod.rs
@@ -44,6 +44,8 @@
     tokens: u64,
     pub went_back: Vec<Id>,
     plant: Plant,
+    /// From this number on members observe.
+    observers: Id,
     /// Who held an entry on disk when it was committed is not checked; that it is never another one is.
     pub wrong: Option<String>,
 }
@@ -55,6 +57,11 @@
 
 impl Stage {
     pub fn new(count: u64, plant: Plant) -> Stage {
+        Stage::with_observers(count, 0, plant)
+    }
+
+    /// Members 1 to `count` vote, so many more observe.
+    pub fn with_observers(count: u64, observers: u64, plant: Plant) -> Stage {
         let mut stage = Stage {
             now: START,
             places: BTreeMap::new(),
@@ -67,10 +74,13 @@
             tokens: 0,
             went_back: Vec::new(),
             plant,
+            observers: count + 1,
             wrong: None,
         };
-        let first = Row::Snapshot(Snapshot { members: founders(count), ..Snapshot::default() });
-        for id in 1..=count {
+        let mut members = founders(count + observers);
+        members.list.iter_mut().for_each(|m| (m.votes, m.observes) = (m.id <= count, m.id > count));
+        let first = Row::Snapshot(Snapshot { members, ..Snapshot::default() });
+        for id in 1..=count + observers {
             stage.admit(id, vec![first.clone()]);
         }
         stage
@@ -249,6 +259,13 @@
             for effect in effects {
                 match effect {
                     Effect::Send { to, message } => {
+                        let gives = matches!(
+                            message.say,
+                            Say::Vote { granted: true } | Say::Trialled { granted: true } | Say::Ask { .. }
+                        );
+                        if gives && id >= self.observers {
+                            self.wrong = Some(format!("observer {id} says {:?}", message.say));
+                        }
                         self.links.entry((id, to)).or_default().push_back(message);
                     }
                     Effect::Save { ticket, rows, anew } => {
@@ -282,6 +299,9 @@
                     Effect::Turned => {}
                 }
             }
+            if id >= self.observers && agree.role() != Role::Follower {
+                self.wrong = Some(format!("observer {id} is {:?}", agree.role()));
+            }
             if agree.role() == Role::Leader {
                 let known = *self.leaders.entry(agree.term()).or_insert(id);
                 if known != id {
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -4,7 +4,7 @@
 use clap::Subcommand;
 use pewtergap_lab::measure::Others;
 use pewtergap_reactor::Clock;
-use pewtergap_settings::{proxy_file, run, service_file, Faults, Script};
+use pewtergap_settings::{control_file, proxy_file, run, service_file, Faults, Script};
 use std::path::{Path, PathBuf};
 
 #[derive(Subcommand)]
@@ -18,6 +18,13 @@
         #[arg(long)]
         announce: bool,
     },
+    /// Run a control machine: it keeps the record, with a vote or as an observer, and planners watch it.
+    Control {
+        file: PathBuf,
+        /// Say on standard output where it listens.
+        #[arg(long)]
+        announce: bool,
+    },
     /// Run a plain proxy.
     Proxy {
         file: PathBuf,
@@ -119,6 +126,7 @@
     match front {
         Front::Check { file } => check(&file),
         Front::Run { file, announce } => planner(&file, announce),
+        Front::Control { file, announce } => control(&file, announce),
         Front::Proxy { file, announce } => proxy(&file, announce),
         Front::Order(line) => operator::order(line),
         Front::Members { what } => operator::members(what),
@@ -154,13 +162,24 @@
     let clock = Clock::default();
     drive(
         clock,
-        Box::new(file.planner(clock.now(), clock.now().0 ^ u64::from(std::process::id()) << 40)),
+        file.node(clock.now(), seed(clock)),
         dir,
         announce,
         MOST_UNWRITTEN,
     )
 }
 
+/// Told apart among processes that start at one moment.
+fn seed(clock: Clock) -> u64 {
+    clock.now().0 ^ u64::from(std::process::id()) << 40
+}
+
+fn control(file: &Path, announce: bool) -> Ended {
+    let file = control_file(&load(file)?).map_err(wrong)?;
+    let (dir, clock) = (file.dir.clone(), Clock::default());
+    drive(clock, Box::new(file.machine(seed(clock))), dir, announce, MOST_UNWRITTEN)
+}
+
 fn proxy(file: &Path, announce: bool) -> Ended {
     let file = proxy_file(&load(file)?).map_err(wrong)?;
     let dir = file.dir.clone();
@@ -181,6 +200,9 @@
     let script = load(file)?;
     let what = match script.kind() {
         "service" => service_file(&script).map(|file| format!("a planner, {}", file.charge.name)),
+        "control_machine" => {
+            control_file(&script).map(|file| format!("a control machine, {}", file.home.post.name))
+        }
         "proxy" => proxy_file(&script).map(|file| format!("a proxy, {}", file.home.name)),
         _ => {
             let text = std::fs::read_to_string(file).map_err(|e| (2, e.to_string()))?;
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -7,17 +7,25 @@
 use pewtergap_control::{Charge, Doors, Probing, Reports, Service, Source};
 use pewtergap_duty::Lease;
 use pewtergap_member::words::FORMATS;
-use pewtergap_member::{slice_names, Duties, Post, Receiver, Shares, Together, MOST_MEMBERS};
+use pewtergap_member::{
+    slice_names, Duties, Post, Receiver, Shares, Together, MOST_MEMBERS, MOST_OBSERVERS,
+};
+use pewtergap_node::Node;
 use pewtergap_planner::{
     Channel, Fleet, KeyScope, Planner, Pledge, Reach, Repeats, Route, Slicing, Throttle,
 };
 use pewtergap_proxy::{Front, Home, Proxy, Shunning};
-use pewtergap_record::{BOOKS, CLEANING, RELEASE};
+use pewtergap_record::{BOOKS, CLEANING, OBSERVERS, RELEASE};
 use pewtergap_shares::Terms;
+use pewtergap_tier::{ControlMachine, WatchingPlanner, Watches};
 use pewtergap_time::{Moment, Span};
+use pewtergap_watch::Terms as WatchTerms;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// Control machines that one planner may know of.
+const MOST_MACHINES: usize = 64;
+
 /// What `pewtergap run` starts from.
 pub struct ServiceFile {
     pub charge: Charge,
@@ -33,6 +41,15 @@
     pub probing: Probing,
     /// Who agrees with this planner on what it holds for others; alone unless others are named.
     pub post: Post,
+    /// Whom it watches instead of being a member.
+    pub watch: Option<Watches>,
+    pub seed: Option<u64>,
+    pub dir: PathBuf,
+}
+
+/// What `pewtergap control` starts from.
+pub struct ControlFile {
+    pub home: pewtergap_tier::Home,
     pub seed: Option<u64>,
     pub dir: PathBuf,
 }
@@ -152,16 +169,29 @@
     }
 }
 
+/// Names and where each is found, each name once.
+fn found_at(part: &Section, list: &str, kind: &str) -> Vec<(String, SocketAddr)> {
+    let all = part.parts(list, kind, |part| (part.need::<String>("name"), part.need("address")));
+    for (at, one) in all.iter().enumerate() {
+        if all[..at].iter().any(|other| other.0 == one.0) {
+            part.fault(list, format!("{kind} \"{}\" is there twice", one.0));
+        }
+    }
+    all
+}
+
 /// Whoever agrees with this planner. Left out, it is alone.
 fn cluster(part: &Section) -> Post {
-    let members = part.parts("members", "member", |part| {
-        let name: String = part.need("name");
-        (name, part.need("address"))
-    });
-    for (at, member) in members.iter().enumerate() {
-        if members[..at].iter().any(|other| other.0 == member.0) {
-            part.fault("members", format!("member \"{}\" is there twice", member.0));
-        }
+    let members = found_at(part, "members", "member");
+    let observers = found_at(part, "observers", "member");
+    if let Some(both) = observers.iter().find(|one| members.iter().any(|other| other.0 == one.0)) {
+        part.fault("observers", format!("\"{}\" is among the members, who vote", both.0));
+    }
+    if observers.len() > MOST_OBSERVERS {
+        part.fault("observers", format!("{} observers: {MOST_OBSERVERS} at most were expected", observers.len()));
+    }
+    if members.is_empty() && !observers.is_empty() {
+        part.fault("observers", "members is missing: whom do they observe?");
     }
     if members.len() > MOST_MEMBERS || !members.is_empty() && members.len().is_multiple_of(2) {
         part.fault("members", format!("{} members: 1, 3, 5 or 7 were expected", members.len()));
@@ -176,6 +206,8 @@
     let format = part.or("format", FORMATS.1 as usize) as u32;
     if !(FORMATS.0..=FORMATS.1).contains(&format) {
         part.fault("format", format!("{format}: this build speaks {} to {}", FORMATS.0, FORMATS.1));
+    } else if format < OBSERVERS && !observers.is_empty() {
+        part.fault("format", format!("{format}: observers need {OBSERVERS}"));
     }
     Post {
         name: String::new(),
@@ -190,6 +222,8 @@
         receiver: None,
         shares: None,
         slices: (0, Span(0)),
+        observers,
+        watches: false,
     }
 }
 
@@ -240,12 +274,76 @@
     receiver
 }
 
+/// Whom a planner watches that is no member.
+fn watch(part: &Section) -> Watches {
+    let machines = found_at(part, "machines", "machine");
+    if machines.is_empty() || machines.len() > MOST_MACHINES {
+        part.fault("machines", format!("{} machines: 1 to {MOST_MACHINES} were expected", machines.len()));
+    }
+    let usual = WatchTerms::default();
+    let terms = WatchTerms { dial: part.or("dial", usual.dial), ..usual };
+    Watches { planner: String::new(), machines, from: None, terms, seed: 0 }
+}
+
+/// The watches that a control machine serves.
+fn watches(part: &Section) -> (SocketAddr, WatchTerms) {
+    let usual = WatchTerms::default();
+    let terms = WatchTerms {
+        most_watches: part.or("most", usual.most_watches),
+        most_snapshots: part.or("snapshots", usual.most_snapshots),
+        pace: part.or("pace", usual.pace),
+        ..usual
+    };
+    if terms.most_watches > 16_384 {
+        part.fault("most", format!("{}: 16384 watches at most were expected", terms.most_watches));
+    }
+    if terms.most_snapshots > terms.most_watches {
+        part.clash("snapshots", format!("{} of {} watches", terms.most_snapshots, terms.most_watches));
+    }
+    if terms.pace < Span::millis(10) || terms.pace > Span::millis(2_000) {
+        part.fault("pace", format!("{}: 10ms to 2s were expected", terms.pace));
+    }
+    (part.need("listen"), terms)
+}
+
+/// Names that name files.
+fn file_name(part: &Section) -> String {
+    let name: String = part.need("name");
+    if !name.chars().all(|c| c.is_ascii_alphanumeric() || c == '-' || c == '_') {
+        part.fault("name", "letters, digits, - and _ only: it names files");
+    }
+    name
+}
+
+pub fn control_file(script: &Script) -> Result<ControlFile, Faults> {
+    script.as_kind("control_machine", |part| {
+        let name = file_name(part);
+        let from = part.maybe("source_address");
+        let post = part.within("cluster", "cluster", cluster);
+        if !post.members.is_empty() && post.listen.is_none() {
+            part.fault("cluster", "listen is missing: where do the other members come in?");
+        }
+        let mut belong = post.members.iter().chain(&post.observers);
+        if !post.members.is_empty() && !belong.any(|one| one.0 == name) {
+            part.clash("cluster", format!("\"{name}\" is neither among the members nor among the observers"));
+        }
+        let (listen, terms) = part
+            .need_part("watches", &["watches"], watches)
+            .unwrap_or((SocketAddr::from(([127, 0, 0, 1], 0)), WatchTerms::default()));
+        let home = pewtergap_tier::Home {
+            post: Post { name, from, ..post },
+            watches: listen,
+            admin: part.maybe("admin"),
+            terms,
+            seed: 0,
+        };
+        ControlFile { home, seed: part.maybe("seed"), dir: part.or("state_dir", ".".to_string()).into() }
+    })
+}
+
 pub fn service_file(script: &Script) -> Result<ServiceFile, Faults> {
     script.as_kind("service", |part| {
-        let name: String = part.need("name");
-        if !name.chars().all(|c| c.is_ascii_alphanumeric() || c == '-' || c == '_') {
-            part.fault("name", "letters, digits, - and _ only: it names files");
-        }
+        let name = file_name(part);
         let zones: Vec<String> = part.need("zones");
         if zones.is_empty() {
             part.fault("zones", "at least one zone was expected");
@@ -310,6 +408,7 @@
         if !post.members.is_empty() && post.listen.is_none() {
             part.fault("cluster", "listen is missing: where do the other members come in?");
         }
+        let watch = part.maybe_part("watch", "watch", watch);
         let receiver = part.maybe_part("books", "books", books);
         let duties = part.maybe_part("duties", "duties", duties).map(|(lease, steady, slices)| {
             let names = [Some(CLEANING), Some(RELEASE), receiver.map(|_| BOOKS)];
@@ -336,6 +435,12 @@
         if receiver.is_some() && duties.is_none() {
             part.fault("books", "duties() is missing: one planner at a time keeps them");
         }
+        let member = !post.members.is_empty() || duties.is_some() || shares.is_some() || receiver.is_some();
+        if watch.is_some() && member {
+            let what = "a planner that watches is no member: cluster(), duties(), sharing() and books() are for those that are";
+            part.fault("watch", what);
+        }
+        let watch = watch.map(|watch| Watches { planner: name.clone(), from: doors.from, ..watch });
         let deaf_after = Span(pledge.drain_grace.0.saturating_mul(4).max(Span::millis(5_000).0));
         ServiceFile {
             charge: Charge {
@@ -357,6 +462,7 @@
             reports,
             probing: probing.2,
             post: Post { name: name.clone(), from: doors.from, duties, receiver, shares, slices, ..post },
+            watch,
             seed: part.maybe("seed"),
             dir: part.or("state_dir", ".".to_string()).into(),
         }
@@ -402,6 +508,17 @@
         Together::new(self.service(now, seed), post, grace)
     }
 
+    /// What this file describes: a planner that watches, or one that is a member.
+    pub fn node(self, now: Moment, seed: u64) -> Box<dyn Node> {
+        match self.watch.clone() {
+            Some(watch) => {
+                let watches = Watches { seed, ..watch };
+                Box::new(WatchingPlanner::new(self.service(now, seed), watches))
+            }
+            None => Box::new(self.planner(now, seed)),
+        }
+    }
+
     /// The service that this file describes.
     pub fn service(self, now: Moment, seed: u64) -> Service {
         let seed = self.seed.unwrap_or(seed);
@@ -412,6 +529,14 @@
     }
 }
 
+impl ControlFile {
+    /// The control machine that this file describes.
+    pub fn machine(self, seed: u64) -> ControlMachine {
+        let seed = self.seed.unwrap_or(seed);
+        ControlMachine::new(pewtergap_tier::Home { seed, ..self.home })
+    }
+}
+
 impl ProxyFile {
     /// The proxy that this file describes.
     pub fn proxy(self, seed: u64) -> Proxy {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,7 @@
 //! Settings as a Starlark script, checked, to typed values.
 //!
 //! A script may use loops, functions and variables; it must end with one call that says what the file is for:
-//! `service(...)`, `proxy(...)`, or `day(...)`. All faults of a file are told at once, each with file, line,
+//! `service(...)`, `control_machine(...)`, `proxy(...)`, or `day(...)`. All faults of a file are told at once, each with file, line,
 //! column, the setting, and what was expected.
 #![forbid(unsafe_code)]
 
@@ -9,6 +9,8 @@
 mod read;
 mod script;
 
-pub use files::{channel, proxy_file, routes, rules, service_file, ProxyFile, RouteFile, ServiceFile};
+pub use files::{
+    channel, control_file, proxy_file, routes, rules, service_file, ControlFile, ProxyFile, RouteFile, ServiceFile,
+};
 pub use read::{Fault, Faults, Read, Section, Share};
 pub use script::{run, Script};
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -12,6 +12,7 @@
 /// Every kind of part a script may make. A first argument without a name is the part's `name`.
 const KINDS: &[&str] = &[
     "service",
+    "control_machine",
     "proxy",
     "day",
     "route",
@@ -27,6 +28,9 @@
     "books",
     "sharing",
     "member",
+    "watches",
+    "watch",
+    "machine",
     "shunning",
     "servers",
     "calls",
