--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -40,6 +40,8 @@
     },
     /// What the record holds.
     Record(operator::RecordLine),
+    /// Which planners have what the record says in force, asked of a control machine.
+    Watchers(operator::WatchersLine),
     /// Members under virtual time: bad days by seed, each checked after every step.
     Explore(explore::ExploreLine),
     /// One seed again.
@@ -134,6 +136,7 @@
         Front::Duties { what } => operator::duties(what),
         Front::Shared(at) => operator::shared(at),
         Front::Rehearse(wanted) => rehearse::rehearse(wanted),
+        Front::Watchers(line) => operator::watchers(line),
         Front::Explore(line) => explore::run(&line),
         Front::Replay(line) => explore::replay(&line),
         Front::Measure { what: Measured::Order { proxies, rounds, others, json } } => {
--- a/crates/pewtergap/src/operator.rs
+++ b/crates/pewtergap/src/operator.rs
@@ -5,7 +5,7 @@
 use pewtergap_lab::ask::call;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
-use std::time::SystemTime;
+use std::time::{Duration, Instant, SystemTime};
 
 #[derive(Args)]
 pub struct At {
@@ -39,6 +39,12 @@
     /// Of an order that was given before and whose answer is not known: 16 hexadecimal digits.
     #[arg(long)]
     id: Option<String>,
+    /// Given at a control machine: until all planners that are heard have it in force.
+    #[arg(long)]
+    wait: bool,
+    /// So many seconds at most.
+    #[arg(long, default_value_t = 30)]
+    patience: u64,
     #[command(subcommand)]
     order: Wish,
 }
@@ -153,6 +159,15 @@
     },
 }
 
+#[derive(Args)]
+pub struct WatchersLine {
+    #[command(flatten)]
+    at: At,
+    /// A place of the record; without it the newest that the machine has applied.
+    #[arg(long)]
+    place: Option<u64>,
+}
+
 #[derive(Args)]
 pub struct RecordLine {
     #[command(flatten)]
@@ -162,15 +177,17 @@
     stale: bool,
 }
 
-/// Tries the planners in turn. What one may have taken in is given to the next under the same id.
 fn ask(at: &At, method: &str, target: &str, body: Option<&str>) -> Ended {
+    println!("{}", answered(at, method, target, body)?.trim_end());
+    Ok(0)
+}
+
+/// Tries the planners in turn. What one may have taken in is given to the next under the same id.
+fn answered(at: &At, method: &str, target: &str, body: Option<&str>) -> Result<String, (u8, String)> {
     let (mut last, mut sent) = (String::new(), false);
     for address in &at.at {
         match call(*address, method, target, body) {
-            Ok((200, text)) => {
-                println!("{}", text.trim_end());
-                return Ok(0);
-            }
+            Ok((200, text)) => return Ok(text),
             Ok((status @ (503 | 504), text)) => {
                 sent |= status == 504;
                 last = format!("{address}: {text}");
@@ -220,7 +237,81 @@
         body.extend(more);
     }
     eprintln!("order {id}");
-    ask(&line.at, "POST", "/orders", Some(&body.to_string()))
+    let kept = answered(&line.at, "POST", "/orders", Some(&body.to_string()))?;
+    println!("{}", kept.trim_end());
+    match serde_json::from_str::<Value>(&kept).ok().and_then(|kept| kept["number"].as_u64()) {
+        Some(place) if line.wait => wait(&line.at, place, Duration::from_secs(line.patience)),
+        _ => Ok(0),
+    }
+}
+
+/// Between two looks at who has an order in force.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Until all planners that are heard have what the record says at a place in force. Control machines are asked in turn: one
+/// of them may be lost meanwhile, and one that has just begun knows nobody.
+fn wait(at: &At, place: u64, patience: Duration) -> Ended {
+    let end = Instant::now() + patience;
+    let mut told = String::from("nobody answered");
+    loop {
+        for address in &at.at {
+            let view = call(*address, "GET", &format!("/watchers?place={place}"), None);
+            let view = match view {
+                Ok((200, text)) => serde_json::from_str::<Value>(&text).unwrap_or_default(),
+                Ok((404, _)) => return Err((2, format!("{address} is no control machine: nobody watches it"))),
+                _ => continue,
+            };
+            let count = |name: &str| view[name].as_u64().unwrap_or(0);
+            let (expected, heard) = (count("expected"), count("heard"));
+            if expected == 0 && count("uncounted") == 0 {
+                told = format!("{address} knows no planner");
+                continue;
+            }
+            let done = count("at_or_past") == heard && heard > 0;
+            told = in_force(&view);
+            if done {
+                println!("{told}");
+                return Ok(0);
+            }
+            break;
+        }
+        if Instant::now() >= end {
+            let why = format!("kept as {place}; after {} s: {told}", patience.as_secs());
+            return Err((5, why));
+        }
+        std::thread::sleep(LOOK);
+    }
+}
+
+/// What of a view of watchers an operator wants to know.
+fn in_force(view: &Value) -> String {
+    let names = |list: &str, figure: &str, unit: &str| {
+        let rows = view[list].as_array().into_iter().flatten();
+        let row = |row: &Value| format!("{} ({}{unit})", row["planner"].as_str().unwrap_or("?"), row[figure]);
+        rows.map(row).collect::<Vec<_>>().join(", ")
+    };
+    let (unheard, behind) = (names("unheard", "for_ms", " ms"), names("slowest", "place", ""));
+    let mut text = format!("in force at {} of {}, unheard: ", view["at_or_past"], view["expected"]);
+    text += &match view["unheard_count"].as_u64().unwrap_or(0) {
+        0 => "none".into(),
+        count => format!("{count}: {unheard}"),
+    };
+    if !behind.is_empty() {
+        text += &format!(", behind: {behind}");
+    }
+    if view["uncounted"].as_u64().unwrap_or(0) > 0 {
+        text += &format!(", of {} nothing is known", view["uncounted"]);
+    }
+    text
+}
+
+/// Who has a place in force, over all control machines.
+pub fn watchers(line: WatchersLine) -> Ended {
+    let target = line.place.map_or("/watchers".into(), |place| format!("/watchers?place={place}"));
+    let text = answered(&line.at, "GET", &target, None)?;
+    println!("{}", text.trim_end());
+    eprintln!("{}", in_force(&serde_json::from_str(&text).unwrap_or_default()));
+    Ok(0)
 }
 
 pub fn members(line: MembersLine) -> Ended {
--- a/crates/tier/src/kept.rs
+++ b/crates/tier/src/kept.rs
@@ -1,41 +1,40 @@
-//! What a planner that watches keeps on its own disk: the number of its start, the scope, and what was in force.
+//! What a planner that watches keeps on its own disk: the number of its start, and what was in force of which scope.
 //!
 //! One file, replaced as a whole, its rows with checksums as those of a member's file. Nothing of it is a promise to others:
 //! damaged, it is set aside and the tier tells all again.
 
-use pewtergap_store::{Fault, Pen};
-use pewtergap_watch::words::ScopeTold;
-use pewtergap_watch::Scope;
-use prost::Message;
+use pewtergap_store::Pen;
+use pewtergap_watch::Kept as Watched;
 
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Kept {
     /// Of the last start.
     pub start: u64,
-    pub scope: Option<Scope>,
-    /// As the watch wrote it; empty: nothing was ever told.
-    pub watched: Vec<u8>,
+    /// None: nothing was ever told.
+    pub watched: Option<Watched>,
 }
 
-impl Kept {
-    pub fn write(&self) -> Vec<u8> {
-        let scope = self.scope.as_ref().map(|scope| scope.told(0).encode_to_vec()).unwrap_or_default();
-        Pen::default().anew(&[self.start.to_be_bytes().to_vec(), scope, self.watched.clone()])
-    }
+/// As it goes to the disk; `watched`: as the watch wrote it, or nothing.
+pub fn write(start: u64, watched: &[u8]) -> Vec<u8> {
+    Pen::default().anew(&[start.to_be_bytes().to_vec(), watched.to_vec()])
+}
 
+impl Kept {
+    /// # Errors
+    /// What is wrong with the file; nothing of it is to be used then.
     pub fn read(bytes: &[u8]) -> Result<Kept, String> {
         let found = pewtergap_store::read(bytes);
         if let Some(fault) = found.fault {
-            return Err(Fault::to_string(&fault));
+            return Err(fault.to_string());
         }
-        let [start, scope, watched] = found.rows[..] else {
-            return Err(format!("{} rows, 3 were expected", found.rows.len()));
+        let [start, watched] = found.rows[..] else {
+            return Err(format!("{} rows, 2 were expected", found.rows.len()));
         };
         let start = u64::from_be_bytes(start.try_into().map_err(|_| "the start has no 8 bytes")?);
-        let scope = match scope {
+        let watched = match watched {
             [] => None,
-            scope => Some(Scope::from(ScopeTold::decode(scope).map_err(|e| format!("scope: {e}"))?)),
+            watched => Some(Watched::read(watched)?),
         };
-        Ok(Kept { start, scope, watched: watched.to_vec() })
+        Ok(Kept { start, watched })
     }
 }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -9,6 +9,6 @@
 mod machine;
 mod planner;
 
-pub use kept::Kept;
+pub use kept::{write as write_kept, Kept};
 pub use machine::{ControlMachine, Home};
 pub use planner::{Watches, WatchingPlanner};
--- a/crates/tier/src/machine.rs
+++ b/crates/tier/src/machine.rs
@@ -97,7 +97,6 @@
 
     fn start(&mut self, now: Moment, out: &mut Outbox) {
         self.member.handle(now, Input::Start, out);
-        self.serving.handle(now, Input::Start, out);
         if let Some(at) = self.home.admin {
             out.push(Effect::Listen { door: ADMIN, at });
         }
@@ -129,7 +128,7 @@
         self.place = place;
         if self.record == 0 {
             self.record = record;
-            self.serving.stands(record);
+            self.serving.stands(now, record, out);
             let fields = vec![("record", format!("{record:016x}")), ("place", place.to_string())];
             out.log(Level::Info, "serves", fields);
         }
@@ -236,13 +235,19 @@
             None => return Err(format!("'{query}': place=N is known")),
         };
         let force = self.serving.roster.in_force(now, place);
+        let view = self.serving.view();
+        let refused: BTreeMap<String, u64> =
+            view.refused.iter().map(|(reason, count)| (format!("{reason:?}").to_lowercase(), *count)).collect();
         let ms = |span: Span| span.0.div_ceil(1_000_000);
         let slowest = force.slowest.iter().map(|(planner, at)| json!({ "planner": planner, "place": at }));
         let unheard = force.unheard.iter().map(|(planner, of)| json!({ "planner": planner, "for_ms": ms(*of) }));
         Ok(json!({ "name": self.home.post.name, "head": self.place, "place": place,
-            "expected": force.expected, "at_or_past": force.at_or_past, "lowest": force.lowest,
+            "expected": force.expected, "heard": force.heard, "at_or_past": force.at_or_past, "lowest": force.lowest,
             "slowest": slowest.collect::<Vec<_>>(), "unheard": unheard.collect::<Vec<_>>(),
-            "unheard_count": force.unheard_count, "age_ms": force.age.map(ms) })
+            "unheard_count": force.unheard_count, "uncounted": force.uncounted, "age_ms": force.age.map(ms),
+            "here": { "watches": view.watches, "snapshots": view.snapshots, "snapshots_waiting": view.waiting,
+                "bytes_out": view.out, "bytes_in": view.heard, "pieces": view.pieces, "made": view.made,
+                "refused": refused, "age_ms": self.serving.age(now).map(ms) } })
         .to_string())
     }
 
--- a/crates/tier/src/planner.rs
+++ b/crates/tier/src/planner.rs
@@ -10,7 +10,7 @@
 //!
 //! Tables never wait: without the tier, or before it answers, the service goes by what was kept.
 
-use crate::kept::Kept;
+use crate::kept::{self, Kept};
 use crate::keys;
 use pewtergap_control::{Asked, Service};
 use pewtergap_member::{admin, orders};
@@ -122,20 +122,21 @@
         };
         // Above all its own starts, and above those of a disk that was lost.
         self.start = now.0.max(kept.start + 1);
-        // What was kept is of this scope; the list widens it.
-        let routes = self.scope.routes.clone();
-        if let Some(scope) = kept.scope.clone().filter(|scope| scope.routes == routes) {
+        // Servers of the last start, until the list says otherwise: nothing has to be told anew where it is the same.
+        let scope = kept.watched.as_ref().and_then(|watched| watched.scope.clone());
+        if let Some(scope) = scope.filter(|scope| scope.routes == self.scope.routes) {
             self.scope = scope;
         }
-        self.replace(&Kept { start: self.start, ..kept.clone() }, 0, out);
+        let watched = kept.watched.as_ref().map(pewtergap_watch::Kept::write).unwrap_or_default();
+        self.replace(kept::write(self.start, &watched), 0, out);
         self.stage = Stage::Numbering(kept);
     }
 
-    fn replace(&mut self, kept: &Kept, place: u64, out: &mut Outbox) {
+    fn replace(&mut self, bytes: Vec<u8>, place: u64, out: &mut Outbox) {
         self.tickets += 1;
         let ticket = self.tickets;
         self.writing = Some(Writing { ticket, place });
-        out.push(Effect::Replace { name: self.file(), bytes: kept.write(), ticket });
+        out.push(Effect::Replace { name: self.file(), bytes, ticket });
     }
 
     /// Keeps what is in force, one write after the other.
@@ -144,10 +145,9 @@
         if self.writing.is_some() || !self.unwritten || now < self.again_at {
             return;
         }
-        let kept = Kept { start: self.start, scope: Some(self.scope.clone()), watched: watching.kept() };
-        let place = watching.place();
+        let (bytes, place) = (kept::write(self.start, &watching.kept()), watching.place());
         self.unwritten = false;
-        self.replace(&kept, place, out);
+        self.replace(bytes, place, out);
     }
 
     fn synced(&mut self, now: Moment, ticket: u64, result: Result<(), String>, out: &mut Outbox) {
@@ -158,7 +158,7 @@
         match (&mut self.stage, result) {
             (Stage::Numbering(kept), _) => {
                 let kept = std::mem::take(kept);
-                self.begin(now, &kept, out);
+                self.begin(now, kept.watched, out);
             }
             (Stage::Up(watching), Ok(())) => {
                 // Places that changed nothing here hold what was written.
@@ -174,22 +174,14 @@
 
     // ---- what is told
 
-    fn begin(&mut self, now: Moment, kept: &Kept, out: &mut Outbox) {
-        let watched = match kept.watched.as_slice() {
-            [] => None,
-            bytes => pewtergap_watch::Kept::read(bytes)
-                .map_err(|why| out.log(Level::Error, "watched_damaged", vec![("why", why)]))
-                .ok(),
-        };
+    fn begin(&mut self, now: Moment, watched: Option<pewtergap_watch::Kept>, out: &mut Outbox) {
         let fields = vec![
             ("start", self.start.to_string()),
             ("place", watched.as_ref().map_or(0, |kept| kept.place).to_string()),
         ];
         out.log(Level::Info, "watch_begins", fields);
-        let entries = watched.iter().flat_map(|kept| kept.entries());
-        let entries: Vec<keys::Entry> =
-            entries.map(|(key, value)| (key.to_string(), Some(value.to_vec()))).collect();
-        self.put(entries, out);
+        let entries = watched.iter().flat_map(|kept| &kept.entries);
+        self.put(entries.map(|(key, value)| (key.clone(), Some(value.clone()))).collect(), out);
         let home = pewtergap_watch::Home {
             planner: self.watches.planner.clone(),
             start: self.start,
--- /dev/null
+++ b/crates/watch/src/server.rs
@@ -0,0 +1,594 @@
+//! A control machine's side: watches of planners, as a machine without I/O, over words.
+//!
+//! Nothing is queued for a watcher: it has a position in the cache and at most [`MOST_PIECES`] pieces on their way. What is
+//! held for one is so bounded by its scope's names and two pieces; in all by [`Terms::most_watches`] of them, and by
+//! [`MOST_STRANGERS`] links beside that have not said who they are or are being closed.
+
+use crate::cache::Cache;
+use crate::pieces::{Position, Shared};
+use crate::scope::Scope;
+use crate::session::{row, Effect, Event, Session, State, MOST_ANSWERS};
+use crate::terms::{up_ms, Terms};
+use crate::words::{
+    Alive, Hello, Kind, Later, Ping, Reason, Refuse, ScopeTold, Took, Welcome, MOST_PIECES, VERSIONS,
+};
+use pewtergap_node::Link;
+use pewtergap_time::{Moment, Span};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// Links that have not said hello, or are being closed; beyond it they are cut unheard.
+pub const MOST_STRANGERS: usize = 1_024;
+/// Late by more than this: it was not the others that were silent.
+const LATE: Span = Span::millis(1_000);
+
+/// What the machine wants done.
+#[derive(Debug)]
+pub enum Act {
+    Say(Link, Kind),
+    /// A piece, as a frame.
+    Piece(Link, Vec<u8>),
+    /// Close once all is written.
+    Finish(Link),
+    Cut(Link),
+    /// A planner watches here, and had so much in force at this moment or later.
+    Heard {
+        planner: String,
+        start: u64,
+        turn: u64,
+        applied: u64,
+        vouched: Moment,
+    },
+    Gone {
+        planner: String,
+        start: u64,
+        turn: u64,
+        left: bool,
+    },
+}
+
+/// For operators.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    pub head: u64,
+    pub watches: usize,
+    /// Links that have not said hello, or are being closed.
+    pub strangers: usize,
+    pub snapshots: usize,
+    pub waiting: usize,
+    pub pieces: u64,
+    /// Pieces that were made, and told from those made.
+    pub made: u64,
+    pub shared: u64,
+    pub refused: BTreeMap<Reason, u64>,
+    /// Bytes said, and heard.
+    pub out: u64,
+    pub heard: u64,
+}
+
+pub struct Server {
+    terms: Terms,
+    machine: String,
+    record: Option<u64>,
+    cache: Cache,
+    asked: Option<Moment>,
+    sessions: BTreeMap<Link, Session>,
+    planners: BTreeMap<String, Link>,
+    /// Who is to be looked at, and when.
+    due: BTreeSet<(Moment, Link)>,
+    /// Scopes in use: what stands for each, and by how many it is used.
+    scopes: BTreeMap<Arc<Scope>, (u64, usize)>,
+    scopes_made: u64,
+    queue: VecDeque<Link>,
+    snapshots: usize,
+    turning: bool,
+    shared: Shared,
+    stopping: bool,
+    grace: Moment,
+    rng: fastrand::Rng,
+    pieces: u64,
+    refused: BTreeMap<Reason, u64>,
+}
+
+impl Server {
+    pub fn new(terms: Terms, machine: String, seed: u64) -> Server {
+        Server {
+            terms,
+            machine,
+            record: None,
+            cache: Cache::remembering(terms.most_tombstones),
+            asked: None,
+            sessions: BTreeMap::new(),
+            planners: BTreeMap::new(),
+            due: BTreeSet::new(),
+            scopes: BTreeMap::new(),
+            scopes_made: 0,
+            queue: VecDeque::new(),
+            snapshots: 0,
+            turning: false,
+            shared: Shared::default(),
+            stopping: false,
+            grace: Moment(0),
+            rng: fastrand::Rng::with_seed(seed),
+            pieces: 0,
+            refused: BTreeMap::new(),
+        }
+    }
+
+    pub fn cache(&self) -> &Cache {
+        &self.cache
+    }
+
+    pub fn view(&self) -> View {
+        let watches = self.sessions.values().filter(|session| session.watches()).count();
+        View {
+            head: self.cache.head(),
+            watches,
+            strangers: self.sessions.len() - watches,
+            snapshots: self.snapshots,
+            waiting: self.queue.len(),
+            pieces: self.pieces,
+            made: self.shared.made,
+            shared: self.shared.shared,
+            refused: self.refused.clone(),
+            out: 0,
+            heard: 0,
+        }
+    }
+
+    /// The most pieces on their way to any one watcher.
+    pub fn most_flight(&self) -> usize {
+        self.sessions.values().map(|session| session.flight.len()).max().unwrap_or(0)
+    }
+
+    pub fn has(&self, link: Link) -> bool {
+        self.sessions.contains_key(&link)
+    }
+
+    /// When `tick` is to be called next.
+    pub fn due(&self) -> Option<Moment> {
+        self.due.first().map(|due| due.0)
+    }
+
+    // ---- the record
+
+    /// The record's identity. Whoever watched another one begins elsewhere.
+    pub fn stands(&mut self, now: Moment, record: u64, acts: &mut Vec<Act>) {
+        if self.record.replace(record).is_some_and(|was| was != record) {
+            (self.cache, self.asked) = (Cache::remembering(self.terms.most_tombstones), None);
+            self.shared.clear();
+            self.everybody(now, Reason::Record, acts);
+        }
+    }
+
+    pub fn apply(
+        &mut self,
+        now: Moment,
+        place: u64,
+        changes: impl IntoIterator<Item = (String, Option<Vec<u8>>)>,
+        acts: &mut Vec<Act>,
+    ) {
+        self.cache.apply(place, changes);
+        self.moved(now, acts);
+    }
+
+    pub fn restore(&mut self, now: Moment, place: u64, all: BTreeMap<String, Vec<u8>>, acts: &mut Vec<Act>) {
+        self.cache.restore(place, all);
+        self.moved(now, acts);
+    }
+
+    fn moved(&mut self, now: Moment, acts: &mut Vec<Act>) {
+        self.shared.clear();
+        let links: Vec<Link> = self.sessions.keys().copied().collect();
+        links.into_iter().for_each(|link| self.pump(now, link, acts));
+    }
+
+    /// All that had been kept at this moment is applied here.
+    pub fn fresh(&mut self, asked: Moment) {
+        self.asked = Some(self.asked.map_or(asked, |was| was.max(asked)));
+    }
+
+    /// All that was kept so long ago is applied here.
+    pub fn age(&self, now: Moment) -> Option<Span> {
+        self.asked.map(|asked| self.terms.at_most(now.since(asked)))
+    }
+
+    // ---- links
+
+    pub fn accepted(&mut self, now: Moment, link: Link, acts: &mut Vec<Act>) {
+        let watches = self.planners.len();
+        if self.sessions.len() - watches >= MOST_STRANGERS {
+            return acts.push(Act::Cut(link));
+        }
+        self.sessions.insert(link, Session::new(now));
+        self.look_again(link);
+        if self.stopping {
+            self.event(now, link, Event::Refused(Reason::Stopping), "the machine ends", acts);
+        }
+    }
+
+    pub fn closed(&mut self, now: Moment, link: Link, acts: &mut Vec<Act>) {
+        if let Some(session) = self.sessions.get_mut(&link).filter(|session| session.watches()) {
+            let was = std::mem::replace(&mut session.state, State::Ending);
+            self.unwatch(now, link, was, false, acts);
+            self.turns(now, acts);
+        }
+        if let Some(session) = self.sessions.remove(&link) {
+            self.due.remove(&(session.due, link));
+        }
+    }
+
+    /// What came can't be read.
+    pub fn wrong(&mut self, now: Moment, link: Link, why: &str, acts: &mut Vec<Act>) {
+        self.event(now, link, Event::Refused(Reason::Bad), why, acts);
+    }
+
+    pub fn word(&mut self, now: Moment, link: Link, word: Kind, acts: &mut Vec<Act>) {
+        let Some(session) = self.sessions.get_mut(&link) else { return };
+        session.heard = now;
+        let watches = session.watches();
+        match (word, session.state) {
+            (_, State::Ending) => {}
+            (Kind::Hello(hello), State::Came) => self.hello(now, link, hello, acts),
+            (Kind::Took(took), _) if watches => self.took(now, link, took, acts),
+            (Kind::Ping(ping), _) if watches => self.ping(now, link, ping, acts),
+            (Kind::Rescope(scope), _) if watches => self.rescope(now, link, scope, acts),
+            (Kind::Leave(_), _) if watches => self.event(now, link, Event::Leaves, "", acts),
+            _ => self.wrong(now, link, "a word that nobody may say here", acts),
+        }
+        self.look_again(link);
+    }
+
+    fn hello(&mut self, now: Moment, link: Link, hello: Hello, acts: &mut Vec<Act>) {
+        if let Err((reason, why)) = self.admits(&hello) {
+            return self.event(now, link, Event::Refused(reason), &why, acts);
+        }
+        if let Some(old) = self.planners.get(&hello.planner).copied() {
+            self.event(now, old, Event::Refused(Reason::Replaced), "a newer watch of the planner", acts);
+        }
+        let (base, head) = (self.cache.forgotten(), self.cache.head());
+        let kept = hello.place > 0 && hello.place >= base && !hello.anew;
+        let broken_off = hello
+            .broken_off
+            .filter(|broken| !kept && broken.base >= base && broken.base.max(broken.seen) <= head);
+        let version = VERSIONS.1.min(hello.highest);
+        let (record, machine) = (self.record.unwrap_or(0), self.machine.clone());
+        let goes_on = broken_off.is_some();
+        acts.push(Act::Say(link, Kind::Welcome(Welcome { version, record, head, machine, goes_on })));
+        let (scope_number, scope) = (hello.scope.number, Arc::new(Scope::from(hello.scope)));
+        let (known, scope) = self.learn(scope);
+        self.planners.insert(hello.planner.clone(), link);
+        let Some(session) = self.sessions.get_mut(&link) else { return };
+        (session.planner, session.start, session.turn) = (hello.planner, hello.start, hello.turn);
+        (session.scope, session.known, session.scope_number) = (scope, known, scope_number);
+        session.vouched = now;
+        session.anew = !kept && !goes_on;
+        session.position = match broken_off {
+            Some(broken) if broken.all_keys => Position::at(broken.base),
+            Some(broken) => Position::Keys {
+                base: broken.base,
+                after: (!broken.after.is_empty()).then(|| broken.after.into()),
+            },
+            None => Position::at(hello.place),
+        };
+        self.heard(link, acts);
+        self.event(now, link, if kept { Event::GoesOn } else { Event::NeedsSnapshot }, "", acts);
+    }
+
+    fn admits(&self, hello: &Hello) -> Result<(), (Reason, String)> {
+        let refused = |reason, why: String| Err((reason, why));
+        if hello.lowest > VERSIONS.1 || hello.highest < VERSIONS.0 {
+            let (lowest, highest) = VERSIONS;
+            return refused(Reason::Version, format!("versions {lowest} to {highest} are spoken here"));
+        }
+        if self.stopping {
+            return refused(Reason::Stopping, "the machine ends".into());
+        }
+        let Some(record) = self.record else {
+            return refused(Reason::Behind, "no record is known here yet".into());
+        };
+        if hello.record != 0 && hello.record != record {
+            return refused(Reason::Record, format!("the record here is {record:016x}"));
+        }
+        let head = self.cache.head();
+        if hello.place > head {
+            return refused(Reason::Behind, format!("{head} is applied here, {} there", hello.place));
+        }
+        match self.planners.get(&hello.planner).and_then(|link| self.sessions.get(link)) {
+            Some(old) if (old.start, old.turn) >= (hello.start, hello.turn) => {
+                refused(Reason::Replaced, "a newer watch of the planner stands here".into())
+            }
+            None if self.planners.len() >= self.terms.most_watches => {
+                refused(Reason::Full, format!("{} watches stand here", self.planners.len()))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn took(&mut self, now: Moment, link: Link, took: Took, acts: &mut Vec<Act>) {
+        let Some(session) = self.sessions.get_mut(&link) else { return };
+        let Some((_, sent)) = session.flight.pop_front().filter(|(number, _)| *number == took.number) else {
+            return self.wrong(now, link, "a piece was taken that is not on its way", acts);
+        };
+        self.said(now, link, took.applied, sent, acts);
+        self.pump(now, link, acts);
+    }
+
+    fn ping(&mut self, now: Moment, link: Link, ping: Ping, acts: &mut Vec<Act>) {
+        let (age, head) = (self.age(now), self.cache.head());
+        let Some(session) = self.sessions.get_mut(&link) else { return };
+        let echoed = session.answers.iter().find(|(token, _)| *token == ping.echo).map(|answer| answer.1);
+        let vouched = echoed.unwrap_or(session.vouched);
+        session.answers.push_back((ping.token, now));
+        if session.answers.len() > MOST_ANSWERS {
+            session.answers.pop_front();
+        }
+        acts.push(Act::Say(link, Kind::Alive(Alive { token: ping.token, head, age_ms: age.map(up_ms) })));
+        self.said(now, link, ping.applied, vouched, acts);
+    }
+
+    /// What is in force at a planner, and at which moment or later it said so.
+    fn said(&mut self, now: Moment, link: Link, applied: u64, vouched: Moment, acts: &mut Vec<Act>) {
+        let head = self.cache.head();
+        let Some(session) = self.sessions.get_mut(&link) else { return };
+        if applied > head {
+            return self.wrong(now, link, "more is in force than was told", acts);
+        }
+        session.applied = session.applied.max(applied);
+        session.vouched = session.vouched.max(vouched);
+        self.heard(link, acts);
+    }
+
+    fn heard(&self, link: Link, acts: &mut Vec<Act>) {
+        let Some(session) = self.sessions.get(&link) else { return };
+        acts.push(Act::Heard {
+            planner: session.planner.clone(),
+            start: session.start,
+            turn: session.turn,
+            applied: session.applied,
+            vouched: session.vouched,
+        });
+    }
+
+    fn rescope(&mut self, now: Moment, link: Link, told: ScopeTold, acts: &mut Vec<Act>) {
+        let number = told.number;
+        let (known, scope) = self.learn(Arc::new(told.into()));
+        let Some(session) = self.sessions.get_mut(&link) else { return };
+        let old = std::mem::replace(&mut session.scope, scope);
+        (session.known, session.scope_number) = (known, number);
+        (session.anew, session.within) = (true, false);
+        self.unlearn(&old);
+        self.event(now, link, Event::Rescoped, "", acts);
+    }
+
+    fn learn(&mut self, scope: Arc<Scope>) -> (u64, Arc<Scope>) {
+        if let Some((scope, (known, used))) = self.scopes.get_key_value(&scope) {
+            let (known, used, scope) = (*known, *used, scope.clone());
+            self.scopes.insert(scope.clone(), (known, used + 1));
+            return (known, scope);
+        }
+        self.scopes_made += 1;
+        self.scopes.insert(scope.clone(), (self.scopes_made, 1));
+        (self.scopes_made, scope)
+    }
+
+    fn unlearn(&mut self, scope: &Arc<Scope>) {
+        if let Some((_, used)) = self.scopes.get_mut(scope) {
+            *used -= 1;
+            if *used == 0 {
+                self.scopes.remove(scope);
+            }
+        }
+    }
+
+    // ---- the table, and what it says
+
+    fn event(&mut self, now: Moment, link: Link, event: Event, why: &str, acts: &mut Vec<Act>) {
+        let Some(session) = self.sessions.get_mut(&link) else { return };
+        let Some((next, effect)) = row(session.state, event) else {
+            debug_assert!(false, "{event:?} in {:?}", session.state);
+            return;
+        };
+        let was = std::mem::replace(&mut session.state, next);
+        let watched = matches!(was, State::Waiting | State::Snapshot | State::Following);
+        match effect {
+            Effect::Leave | Effect::Refuse(_) if watched => {
+                self.unwatch(now, link, was, effect == Effect::Leave, acts)
+            }
+            Effect::Refuse(_) if was == State::Came => session.since = now,
+            Effect::Nothing | Effect::Leave | Effect::Refuse(_) => {}
+            Effect::Queue => self.enqueue(link, acts),
+            Effect::Release => self.snapshots -= 1,
+            Effect::ReleaseAndQueue => {
+                self.snapshots -= 1;
+                self.enqueue(link, acts);
+            }
+            Effect::Anew => session.anew = true,
+        }
+        match effect {
+            Effect::Leave => acts.push(Act::Finish(link)),
+            Effect::Refuse(reason) => self.refuse(link, reason, why, acts),
+            _ => {}
+        }
+        self.turns(now, acts);
+        self.pump(now, link, acts);
+    }
+
+    fn refuse(&mut self, link: Link, reason: Reason, why: &str, acts: &mut Vec<Act>) {
+        *self.refused.entry(reason).or_default() += 1;
+        let (least, most) = match reason {
+            Reason::Behind => (200, 1_500),
+            Reason::Deaf => (0, 2_000),
+            Reason::Full | Reason::Stopping => (2_000, 8_000),
+            Reason::Bad | Reason::Replaced => (5_000, 15_000),
+            Reason::Version | Reason::Record => (15_000, 45_000),
+        };
+        let again_ms = self.rng.u64(least..=most);
+        let refuse = Refuse { reason: reason as i32, why: why.into(), again_ms };
+        acts.push(Act::Say(link, Kind::Refuse(refuse)));
+        acts.push(Act::Finish(link));
+    }
+
+    /// No watch any more; the link is still to be closed.
+    fn unwatch(&mut self, now: Moment, link: Link, was: State, left: bool, acts: &mut Vec<Act>) {
+        let Some(session) = self.sessions.get_mut(&link) else { return };
+        session.since = now;
+        session.flight.clear();
+        let (planner, scope) = (std::mem::take(&mut session.planner), session.scope.clone());
+        let (start, turn) = (session.start, session.turn);
+        match was {
+            State::Snapshot => self.snapshots -= 1,
+            State::Waiting => self.queue.retain(|waits| *waits != link),
+            _ => {}
+        }
+        self.unlearn(&scope);
+        self.planners.remove(&planner);
+        acts.push(Act::Gone { planner, start, turn, left });
+    }
+
+    fn enqueue(&mut self, link: Link, acts: &mut Vec<Act>) {
+        let Some(session) = self.sessions.get_mut(&link) else { return };
+        if session.position.lost(&self.cache) {
+            session.anew = true;
+        }
+        // One that was broken off and came again has the least to be told.
+        let goes_on = !session.anew && session.number == 0;
+        self.queue.retain(|waits| *waits != link);
+        match goes_on {
+            true => self.queue.push_front(link),
+            false => self.queue.push_back(link),
+        }
+        if self.snapshots >= self.terms.most_snapshots {
+            let rounds = 1 + self.queue.len() / self.terms.most_snapshots.max(1);
+            let in_ms = self.rng.u64(1..=500 * rounds as u64);
+            acts.push(Act::Say(link, Kind::Later(Later { in_ms })));
+        }
+    }
+
+    /// Whoever waits for a snapshot and may have it now.
+    fn turns(&mut self, now: Moment, acts: &mut Vec<Act>) {
+        // One that is told at once gives its turn on: by this loop, not by one within it for each that waits.
+        if std::mem::replace(&mut self.turning, true) {
+            return;
+        }
+        while self.snapshots < self.terms.most_snapshots {
+            let Some(link) = self.queue.pop_front() else { break };
+            let Some(session) = self.sessions.get_mut(&link) else { continue };
+            if let Some((next, _)) = row(session.state, Event::Turn) {
+                (session.state, session.turned) = (next, now);
+                self.snapshots += 1;
+                self.pump(now, link, acts);
+            }
+        }
+        self.turning = false;
+    }
+
+    /// All that may be sent to a watcher now.
+    fn pump(&mut self, now: Moment, link: Link, acts: &mut Vec<Act>) {
+        while let Some(session) = self.sessions.get_mut(&link) {
+            if session.flight.len() >= MOST_PIECES {
+                break;
+            }
+            let lost = session.position.lost(&self.cache);
+            match session.state {
+                State::Snapshot if !self.queue.is_empty() && now.since(session.turned) >= self.terms.slot => {
+                    self.event(now, link, Event::TimeUp, "", acts);
+                    break;
+                }
+                State::Snapshot if session.anew || lost => {
+                    session.position = Position::Keys { base: self.cache.head(), after: None };
+                    session.anew = true;
+                }
+                State::Snapshot => {}
+                State::Following if lost => {
+                    (session.anew, session.within) = (true, false);
+                    self.event(now, link, Event::Lost, "", acts);
+                    break;
+                }
+                State::Following if session.within => {}
+                State::Following
+                    if now >= session.next && session.position != Position::at(self.cache.head()) => {}
+                _ => break,
+            }
+            let Some(session) = self.sessions.get_mut(&link) else { break };
+            let scope = (session.known, &*session.scope);
+            let piece = self.shared.piece(&self.cache, scope, &session.position, session.anew);
+            if !session.within {
+                session.next = now + self.terms.pace;
+            }
+            session.number += 1;
+            session.flight.push_back((session.number, now));
+            (session.position, session.anew, session.within) = (piece.next.clone(), false, !piece.done);
+            acts.push(Act::Piece(link, piece.frame(session.number, session.scope_number)));
+            self.pieces += 1;
+            if piece.done && session.state == State::Snapshot {
+                self.event(now, link, Event::Told, "", acts);
+                break;
+            }
+        }
+        self.look_again(link);
+    }
+
+    fn look_again(&mut self, link: Link) {
+        let Some(session) = self.sessions.get_mut(&link) else { return };
+        let due = session.wants(&self.terms, self.cache.head(), self.grace);
+        if session.due != due || !self.due.contains(&(due, link)) {
+            self.due.remove(&(session.due, link));
+            session.due = due;
+            self.due.insert((due, link));
+        }
+    }
+
+    // ---- time
+
+    /// Whoever is due; to be called at [`Server::due`] or later.
+    pub fn tick(&mut self, now: Moment, acts: &mut Vec<Act>) {
+        // Stopped for long, this machine heard nobody: what waits at its door is heard first.
+        if self.due().is_some_and(|due| now.since(due) > LATE) {
+            self.grace = now;
+        }
+        while let Some((due, link)) = self.due.first().copied().filter(|due| due.0 <= now) {
+            self.due.remove(&(due, link));
+            self.look(now, link, acts);
+            self.look_again(link);
+        }
+    }
+
+    fn look(&mut self, now: Moment, link: Link, acts: &mut Vec<Act>) {
+        let (terms, grace) = (self.terms, self.grace);
+        let Some(session) = self.sessions.get_mut(&link) else { return };
+        let deaf = session.flight.front().is_some_and(|(_, sent)| now >= (*sent).max(grace) + terms.deaf);
+        let silent = now >= session.heard.max(grace) + terms.planner_silent;
+        match session.state {
+            State::Ending if now >= session.since.max(grace) + terms.dial => {
+                // Until it is closed it is looked at no more.
+                session.since = now + Span(u64::MAX / 2);
+                acts.push(Act::Cut(link));
+            }
+            State::Came if now >= session.since.max(grace) + terms.dial => {
+                self.event(now, link, Event::Refused(Reason::Deaf), "it does not say who it is", acts);
+            }
+            State::Came | State::Ending => {}
+            _ if deaf => {
+                self.event(now, link, Event::Refused(Reason::Deaf), "it takes nothing of what is sent", acts)
+            }
+            _ if silent => self.event(now, link, Event::Refused(Reason::Deaf), "it was not heard", acts),
+            _ => self.pump(now, link, acts),
+        }
+    }
+
+    /// All are told to go elsewhere.
+    pub fn stop(&mut self, now: Moment, acts: &mut Vec<Act>) {
+        self.stopping = true;
+        self.everybody(now, Reason::Stopping, acts);
+    }
+
+    fn everybody(&mut self, now: Moment, reason: Reason, acts: &mut Vec<Act>) {
+        let links: Vec<Link> = self.sessions.keys().copied().collect();
+        for link in links {
+            let why =
+                if reason == Reason::Record { "another record stands here" } else { "the machine ends" };
+            self.event(now, link, Event::Refused(reason), why, acts);
+        }
+    }
+}
