--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -175,6 +175,7 @@
     pub demands: BTreeMap<Id, f64>,
     cleaned: Moment,
     raised: Moment,
+    asked_anew: Moment,
     office: Option<Office>,
     /// Who belongs, by others: for as long as this one does not.
     hearsay: Vec<Seat>,
@@ -221,6 +222,7 @@
             demands: BTreeMap::new(),
             cleaned: Moment(0),
             raised: Moment(0),
+            asked_anew: Moment(0),
             office: home.duties.clone().map(|duties| {
                 let till = home.shares.map(|shares| Till::new(shares.terms));
                 Office::new(duties, till)
@@ -407,6 +409,16 @@
         self.carry_out(now, out);
     }
 
+    /// One that is no founder and came before the founders had met was welcomed by nobody who belonged, and stayed out for as
+    /// long as its links stood (found with three voters and an observer that start together).
+    fn ask_anew(&mut self, now: Moment, out: &mut Outbox) {
+        let founds = self.home.members.iter().any(|member| member.0 == self.home.name);
+        if matches!(self.stage, Stage::New) && !founds && now.since(self.asked_anew) >= AGAIN {
+            self.asked_anew = now;
+            self.peers.ask_anew(now, out);
+        }
+    }
+
     /// Who we are, as it is told now.
     fn hello_now(&self) -> Hello {
         let seats = self.agree().map(|agree| words::seats(agree.members()).list).unwrap_or_default();
@@ -449,6 +461,12 @@
             (None, _) => return self.refuse(link, Refuse::of("the first word is no hello"), out),
             (Some(from), kind) => (from, kind),
         };
+        if let word::Kind::Roster(told) = kind {
+            // From whom a hello was taken, also before it is known here as seated, and whatever the stage: each of these words
+            // goes on from the one before it.
+            let name = self.peers.came.get(&link).and_then(|came| Some(came.hello.as_ref()?.name.clone()));
+            return self.told.extend(name.filter(|_| self.home.watches).map(|name| Told::Roster(name, told)));
+        }
         let Stage::Member(agree) = &mut self.stage else { return };
         match kind {
             word::Kind::Agree(agreeing) => {
@@ -492,22 +510,16 @@
                     self.told.push(Told::Shared(from, kind));
                 }
             }
-            word::Kind::Roster(told) => {
-                let name = agree.member(from).map(|member| member.name.clone());
-                // Told and lost, they are told anew with the next link.
-                if let Some(name) = name.filter(|_| self.home.watches && self.told.len() < MOST_WAITING) {
-                    self.told.push(Told::Roster(name, told));
-                }
-            }
             word::Kind::Renew(renew) => self.renews(now, from, renew),
             word::Kind::HandOn(asked) => self.hand_on(now, &asked, out),
-            word::Kind::Hello(_) | word::Kind::Welcome(_) | word::Kind::Refuse(_) => {}
+            word::Kind::Hello(_) | word::Kind::Welcome(_) | word::Kind::Refuse(_) | word::Kind::Roster(_) => {}
         }
     }
 
     fn house(&mut self, now: Moment, out: &mut Outbox) {
         out.wake(HOUSE, now + HOUSEKEEPING);
         self.know(now, out);
+        self.ask_anew(now, out);
         self.peers.dial(now, out);
         self.part(out);
         self.lead(now, out);
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -243,6 +243,16 @@
         self.peers.get(name)?.refused.as_deref()
     }
 
+    /// Whoever belonged to nothing when it welcomed us is dialled again: that it belongs by now is told by another welcome.
+    pub fn ask_anew(&mut self, now: Moment, out: &mut Outbox) {
+        for way in self.peers.values_mut().flat_map(|peer| &mut peer.ways) {
+            if way.welcome.take_if(|welcome| welcome.cluster == 0).is_some() {
+                way.link.take().into_iter().for_each(|link| out.cut(link));
+                way.rest(now);
+            }
+        }
+    }
+
     /// All ways are given up and dialled again: this member has become another.
     pub fn hang_up(&mut self, now: Moment, out: &mut Outbox) {
         for way in self.peers.values_mut().flat_map(|peer| &mut peer.ways) {
