--- /dev/null
+++ b/crates/tier/src/kept.rs
@@ -0,0 +1,40 @@
+//! What a planner that watches keeps on its own disk: the number of its start, and what was in force of which scope.
+//!
+//! One file, replaced as a whole, its rows with checksums as those of a member's file. Nothing of it is a promise to others:
+//! damaged, it is set aside and the tier tells all again.
+
+use pewtergap_store::Pen;
+use pewtergap_watch::Kept as Watched;
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Kept {
+    /// Of the last start.
+    pub start: u64,
+    /// None: nothing was ever told.
+    pub watched: Option<Watched>,
+}
+
+/// As it goes to the disk; `watched`: as the watch wrote it, or nothing.
+pub fn write(start: u64, watched: &[u8]) -> Vec<u8> {
+    Pen::default().anew(&[start.to_be_bytes().to_vec(), watched.to_vec()])
+}
+
+impl Kept {
+    /// # Errors
+    /// What is wrong with the file; nothing of it is to be used then.
+    pub fn read(bytes: &[u8]) -> Result<Kept, String> {
+        let found = pewtergap_store::read(bytes);
+        if let Some(fault) = found.fault {
+            return Err(fault.to_string());
+        }
+        let [start, watched] = found.rows[..] else {
+            return Err(format!("{} rows, 2 were expected", found.rows.len()));
+        };
+        let start = u64::from_be_bytes(start.try_into().map_err(|_| "the start has no 8 bytes")?);
+        let watched = match watched {
+            [] => None,
+            watched => Some(Watched::read(watched)?),
+        };
+        Ok(Kept { start, watched })
+    }
+}
