--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,21 +3,22 @@
 
 pub mod ask;
 pub mod audit;
-mod bell;
+pub mod bell;
 mod clients;
 pub mod cluster;
 pub mod day;
 pub mod days;
 pub mod explore;
-mod list;
+pub mod list;
 pub mod measure;
 mod members;
 pub mod probing;
+pub mod process;
 pub mod record;
 pub mod rehearse;
 mod relay;
 pub mod report;
-mod server;
+pub mod server;
 pub mod sharing;
 mod words;
 pub mod wrong;
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -1,6 +1,6 @@
 //! The fronts by scripts and the rehearsal kit.
 
-use crate::{cluster, drive, explore, operator, rehearse, Ended};
+use crate::{cluster, drive, explore, operator, rehearse, scale, Ended};
 use clap::Subcommand;
 use pewtergap_lab::measure::Others;
 use pewtergap_reactor::Clock;
@@ -46,6 +46,11 @@
     Shared(operator::At),
     /// Play a day against stand-ins on loopback and judge the five rules.
     Rehearse(rehearse::Wanted),
+    /// Run the tier at size: real control machines, some real planners, all others hollow; faults, a judge, a report.
+    Scale(scale::ScaleLine),
+    /// Hollow planners of a scale run, told on standard input what to do.
+    #[command(hide = true)]
+    Hollow { file: PathBuf },
     /// Measure, with figures as ratios within one run.
     Measure {
         #[command(subcommand)]
@@ -126,6 +131,8 @@
         Front::Duties { what } => operator::duties(what),
         Front::Shared(at) => operator::shared(at),
         Front::Rehearse(wanted) => rehearse::rehearse(wanted),
+        Front::Scale(line) => scale::scale(line),
+        Front::Hollow { file } => scale::hollow(&file),
         Front::Explore(line) => explore::run(&line),
         Front::Replay(line) => explore::replay(&line),
         Front::Measure { what: Measured::Order { proxies, rounds, others, json } } => {
--- a/crates/pewtergap/src/main.rs
+++ b/crates/pewtergap/src/main.rs
@@ -15,6 +15,8 @@
 mod platform;
 #[cfg(feature = "fronts")]
 mod rehearse;
+#[cfg(feature = "fronts")]
+mod scale;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use pewtergap_node::Node;
--- /dev/null
+++ b/crates/scale/src/report.rs
@@ -0,0 +1,213 @@
+//! What a scale run came to, as a page with plots and as points for slopes.
+
+use crate::director::{Came, Times};
+use crate::plot::{plot, Curve};
+use crate::sample::Role;
+use std::fmt::Write;
+use std::path::Path;
+
+/// A slope's points: what is measured against the number of planners.
+pub struct Figure {
+    pub name: &'static str,
+    pub unit: &'static str,
+    pub of: fn(&Came) -> Option<f64>,
+}
+
+fn whole(times: &Times, value: f64) -> Option<f64> {
+    Some(value).filter(|_| times.count > 0 && times.missing == 0)
+}
+
+fn of_role(came: &Came, role: Role, value: impl Fn(&crate::sample::Used) -> f64) -> Option<f64> {
+    came.used.get(&role).filter(|used| used.processes > 0).map(value)
+}
+
+/// By size; all but the times can be fitted with a line.
+pub const FIGURES: &[Figure] = &[
+    Figure { name: "rest_down", unit: "bytes/s a planner", of: |came| Some(came.rest.down) },
+    Figure { name: "rest_up", unit: "bytes/s a planner", of: |came| Some(came.rest.up) },
+    Figure { name: "burst_down", unit: "bytes/s a planner", of: |came| Some(came.burst.load.down) },
+    Figure { name: "burst_up", unit: "bytes/s a planner", of: |came| Some(came.burst.load.up) },
+    Figure { name: "rest_planner_cpu", unit: "ms/s a planner", of: |came| Some(came.rest.planner_cpu) },
+    Figure {
+        name: "burst_planner_cpu",
+        unit: "ms/s a planner",
+        of: |came| Some(came.burst.load.planner_cpu),
+    },
+    Figure {
+        name: "rest_machine_cpu",
+        unit: "ms/s a control machine",
+        of: |came| Some(came.rest.machine_cpu),
+    },
+    Figure {
+        name: "burst_machine_cpu",
+        unit: "ms/s a control machine",
+        of: |came| Some(came.burst.load.machine_cpu),
+    },
+    Figure {
+        name: "machine_rss",
+        unit: "KiB of the largest control machine",
+        of: |came| of_role(came, Role::Control, |used| used.most_rss_kib),
+    },
+    Figure {
+        name: "machine_descriptors",
+        unit: "descriptors of the control machine with most",
+        of: |came| of_role(came, Role::Control, |used| used.most_descriptors as f64),
+    },
+    Figure {
+        name: "hollow_rss",
+        unit: "KiB of all hollow planners' processes",
+        of: |came| of_role(came, Role::Hollow, |used| used.rss_kib),
+    },
+    Figure {
+        name: "planner_rss",
+        unit: "KiB of the largest real planner",
+        of: |came| of_role(came, Role::Planner, |used| used.most_rss_kib),
+    },
+    Figure {
+        name: "all_watch",
+        unit: "s until all watch, from a cold start",
+        of: |came| Some(came.planners_s),
+    },
+    Figure {
+        name: "burst_p50",
+        unit: "ms",
+        of: |came| whole(&came.burst.in_force, came.burst.in_force.p50_ms),
+    },
+    Figure {
+        name: "burst_p99",
+        unit: "ms",
+        of: |came| whole(&came.burst.in_force, came.burst.in_force.p99_ms),
+    },
+    Figure {
+        name: "burst_worst",
+        unit: "ms",
+        of: |came| whole(&came.burst.in_force, came.burst.in_force.worst_ms),
+    },
+    Figure {
+        name: "single_p99",
+        unit: "ms",
+        of: |came| whole(&came.singles.in_force, came.singles.in_force.p99_ms),
+    },
+    Figure {
+        name: "single_worst",
+        unit: "ms",
+        of: |came| whole(&came.singles.in_force, came.singles.in_force.worst_ms),
+    },
+];
+
+const PLOTS: &[(&str, &str, &str, &[&str])] = &[
+    ("bytes", "Bytes of a watch", "bytes/s a planner", &["rest_down", "rest_up", "burst_down", "burst_up"]),
+    ("cpu", "Processor time of a control machine", "ms/s", &["rest_machine_cpu", "burst_machine_cpu"]),
+    ("memory", "Memory of a control machine", "KiB", &["machine_rss"]),
+    ("in-force", "From kept to in force", "ms", &["burst_p50", "burst_p99", "burst_worst", "single_p99"]),
+];
+
+fn points(all: &[Came], name: &str) -> Vec<(f64, f64)> {
+    let Some(figure) = FIGURES.iter().find(|figure| figure.name == name) else { return Vec::new() };
+    all.iter().filter_map(|came| Some((came.size.planners as f64, (figure.of)(came)?))).collect()
+}
+
+fn times(text: &mut String, name: &str, times: &Times) {
+    let Times { count, p50_ms, p99_ms, worst_ms, missing, .. } = times;
+    let _ = writeln!(text, "| {name} | {count} | {p50_ms:.1} | {p99_ms:.1} | {worst_ms:.1} | {missing} |");
+}
+
+fn one(text: &mut String, came: &Came) {
+    let size = &came.size;
+    let _ = writeln!(
+        text,
+        "## {} planners, {} control machines\n\n{} of them real with {} proxies each, {} voters, {} regions; seed {}, {} build. \
+         Machines agreed after {:.1} s, all planners watched {:.1} s after the first was started. {} answers judged, peak memory of all \
+         processes {} MiB (reckoned {} MiB).\n",
+        size.planners,
+        size.control,
+        size.real,
+        size.proxies,
+        size.voters(),
+        size.regions,
+        came.seed,
+        came.build,
+        came.machines_s,
+        came.planners_s,
+        came.answers,
+        came.peak_mib,
+        came.need.memory >> 20
+    );
+    let _ = writeln!(
+        text,
+        "| time | count | p50 ms | p99 ms | worst ms | not come |\n| --- | --- | --- | --- | --- | --- |"
+    );
+    for (name, changes) in [("burst", &came.burst), ("single", &came.singles)] {
+        times(text, &format!("{name}: asked to kept"), &changes.answered);
+        times(text, &format!("{name}: kept to in force, each planner"), &changes.in_force);
+        times(text, &format!("{name}: asked to in force, each planner"), &changes.from_asked);
+        times(text, &format!("{name}: kept to told in force at all heard"), &changes.told);
+    }
+    for struck in &came.faults {
+        let name = format!("{:?}, {}", struck.fault, struck.who);
+        times(text, &format!("{name}: kept to in force, heard planners"), &struck.in_force);
+        times(text, &format!("{name}: until a lost watch stood again"), &struck.again);
+        if let Some(caught) = &struck.caught {
+            times(text, &format!("{name}: heard again to in force"), caught);
+        }
+    }
+    let _ = writeln!(text, "\n| aim | measured | most | |\n| --- | --- | --- | --- |");
+    for aim in &came.aims {
+        let measured = aim.measured.map_or("-".into(), |measured| format!("{measured:.2}"));
+        let met = match aim.met() {
+            Some(true) => "met",
+            Some(false) => "**missed**",
+            None => "not measured",
+        };
+        let _ = writeln!(text, "| {} ({}) | {measured} | {} | {met} |", aim.name, aim.unit, aim.most);
+    }
+    let _ = writeln!(text);
+    for breach in &came.breaches {
+        let _ = writeln!(text, "- **broken**: {breach}");
+    }
+    let _ = writeln!(text, "- {} rules broken.", came.breaches.len());
+    let _ = writeln!(text, "- Watches lost, by the planners' word: {:?}\n", came.lost_why);
+}
+
+/// The page, and its plots beside it.
+///
+/// # Errors
+/// A file could not be written.
+pub fn write(dir: &Path, all: &[Came]) -> Result<(), String> {
+    let put = |name: &str, text: &str| {
+        std::fs::write(dir.join(name), text).map_err(|e| format!("{}: {e}", dir.join(name).display()))
+    };
+    let mut text = String::from("# A scale run\n\n");
+    let _ = writeln!(text, "Bytes are those of the watches' links, counted in the hollow planners' processes, without the network's own; processor time and memory as the system counts them.\n");
+    if all.len() > 1 {
+        for (file, title, unit, names) in PLOTS {
+            let curve = |name: &&'static str| Curve { name, points: points(all, name) };
+            let curves: Vec<Curve> = names.iter().map(curve).collect();
+            put(&format!("{file}.svg"), &plot(title, unit, &curves)?)?;
+            let _ = writeln!(text, "![{title}]({file}.svg)");
+        }
+    }
+    let _ = writeln!(text, "\n| figure | unit | {} |", sizes(all));
+    let _ = writeln!(text, "| --- | --- |{}", " --- |".repeat(all.len()));
+    for figure in FIGURES {
+        let cell = |came: &Came| (figure.of)(came).map_or("-".into(), |value| format!("{value:.2}"));
+        let cells: Vec<String> = all.iter().map(cell).collect();
+        let _ = writeln!(text, "| {} | {} | {} |", figure.name, figure.unit, cells.join(" | "));
+    }
+    let _ = writeln!(text);
+    all.iter().for_each(|came| one(&mut text, came));
+    put("report.md", &text)
+}
+
+fn sizes(all: &[Came]) -> String {
+    all.iter().map(|came| came.size.planners.to_string()).collect::<Vec<_>>().join(" | ")
+}
+
+/// For a page of slopes: each figure with its points.
+pub fn slopes(all: &[Came]) -> serde_json::Value {
+    let one = |figure: &Figure| {
+        let points = points(all, figure.name);
+        serde_json::json!({ "name": figure.name, "unit": figure.unit, "points": points })
+    };
+    FIGURES.iter().map(one).collect()
+}
