--- a/crates/scale/src/deaf.rs
+++ b/crates/scale/src/deaf.rs
@@ -40,7 +40,7 @@
             }
             Input::Opened { link } if self.link == Some(link) => {
                 let (lowest, highest) = VERSIONS;
-                let scope = Scope::ALL.told();
+                let scope = Scope::ALL.told(0);
                 let hello = Hello {
                     lowest,
                     highest,
@@ -61,7 +61,7 @@
             }
             Input::Due { .. } if self.link.is_some() && !self.leaves => {
                 self.token += 1;
-                self.say(Kind::Ping(Ping { token: self.token, applied: 0 }), out);
+                self.say(Kind::Ping(Ping { token: self.token, applied: 0, echo: 0 }), out);
                 out.wake(0, now + LIFE);
             }
             Input::Closed { link, .. } if self.link == Some(link) => self.link = None,
