--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -206,7 +206,9 @@
     fn answer(&self, ask: &Ask) -> Answer {
         let tell = |ask: &Ask| {
             let word = serde_json::to_string(ask).unwrap_or_default();
-            self.places.iter().for_each(|place| drop(self.handle.tell(*place, word.clone())));
+            for place in &self.places {
+                self.handle.tell(*place, word.clone());
+            }
         };
         match ask {
             Ask::Cut { .. } | Ask::Heal | Ask::Restart { .. } => tell(ask),
--- a/crates/scale/src/parties.rs
+++ b/crates/scale/src/parties.rs
@@ -277,8 +277,11 @@
     }
 
     fn real_text(&self, nth: usize, admin: SocketAddr, proxies: SocketAddr) -> String {
-        let machines: Vec<String> =
-            self.addresses().iter().map(|(name, at)| format!("\"{name}\": \"{at}\"")).collect();
+        let machines: Vec<String> = self
+            .addresses()
+            .iter()
+            .map(|(name, at)| format!("machine(\"{name}\", address = \"{at}\")"))
+            .collect();
         let (name, dir) = (format!("p{nth}"), self.dir.join(format!("p{nth}")));
         format!(
             "service(name = \"{name}\", zones = [\"north\"], listen = \"{proxies}\", admin = \"{admin}\",\n    \
@@ -286,7 +289,7 @@
              routes = [{}],\n    fleet = fleet(proxies = {}, planners = {}),\n    \
              channel = channel(lines_per_s = 10000, most_waiting = 10000),\n    \
              rules = rules(drain_grace = \"5s\", cold_for = \"2s\"),\n    \
-             watch = watch(machines = {{{}}}))\n",
+             watch = watch(machines = [{}]))\n",
             self.listens["list"],
             dir.display(),
             routes_text(),
