--- a/crates/scale/src/director.rs
+++ b/crates/scale/src/director.rs
@@ -69,6 +69,9 @@
     /// Bytes a second and planner, to it and from it.
     pub down: f64,
     pub up: f64,
+    /// The same of real planners, as counted in the relay that their watches pass.
+    pub real_down: f64,
+    pub real_up: f64,
     /// Milliseconds of a processor a second: all control machines, by planner; the one planner itself.
     pub control_cpu: f64,
     pub planner_cpu: f64,
@@ -114,6 +117,9 @@
     pub aims: Vec<Aim>,
 }
 
+/// A moment of a run: what planners tell, what processes have used, what passed at real planners.
+type Mark = (Instant, Told, BTreeMap<Role, Used>, [u64; 2]);
+
 /// The run while it is played.
 pub struct Director<'a> {
     pub run: &'a Run<'a>,
@@ -290,13 +296,16 @@
         self.since(&before)
     }
 
-    fn mark(&mut self) -> Result<(Instant, Told, BTreeMap<Role, Used>), String> {
-        Ok((Instant::now(), self.parties.crowds.state()?, self.parties.sampler.now()))
+    fn mark(&mut self) -> Result<Mark, String> {
+        let (told, passed) = (self.parties.crowds.state()?, self.parties.passed());
+        Ok((Instant::now(), told, self.parties.sampler.now(), passed))
     }
 
-    fn since(&mut self, before: &(Instant, Told, BTreeMap<Role, Used>)) -> Result<Load, String> {
+    fn since(&mut self, before: &Mark) -> Result<Load, String> {
         let after = self.mark()?;
         let seconds = after.0.duration_since(before.0).as_secs_f64();
+        let real = (self.run.size.real as f64).max(1.0);
+        let passed = |way: usize| (after.3[way] - before.3[way]) as f64 / seconds / real;
         let cpu = |role: Role| {
             let of = |used: &BTreeMap<Role, Used>| used.get(&role).map_or(0.0, |used| used.cpu_ms);
             ((of(&after.2) - of(&before.2)) / seconds).max(0.0)
@@ -308,6 +317,8 @@
             seconds,
             down: bytes(after.1.came, before.1.came),
             up: bytes(after.1.went, before.1.went),
+            real_down: passed(1),
+            real_up: passed(0),
             control_cpu: control / self.run.size.planners as f64,
             planner_cpu: cpu(Role::Hollow) / hollow,
             machine_cpu: control / self.run.size.control as f64,
--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -280,9 +280,9 @@
         struck: &mut Struck,
     ) -> Result<(Option<usize>, u64), String> {
         let size = self.run.size;
-        // Real planners are in the first region: their links cannot be cut here.
         let region = match of_machine {
-            true => (1..size.regions.min(size.control)).next_back(),
+            true if size.regions > 1 => (0..size.regions.min(size.control)).next_back(),
+            true => None,
             false => (size.control..size.regions).next_back().or_else(|| (1..size.regions).next_back()),
         };
         let region = region.ok_or("there is one region only: nothing to cut from anything")?;
@@ -298,6 +298,11 @@
         }
         let machines = if ours.is_empty() { None } else { Some(away) };
         self.parties.crowds.ask(&Ask::Cut { region, machines })?;
+        // Real planners' watches are cut in their relay.
+        for nth in 0..size.real {
+            let away = (0..size.control).filter(|at| inside(&nth) != inside(at));
+            away.for_each(|at| self.parties.say_watches(format!("cut {nth} {at}")));
+        }
         if !ours.is_empty() {
             for other in (0..size.regions).filter(|other| *other != region) {
                 self.parties.crowds.ask(&Ask::Cut { region: other, machines: Some(home.clone()) })?;
@@ -306,6 +311,7 @@
         self.answers_for(stream, self.run.hold)?;
         let healed = self.parties.clock.now().0;
         self.parties.say("open-all".into());
+        self.parties.say_watches("open-all".into());
         self.parties.crowds.ask(&Ask::Heal)?;
         Ok((Some(region), healed))
     }
--- a/crates/scale/src/parties.rs
+++ b/crates/scale/src/parties.rs
@@ -9,7 +9,7 @@
 use crate::sample::{Role, Sampler};
 use pewtergap_lab::ask;
 use pewtergap_lab::bell::{Bell, Rung};
-use pewtergap_lab::cluster::links::{Links, Sightings};
+use pewtergap_lab::cluster::links::{Links, Passed, Sightings};
 use pewtergap_lab::list::List;
 use pewtergap_lab::process::Process;
 use pewtergap_lab::server::{Machine as Hardware, Server};
@@ -69,6 +69,9 @@
     proxies: Vec<Process>,
     pub crowds: Crowds,
     relay: (Handle, Place),
+    /// Between real planners and control machines, and what passed there.
+    watches: Place,
+    passed: Passed,
     list: Place,
     deaf: Place,
     listens: HashMap<String, SocketAddr>,
@@ -100,6 +103,10 @@
         let (bell, rungs) = Bell::new();
         let mut reactor = Reactor::new(clock, MOST_UNWRITTEN, dir.clone()).map_err(told)?;
         let relay = reactor.add(Box::new(Links::new(size.control, bell.clone(), Sightings::default())));
+        let real = size.real.min(size.planners);
+        let watches = Links::between(real, size.control, "watch", bell.clone(), Sightings::default());
+        let passed = watches.passed();
+        let watches = reactor.add(Box::new(watches));
         let list = reactor.add(Box::new(List::new(bell.clone())));
         let hardware = Hardware {
             cores: 4,
@@ -127,6 +134,8 @@
             proxies: Vec::new(),
             crowds: Crowds::none(),
             relay,
+            watches,
+            passed,
             list,
             deaf,
             listens: HashMap::new(),
@@ -138,6 +147,9 @@
                 parties.listening(&Links::door_name(from, to))?;
             }
         }
+        for nth in 0..real * size.control {
+            parties.listening(&format!("watch {} {}", nth / size.control, nth % size.control))?;
+        }
         parties.listening("list")?;
         for nth in 0..SERVERS {
             parties.listening(&format!("server {nth}"))?;
@@ -199,6 +211,7 @@
         let (process, doors) = Process::start(self.program, &self.dir, "control", &name, &text, &doors)?;
         self.sampler.add(process.id(), Role::Control);
         self.say(format!("target {at} {}", doors["members"]));
+        self.say_watches(format!("target {at} {}", doors["watches"]));
         let machine = &mut self.machines[at];
         (machine.admin, machine.watches) = (doors["admin"], doors["watches"]);
         machine.process = Some(process);
@@ -216,6 +229,17 @@
         self.relay.0.tell(self.relay.1, word);
     }
 
+    /// To the relay between real planners and control machines.
+    pub fn say_watches(&self, word: String) {
+        self.relay.0.tell(self.watches, word);
+    }
+
+    /// Bytes of the real planners' watches so far: to control machines, and from them.
+    pub fn passed(&self) -> [u64; 2] {
+        let passed = self.passed.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        passed.iter().fold([0; 2], |sum, one| [sum[0] + one[0], sum[1] + one[1]])
+    }
+
     /// Until a machine gives a fresh read.
     ///
     /// # Errors
@@ -307,7 +331,7 @@
         )
     }
 
-    /// Real planners with their proxies, all in the first region.
+    /// Real planners with their proxies, regions in turn. Their watches pass a relay.
     ///
     /// # Errors
     /// One did not start.
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -17,21 +17,49 @@
     Some(value).filter(|_| times.count > 0 && times.missing == 0)
 }
 
+fn hollow(came: &Came, value: f64) -> Option<f64> {
+    Some(value).filter(|_| came.size.hollow() > 0)
+}
+
+fn real(came: &Came, value: f64) -> Option<f64> {
+    Some(value).filter(|_| came.size.real > 0)
+}
+
 fn of_role(came: &Came, role: Role, value: impl Fn(&crate::sample::Used) -> f64) -> Option<f64> {
     came.used.get(&role).filter(|used| used.processes > 0).map(value)
 }
 
 /// By size; all but the times can be fitted with a line.
 pub const FIGURES: &[Figure] = &[
-    Figure { name: "rest_down", unit: "bytes/s a planner", of: |came| Some(came.rest.down) },
-    Figure { name: "rest_up", unit: "bytes/s a planner", of: |came| Some(came.rest.up) },
-    Figure { name: "burst_down", unit: "bytes/s a planner", of: |came| Some(came.burst.load.down) },
-    Figure { name: "burst_up", unit: "bytes/s a planner", of: |came| Some(came.burst.load.up) },
-    Figure { name: "rest_planner_cpu", unit: "ms/s a planner", of: |came| Some(came.rest.planner_cpu) },
+    Figure { name: "rest_down", unit: "bytes/s a planner", of: |came| hollow(came, came.rest.down) },
+    Figure { name: "rest_up", unit: "bytes/s a planner", of: |came| hollow(came, came.rest.up) },
+    Figure { name: "burst_down", unit: "bytes/s a planner", of: |came| hollow(came, came.burst.load.down) },
+    Figure { name: "burst_up", unit: "bytes/s a planner", of: |came| hollow(came, came.burst.load.up) },
+    Figure {
+        name: "real_rest_down",
+        unit: "bytes/s a real planner",
+        of: |came| real(came, came.rest.real_down),
+    },
+    Figure { name: "real_rest_up", unit: "bytes/s a real planner", of: |came| real(came, came.rest.real_up) },
+    Figure {
+        name: "real_burst_down",
+        unit: "bytes/s a real planner",
+        of: |came| real(came, came.burst.load.real_down),
+    },
+    Figure {
+        name: "real_burst_up",
+        unit: "bytes/s a real planner",
+        of: |came| real(came, came.burst.load.real_up),
+    },
+    Figure {
+        name: "rest_planner_cpu",
+        unit: "ms/s a planner",
+        of: |came| hollow(came, came.rest.planner_cpu),
+    },
     Figure {
         name: "burst_planner_cpu",
         unit: "ms/s a planner",
-        of: |came| Some(came.burst.load.planner_cpu),
+        of: |came| hollow(came, came.burst.load.planner_cpu),
     },
     Figure {
         name: "rest_machine_cpu",
