--- a/crates/scale/src/parties.rs
+++ b/crates/scale/src/parties.rs
@@ -301,11 +301,11 @@
     }
 
     fn real_text(&self, nth: usize, admin: SocketAddr, proxies: SocketAddr) -> String {
-        let machines: Vec<String> = self
-            .addresses()
-            .iter()
-            .map(|(name, at)| format!("machine(\"{name}\", address = \"{at}\")"))
-            .collect();
+        let machine = |(at, machine): (usize, &Machine)| {
+            let door = self.listens[&format!("watch {nth} {at}")];
+            format!("machine(\"{}\", address = \"{door}\")", machine.name)
+        };
+        let machines: Vec<String> = self.machines.iter().enumerate().map(machine).collect();
         let (name, dir) = (format!("p{nth}"), self.dir.join(format!("p{nth}")));
         format!(
             "service(name = \"{name}\", zones = [\"north\"], listen = \"{proxies}\", admin = \"{admin}\",\n    \
