--- /dev/null
+++ b/crates/pewtergap/tests/scale.rs
@@ -0,0 +1,83 @@
+//! The scale run, small: hollow planners before control machines of this program, with faults; what the judge has to find,
+//! and what is refused beforehand.
+
+use serde_json::Value;
+use std::process::{Command, Output};
+
+fn scale(args: &[&str]) -> Output {
+    let program = env!("CARGO_BIN_EXE_pewtergap");
+    Command::new(program).args(["scale", "--seed", "1"]).args(args).output().expect("it runs")
+}
+
+const SMALL: &[&str] = &[
+    "--planners",
+    "60",
+    "--real",
+    "0",
+    "--control",
+    "3",
+    "--regions",
+    "4",
+    "--rest",
+    "1",
+    "--hold",
+    "6",
+    "--json",
+];
+
+fn small(more: &[&str]) -> (Option<i32>, Value) {
+    let output = scale(&[SMALL, more].concat());
+    let errors = String::from_utf8_lossy(&output.stderr);
+    let came = serde_json::from_slice(&output.stdout).unwrap_or_else(|e| panic!("{e}: {errors}"));
+    (output.status.code(), came)
+}
+
+#[test]
+fn sixty_hollow_planners_and_three_machines_bear_a_kill_and_a_cut() {
+    let (code, came) = small(&["--faults", "machine,region"]);
+    let run = &came["runs"][0];
+    assert_eq!(run["breaches"], serde_json::json!([]), "{run}");
+    assert_eq!(code, Some(0));
+    // All of it happened: orders were kept, planners lost their watch and have one again, answers were judged.
+    assert_eq!(run["burst"]["kept"], 100, "{run}");
+    assert_eq!(run["burst"]["in_force"]["missing"], 0, "{run}");
+    let faults = run["faults"].as_array().expect("faults");
+    assert_eq!(faults.len(), 2);
+    for fault in faults {
+        assert!(fault["kept"].as_u64() > Some(0), "{fault}");
+        assert!(fault["again"]["count"].as_u64() > Some(0), "{fault}");
+        assert_eq!(fault["again"]["missing"], 0, "{fault}");
+        assert_eq!(fault["in_force"]["missing"], 0, "{fault}");
+    }
+    assert!(run["answers"].as_u64() > Some(10), "{run}");
+}
+
+#[test]
+fn an_unheard_one_counted_in_force_is_found() {
+    let (code, came) = small(&["--faults", "region", "--plant", "unheard-counted"]);
+    let breaches = came["runs"][0]["breaches"].as_array().cloned().unwrap_or_default();
+    assert_eq!(breaches.len(), 1, "{breaches:?}");
+    assert_eq!(breaches[0]["rule"], "in force counts nobody who has it not");
+    assert_eq!(code, Some(1));
+}
+
+#[test]
+fn a_watcher_taken_back_is_found() {
+    let (code, came) = small(&["--plant", "taken-back"]);
+    let breaches = came["runs"][0]["breaches"].as_array().cloned().unwrap_or_default();
+    assert_eq!(breaches.len(), 1, "{breaches:?}");
+    assert_eq!(breaches[0]["rule"], "a place never falls");
+    assert_eq!(code, Some(1));
+}
+
+#[test]
+fn what_does_not_fit_is_refused_with_need_and_limit() {
+    let output = scale(&["--planners", "1000000", "--control", "11", "--regions", "17"]);
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2), "{told}");
+    assert!(
+        told.contains("memory: ") && told.contains("processes: ") && told.contains("the limit is"),
+        "{told}"
+    );
+    assert!(output.stdout.is_empty());
+}
