--- a/crates/scale/src/director.rs
+++ b/crates/scale/src/director.rs
@@ -420,7 +420,7 @@
         for nth in 0..SINGLES {
             std::thread::sleep(BETWEEN);
             let admins = self.parties.admins();
-            let (id, what) = self.drawn.next();
+            let (id, what) = self.drawn.draw();
             let kept = crate::orders::give(&self.parties.clock, &admins, nth, id, what);
             told.extend(self.wait_in_force(&kept)?);
             all.push(kept);
--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -1,9 +1,9 @@
 //! What strikes a scale run, one after the other, while an operator goes on giving orders.
 
 use crate::director::{Director, Times};
-use crate::judge::Aim;
+use crate::judge::{Aim, Seen};
 use crate::orders::{give, Drawn, Kept};
-use crate::parties::{get, Parties, SERVERS_EACH};
+use crate::parties::{get, Parties, CEILING, SERVERS_EACH};
 use crate::track::Ask;
 use rustix::process::Signal;
 use serde::Serialize;
@@ -124,7 +124,7 @@
                 if done.load(Ordering::SeqCst) {
                     break;
                 }
-                let (id, what) = drawn.next();
+                let (id, what) = drawn.draw();
                 let one = give(&clock, &machines, nth, id, what);
                 all.lock().unwrap_or_else(PoisonError::into_inner).push(one);
                 std::thread::sleep(PACE);
@@ -148,6 +148,14 @@
 }
 
 impl Director<'_> {
+    fn somebody_unheard(&self) -> bool {
+        let told = self.seen.iter().rev().find_map(|seen| match seen {
+            Seen::Answer { told, .. } => Some(told.unheard > 0),
+            _ => None,
+        });
+        told == Some(true)
+    }
+
     fn control_kib(&self) -> f64 {
         let used = self.parties.sampler.now();
         used.get(&crate::sample::Role::Control).map_or(0.0, |used| used.rss_kib)
@@ -253,7 +261,7 @@
         self.parties.kill_machine(at);
         self.answers_for(stream, self.run.hold.min(Duration::from_secs(6)))?;
         // All watch again without it.
-        let end = Instant::now() + crate::parties::CEILING;
+        let end = Instant::now() + CEILING;
         loop {
             let told = self.parties.crowds.state()?;
             let (_, open) = self.parties.crowds.outages(&Ask::Again { since })?;
@@ -309,6 +317,14 @@
             }
         }
         self.answers_for(stream, self.run.hold)?;
+        // Whoever is cut has to be seen as such, however long that takes here.
+        let end = Instant::now() + CEILING;
+        while !self.somebody_unheard() {
+            self.answers_for(stream, LOOK)?;
+            if Instant::now() > end {
+                return Err("no machine tells that the cut region is not heard".into());
+            }
+        }
         let healed = self.parties.clock.now().0;
         self.parties.say("open-all".into());
         self.parties.say_watches("open-all".into());
--- a/crates/scale/src/orders.rs
+++ b/crates/scale/src/orders.rs
@@ -47,7 +47,7 @@
     }
 
     /// Its id, and what it says.
-    pub fn next(&mut self) -> (u64, What) {
+    pub fn draw(&mut self) -> (u64, What) {
         self.count += 1;
         // Digits that are told and read without a loss.
         let part = (self.count % 1_000_000) as f64 / 1_048_576.0 / 2.0;
@@ -93,7 +93,7 @@
     count: usize,
     over: Duration,
 ) -> Vec<Kept> {
-    let all: Vec<(u64, What)> = (0..count).map(|_| drawn.next()).collect();
+    let all: Vec<(u64, What)> = (0..count).map(|_| drawn.draw()).collect();
     let begin = Instant::now();
     // An answer takes a few milliseconds; each operator has its own share of the orders and its own pace.
     let operators = count.clamp(1, 16);
