--- a/crates/pewtergap/src/scale.rs
+++ b/crates/pewtergap/src/scale.rs
@@ -6,7 +6,7 @@
 use pewtergap_scale::faults::{Fault, FAULTS};
 use pewtergap_scale::judge::{Planted, PLANTED};
 use pewtergap_scale::reckon::{fits, Limits, Need, Size};
-use pewtergap_scale::report::{slopes, write};
+use pewtergap_scale::report::write;
 use serde_json::json;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -119,7 +119,7 @@
     }
     let broken: usize = all.iter().map(|came| came.breaches.len()).sum();
     if line.json {
-        println!("{}", json!({ "runs": all, "slopes": slopes(&all) }));
+        println!("{}", json!({ "runs": all }));
     } else {
         all.iter().for_each(tell);
     }
--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -64,6 +64,8 @@
     pub most_over_even: f64,
     /// From being heard again to having what was kept last, at those that were cut.
     pub caught: Option<Times>,
+    /// From the healing until what had been kept by then was in force at all.
+    pub healed: Option<Times>,
     /// Memory of all control machines, before and after, in KiB.
     pub control_kib: (f64, f64),
     /// Of the watcher that reads nothing: whether its machine ended it.
@@ -214,14 +216,16 @@
             again: Times::default(),
             most_over_even: 0.0,
             caught: None,
+            healed: None,
             control_kib: (kib, 0.0),
             ended: None,
         };
-        let (mut except, mut healed) = (None, since);
+        let (mut except, mut healed, mut before) = (None, since, None);
         match fault {
             Fault::Machine | Fault::Leader => self.kill(&stream, at, since, &mut struck)?,
             Fault::Region | Fault::RegionOfMachine => {
                 (except, healed) = self.cut(&stream, fault == Fault::RegionOfMachine, &mut struck)?;
+                before = stream.last().filter(|last| last.answered <= healed).and_then(|last| last.place);
             }
             Fault::Restart => self.restart(&stream)?,
             Fault::Deaf => self.deafen(&stream, at, &mut struck)?,
@@ -243,6 +247,10 @@
         if except.is_some() {
             let (caught, open) = self.parties.crowds.outages(&Ask::Caught { place: last, since: healed })?;
             struck.caught = Some(Times::of(&caught, open));
+            if let Some(place) = before {
+                let (all, lost) = self.parties.crowds.when(place, healed, None)?;
+                struck.healed = Some(Times::of(&all, lost));
+            }
         }
         struck.control_kib.1 = self.control_kib();
         self.remember(&all);
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -1,12 +1,13 @@
 //! What a scale run came to, as a page with plots and as points for slopes.
 
 use crate::director::{Came, Times};
+use crate::faults::{Fault, Struck};
 use crate::plot::{plot, Curve};
-use crate::sample::Role;
+use crate::sample::{Role, Used};
 use std::fmt::Write;
 use std::path::Path;
 
-/// A slope's points: what is measured against the number of planners.
+/// What is measured against the number of planners.
 pub struct Figure {
     pub name: &'static str,
     pub unit: &'static str,
@@ -25,7 +26,7 @@
     Some(value).filter(|_| came.size.real > 0)
 }
 
-fn of_role(came: &Came, role: Role, value: impl Fn(&crate::sample::Used) -> f64) -> Option<f64> {
+fn of_role(came: &Came, role: Role, value: impl Fn(&Used) -> f64) -> Option<f64> {
     came.used.get(&role).filter(|used| used.processes > 0).map(value)
 }
 
@@ -175,6 +176,9 @@
         let name = format!("{:?}, {}", struck.fault, struck.who);
         times(text, &format!("{name}: kept to in force, heard planners"), &struck.in_force);
         times(text, &format!("{name}: until a lost watch stood again"), &struck.again);
+        if let Some(healed) = &struck.healed {
+            times(text, &format!("{name}: healed to in force, all planners"), healed);
+        }
         if let Some(caught) = &struck.caught {
             times(text, &format!("{name}: heard again to in force"), caught);
         }
@@ -224,6 +228,7 @@
     }
     let _ = writeln!(text);
     all.iter().for_each(|came| one(&mut text, came));
+    put("slopes.toml", &slopes(all))?;
     put("report.md", &text)
 }
 
@@ -231,11 +236,170 @@
     all.iter().map(|came| came.size.planners.to_string()).collect::<Vec<_>>().join(" | ")
 }
 
-/// For a page of slopes: each figure with its points.
-pub fn slopes(all: &[Came]) -> serde_json::Value {
-    let one = |figure: &Figure| {
-        let points = points(all, figure.name);
-        serde_json::json!({ "name": figure.name, "unit": figure.unit, "points": points })
-    };
-    FIGURES.iter().map(one).collect()
+/// A slope of docs/capacity: by which name, over what, and its points.
+struct Slope {
+    name: &'static str,
+    x: &'static str,
+    unit: &'static str,
+    of: fn(&Came) -> Option<(f64, f64)>,
+}
+
+const WATCHING: &str = "planners watching it";
+const ALL: &str = "planners in all";
+
+fn each(came: &Came) -> f64 {
+    came.size.planners as f64 / came.size.control as f64
+}
+
+fn in_all(came: &Came, value: Option<f64>) -> Option<(f64, f64)> {
+    Some((came.size.planners as f64, value?))
+}
+
+fn struck(came: &Came, fault: Fault) -> Option<&Struck> {
+    came.faults.iter().find(|struck| struck.fault == fault)
+}
+
+/// Seconds of what came whole.
+fn seconds(times: &Times, ms: f64) -> Option<f64> {
+    whole(times, ms).map(|ms| ms / 1e3)
+}
+
+const SLOPES: &[Slope] = &[
+    Slope {
+        name: "tier.machine.bytes",
+        x: WATCHING,
+        unit: "bytes/s",
+        of: |came| Some((each(came), hollow(came, came.rest.down + came.rest.up)? * each(came))),
+    },
+    Slope {
+        name: "tier.machine.core",
+        x: WATCHING,
+        unit: "core",
+        of: |came| Some((each(came), came.rest.machine_cpu / 1e3)),
+    },
+    Slope {
+        name: "tier.machine.memory",
+        x: WATCHING,
+        unit: "bytes",
+        of: |came| {
+            let mean = of_role(came, Role::Control, |used| used.rss_kib * 1_024.0 / used.processes as f64)?;
+            Some((each(came), mean))
+        },
+    },
+    Slope {
+        name: "tier.machine.descriptors",
+        x: WATCHING,
+        unit: "descriptors",
+        of: |came| Some((each(came), of_role(came, Role::Control, |used| used.most_descriptors as f64)?)),
+    },
+    Slope {
+        name: "tier.machine.burst_bytes",
+        x: WATCHING,
+        unit: "bytes/s",
+        of: |came| {
+            let load = &came.burst.load;
+            Some((each(came), hollow(came, load.down + load.up)? * each(came)))
+        },
+    },
+    Slope {
+        name: "tier.machine.burst_core",
+        x: WATCHING,
+        unit: "core",
+        of: |came| Some((each(came), came.burst.load.machine_cpu / 1e3)),
+    },
+    Slope {
+        name: "tier.planner.bytes",
+        x: ALL,
+        unit: "bytes/s",
+        of: |came| in_all(came, hollow(came, came.rest.down + came.rest.up)),
+    },
+    Slope {
+        name: "tier.planner.core",
+        x: ALL,
+        unit: "core",
+        of: |came| in_all(came, hollow(came, came.rest.planner_cpu / 1e3)),
+    },
+    Slope {
+        name: "tier.planner.memory",
+        x: ALL,
+        unit: "bytes",
+        of: |came| {
+            let each = |used: &Used| used.rss_kib * 1_024.0 / came.size.hollow().max(1) as f64;
+            in_all(came, of_role(came, Role::Hollow, each))
+        },
+    },
+    Slope {
+        name: "tier.planner.burst_bytes",
+        x: ALL,
+        unit: "bytes/s",
+        of: |came| in_all(came, hollow(came, came.burst.load.down + came.burst.load.up)),
+    },
+    Slope {
+        name: "tier.in_force_p99",
+        x: ALL,
+        unit: "s",
+        of: |came| {
+            let times = &struck(came, Fault::Machine)?.in_force;
+            in_all(came, seconds(times, times.p99_ms))
+        },
+    },
+    Slope {
+        name: "tier.in_force_worst",
+        x: ALL,
+        unit: "s",
+        of: |came| {
+            let times = &struck(came, Fault::Machine)?.in_force;
+            in_all(came, seconds(times, times.worst_ms))
+        },
+    },
+    Slope {
+        name: "tier.watch_again",
+        x: ALL,
+        unit: "s",
+        of: |came| {
+            let times = &struck(came, Fault::Machine)?.again;
+            in_all(came, seconds(times, times.worst_ms))
+        },
+    },
+    Slope {
+        name: "tier.healed",
+        x: "planners in a region",
+        unit: "s",
+        of: |came| {
+            let times = struck(came, Fault::Region)?.healed.as_ref()?;
+            let region = came.size.planners as f64 / came.size.regions as f64;
+            Some((region, seconds(times, times.worst_ms)?))
+        },
+    },
+    Slope {
+        name: "tier.restarted",
+        x: ALL,
+        unit: "s",
+        of: |came| {
+            let times = &struck(came, Fault::Restart)?.again;
+            in_all(came, seconds(times, times.p90_ms))
+        },
+    },
+];
+
+/// The measured slopes, in the form of docs/capacity/slopes.toml; run, date and build are for whoever enters them.
+pub fn slopes(all: &[Came]) -> String {
+    let mut text = String::new();
+    for Slope { name, x, unit, of } in SLOPES {
+        let points: Vec<String> =
+            all.iter().filter_map(of).map(|(x, y)| format!("[{}, {}]", round(x), round(y))).collect();
+        let points = points.join(", ");
+        let _ = writeln!(text, "[[slope]]\nname = \"{name}\"\nx = \"{x}\"\nunit = \"{unit}\"");
+        let _ = writeln!(text, "points = [{points}]\n");
+    }
+    text
+}
+
+/// To four digits.
+fn round(value: f64) -> f64 {
+    if value == 0.0 {
+        return 0.0;
+    }
+    let scale = 10f64.powf(3.0 - value.abs().log10().floor());
+    (value * scale).round() / scale
 }
