Capacity: what each role needs at the target, worked out from measured slopes and checked

The size to plan with had arithmetic but no page whose figures follow from runs. The crate `capacity` reads the target and the measured points, fits a line through each set, and works out a table for each role, with what is over its budget first. Each amount begins as a slope's or a stated parameter's, so a figure is measured, reckoned or assumed and nothing else. A wrong file is told with file, line and field (exit 2). `pewtergap capacity` prints the tables, docs/CAPACITY.md has them, and a test fails when the two differ. Points are those on record in docs/results.md so far; slopes without points keep places.

--- /dev/null
+++ b/crates/capacity/src/slopes.rs
@@ -0,0 +1,247 @@
+//! What was measured: points by size, each set with its run, and the line through them.
+
+use crate::fit::{fit, Fit};
+use crate::read::{read, Part, Wrongs};
+use crate::worked::Worked;
+use serde::Serialize;
+
+/// A slope that figures are worked out from: what its points mean.
+pub struct Spec {
+    pub name: &'static str,
+    /// What a point's first number counts.
+    pub x: &'static str,
+    /// The unit of its second number.
+    pub unit: &'static str,
+    pub what: &'static str,
+}
+
+const fn spec(name: &'static str, x: &'static str, unit: &'static str, what: &'static str) -> Spec {
+    Spec { name, x, unit, what }
+}
+
+/// All slopes. A file has each of them; one without points keeps a place, and its figures say that they wait for it.
+pub const SPECS: &[Spec] = &[
+    spec("record.rate", "voters", "orders/s", "orders kept, 16 operators at once"),
+    spec("record.kept_p99", "voters", "s", "from order to kept, 16 operators at once"),
+    spec("record.without_leader", "voters", "s", "from the leader's kill to the next kept order, worst"),
+    spec("record.core", "orders/s", "core", "the leader's processor time"),
+    spec("record.bytes", "orders/s", "bytes/s", "the leader's words to and from the other voters"),
+    spec("record.messages", "orders/s", "messages/s", "the leader's words to and from the other voters"),
+    spec("record.memory", "entries", "bytes", "the leader's memory"),
+    spec("record.disk", "entries", "bytes", "a voter's disk"),
+    spec("record.descriptors", "voters", "descriptors", "held by a voter at rest"),
+    spec(
+        "duties.core",
+        "duties",
+        "core",
+        "a planner's processor time, the record's work among seven included",
+    ),
+    spec("duties.handed_on", "voters", "s", "from a holder's kill to the next one's work, worst"),
+    spec("sharing.bytes", "other planners x servers", "bytes/s", "words of one planner to the others"),
+    spec("sharing.core", "other planners x servers", "core", "its work for them"),
+    spec("list.memory", "servers", "bytes", "a planner's memory with the list and no proxies"),
+    spec("list.bytes", "servers", "bytes", "the whole list as its source sends it"),
+    spec("list.kept", "servers", "bytes", "the list as the planner keeps it on its disk"),
+    spec(
+        "list.start_core",
+        "servers",
+        "core x s",
+        "processor time from a planner's start to the list taken in",
+    ),
+    spec("list.core", "servers", "core", "a planner with the list at rest, probes off"),
+    spec("list.change_bytes", "servers a slice", "bytes", "one change as the source sends it"),
+    spec("list.change_core", "servers", "core x s", "a planner's work for one change in a slice of a 51st"),
+    spec("list.descriptors", "servers", "descriptors", "held by a planner with the list and no proxies"),
+    spec("probes.messages", "servers", "messages/s", "probes and their answers"),
+    spec("probes.bytes", "servers", "bytes/s", "probes and their answers"),
+    spec("probes.core", "servers", "core", "a planner's work for probes, the list's at rest included"),
+    spec("stream.memory", "proxies", "bytes", "a planner's memory with so many proxies joined"),
+    spec("stream.messages", "proxies", "messages/s", "sums and signs of life of proxies that have no calls"),
+    spec("stream.bytes", "proxies", "bytes/s", "sums and signs of life of proxies that have no calls"),
+    spec("stream.core", "proxies", "core", "a planner's work for proxies that have no calls"),
+    spec("stream.removal_core", "proxies", "core x s", "a planner's work for one removal told to all"),
+    spec("stream.removal_last", "proxies", "s", "from the list's change to the last proxy's ACK, median"),
+    spec("stream.joined", "proxies", "s", "until all proxies have their first table"),
+    spec("routes.memory", "routes", "bytes", "a planner's memory by routes in its settings"),
+    spec("routes.core", "routes", "core", "a planner at rest by routes in its settings"),
+    spec("proxy.memory", "servers", "bytes", "a proxy's memory by servers in its tables"),
+    spec("proxy.table_bytes", "servers", "bytes", "a proxy's first tables on the wire"),
+    spec("proxy.idle_core", "servers", "core", "a proxy without calls by servers in its tables"),
+    spec("proxy.core", "requests/s", "core", "a proxy's processor time, 19 servers"),
+    spec("proxy.added_p50", "requests/s", "s", "median with the proxy less median without"),
+    spec("proxy.added_p99", "requests/s", "s", "99th percentile with the proxy less that without"),
+    spec("proxy.descriptors", "requests/s", "descriptors", "held by a proxy, 19 servers and 32 clients"),
+    spec("tier.machine.bytes", "planners watching it", "bytes/s", "a control machine at rest, both ways"),
+    spec(
+        "tier.machine.messages",
+        "planners watching it",
+        "messages/s",
+        "a control machine at rest, both ways",
+    ),
+    spec("tier.machine.core", "planners watching it", "core", "a control machine at rest"),
+    spec("tier.machine.memory", "planners watching it", "bytes", "a control machine at rest"),
+    spec("tier.machine.descriptors", "planners watching it", "descriptors", "a control machine at rest"),
+    spec(
+        "tier.machine.burst_bytes",
+        "planners watching it",
+        "bytes/s",
+        "a control machine at 100 changes in a second",
+    ),
+    spec(
+        "tier.machine.burst_core",
+        "planners watching it",
+        "core",
+        "a control machine at 100 changes in a second",
+    ),
+    spec("tier.planner.bytes", "planners in all", "bytes/s", "a watching planner at rest, both ways"),
+    spec("tier.planner.core", "planners in all", "core", "a watching planner at rest"),
+    spec("tier.planner.memory", "planners in all", "bytes", "a watching planner's state of the tier"),
+    spec(
+        "tier.planner.burst_bytes",
+        "planners in all",
+        "bytes/s",
+        "a watching planner at 100 changes in a second",
+    ),
+    spec("tier.snapshot", "changes in force", "bytes", "all that is in force within a scope, as a snapshot"),
+    spec(
+        "tier.in_force_p99",
+        "planners in all",
+        "s",
+        "from order to in force at a planner, a control machine lost meanwhile",
+    ),
+    spec("tier.in_force_worst", "planners in all", "s", "from order to in force at the last heard planner"),
+    spec(
+        "tier.watch_again",
+        "planners in all",
+        "s",
+        "after a killed control machine until all its planners watch again",
+    ),
+    spec("tier.healed", "planners in a region", "s", "after a cut of a region until all is in force there"),
+    spec("tier.restarted", "planners in all", "s", "all restarted within 10 s: until nine in ten serve"),
+];
+
+/// The run that gave points.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Run {
+    pub command: String,
+    pub date: String,
+    pub build: String,
+    /// The page of docs/ that had the points first, or what else has to be known of the run.
+    pub note: String,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Slope {
+    pub name: String,
+    pub points: Vec<[f64; 2]>,
+    pub run: Run,
+}
+
+impl Slope {
+    pub fn spec(&self) -> Option<&'static Spec> {
+        SPECS.iter().find(|spec| spec.name == self.name)
+    }
+
+    pub fn fit(&self) -> Option<Fit> {
+        fit(&self.points)
+    }
+
+    fn read(part: &mut Part<'_>) -> Slope {
+        let name = part.text("name");
+        part.called(&name);
+        let spec = SPECS.iter().find(|spec| spec.name == name);
+        if !name.is_empty() && spec.is_none() {
+            part.wrong("name", "there is no such slope");
+        }
+        let points = part.points("points");
+        let units = [("x", spec.map(|spec| spec.x)), ("unit", spec.map(|spec| spec.unit))];
+        for (field, wanted) in units {
+            let came = part.text(field);
+            if wanted.is_some_and(|wanted| !came.is_empty() && came != wanted) {
+                part.wrong(
+                    field,
+                    format!("\"{}\" was expected, \"{came}\" came", wanted.unwrap_or_default()),
+                );
+            }
+        }
+        let run = if points.is_empty() {
+            // A place for points to come has had no run.
+            let note = part.note("note");
+            Run { command: String::new(), date: String::new(), build: String::new(), note }
+        } else {
+            Run {
+                command: part.text("run"),
+                date: part.date("date"),
+                build: part.text("build"),
+                note: part.note("note"),
+            }
+        };
+        Slope { name, points, run }
+    }
+}
+
+/// All slopes, in the order of [`SPECS`].
+#[derive(Clone, Debug, Serialize)]
+pub struct Slopes(pub Vec<Slope>);
+
+impl Slopes {
+    /// `file` is the name by which faults are told.
+    pub fn read(file: &str, text: &str) -> Result<Slopes, Wrongs> {
+        read(file, text, |part| {
+            let mut all: Vec<Slope> = Vec::new();
+            let came = part.parts("slope", |part| {
+                let slope = Slope::read(part);
+                if !slope.name.is_empty() && all.iter().any(|other| other.name == slope.name) {
+                    part.wrong("name", "is there twice");
+                }
+                all.push(slope);
+            });
+            for spec in SPECS.iter().filter(|_| !came.is_empty()) {
+                if !all.iter().any(|slope| slope.name == spec.name) {
+                    part.wrong("slope", format!("{} is missing; without points it keeps a place", spec.name));
+                }
+            }
+            all.sort_by_key(|slope| SPECS.iter().position(|spec| spec.name == slope.name));
+            Slopes(all)
+        })
+    }
+
+    pub fn get(&self, name: &str) -> Option<&Slope> {
+        self.0.iter().find(|slope| slope.name == name)
+    }
+
+    /// Its value at a size that the target states.
+    pub(crate) fn at(&self, name: &str, x: f64) -> Worked {
+        let Some(slope) = self.get(name) else { return Worked::missing(name) };
+        let there: Vec<f64> =
+            slope.points.iter().filter(|point| point[0] == x).map(|point| point[1]).collect();
+        if !there.is_empty() {
+            let mean = there.iter().sum::<f64>() / there.len() as f64;
+            return Worked::measured(mean, name, &slope.run.command);
+        }
+        slope.fit().map_or(Worked::missing(name), |fit| Worked::reckoned(fit.at(x), name))
+    }
+
+    /// Its value at a size that was itself worked out.
+    pub(crate) fn through(&self, name: &str, x: Worked) -> Worked {
+        match x.amount() {
+            Some(amount) => x.through(self.at(name, amount)),
+            None => x,
+        }
+    }
+
+    /// What one more costs, without what is there at none.
+    pub(crate) fn each(&self, name: &str) -> Worked {
+        let fit = self.get(name).and_then(Slope::fit);
+        fit.map_or(Worked::missing(name), |fit| Worked::reckoned(fit.rise.max(0.0), name))
+    }
+
+    /// The largest measured size up to which no measured value passes `most`.
+    pub(crate) fn up_to(&self, name: &str, most: f64) -> Worked {
+        let Some(slope) = self.get(name) else { return Worked::missing(name) };
+        let mut points = slope.points.clone();
+        points.sort_by(|a, b| a[0].total_cmp(&b[0]));
+        let kept = points.iter().take_while(|point| point[1] <= most).last();
+        kept.map_or(Worked::missing(name), |point| Worked::measured(point[0], name, &slope.run.command))
+    }
+}
--- /dev/null
+++ b/crates/capacity/tests/files.rs
@@ -0,0 +1,132 @@
+//! Files of sizes and slopes that are wrong: told with file, line and field, all faults of a file at once.
+
+use pewtergap_capacity::{Size, Slopes, MEASURED, TARGET};
+
+/// The repository's file with one change, and on which line the change stands.
+fn changed(text: &str, from: &str, to: &str) -> (String, usize) {
+    assert_eq!(text.matches(from).count(), 1, "'{from}' stands once in the file");
+    let line = 1 + text.split(from).next().unwrap_or("").matches('\n').count();
+    (text.replace(from, to), line)
+}
+
+fn size_fault(from: &str, to: &str) -> (String, usize) {
+    let (text, line) = changed(TARGET.1, from, to);
+    (Size::read("size.toml", &text).expect_err(to).to_string(), line)
+}
+
+#[test]
+fn a_wrong_size_is_told_with_file_line_and_field() {
+    let cases = [
+        ("planners = 3_800", "planners = \"many\"", "fleet.planners: a number was expected, string came"),
+        ("planners = 3_800", "planners = 0", "fleet.planners: between 1 and 1000000000000 was expected, 0 came"),
+        ("planners = 3_800", "planners = 3.5", "fleet.planners: a whole number was expected, 3.5 came"),
+        ("planners = 3_800", "planners = nan", "fleet.planners: a number was expected, float came"),
+        ("regions = 17", "regions = 52", "fleet.regions: 52 were said, of 51 zones"),
+        ("voters = 5", "voters = 4", "fleet.voters: an odd number was expected: an even one stands no more losses"),
+        ("voters = 5", "voters = 13", "fleet.voters: 13 were said, of 11 machines"),
+        ("planner_core = 0.019", "planner_cores = 0.019", "budgets.planner_cores: there is no such field"),
+        ("proxies_a_planner = [4, 100]", "proxies_a_planner = 4", "parameters.proxies_a_planner: two values were expected, [a, b]"),
+        ("proxies_a_planner = [4, 100]", "proxies_a_planner = [4, 4]", "parameters.proxies_a_planner: two values that differ were expected: the page has its figures at both"),
+        ("rack_part = [0.05, 0.25]", "rack_part = [0.05, 2]", "parameters.rack_part: between 0.000001 and 1 was expected, 2 came"),
+        ("machines_out = [0, 1]", "machines_out = [0, 11]", "parameters.machines_out: 11 came, 10 at most by the fleet"),
+        ("services_a_planner = [1, 19]", "services_a_planner = [1, 1_900]", "parameters.services_a_planner: 1900 came, 1800 at most by the fleet"),
+    ];
+    for (from, to, what) in cases {
+        let (told, line) = size_fault(from, to);
+        let wanted = format!("size.toml:{line}: {what}");
+        assert!(told.lines().any(|told| told == wanted), "{wanted}\ncame:\n{told}");
+    }
+}
+
+#[test]
+fn what_is_missing_is_told_where_it_was_missed() {
+    let (told, _) = size_fault("zones = 51\n", "");
+    let section = 1 + TARGET.1.split("[fleet]").next().unwrap_or("").matches('\n').count();
+    assert_eq!(told, format!("size.toml:{section}: fleet.zones: is missing"));
+    let (told, _) = size_fault("[budgets]", "[budget]");
+    assert!(told.lines().any(|told| told.ends_with(" budgets: is missing")), "{told}");
+    assert!(told.lines().any(|told| told.ends_with(" budget: there is no such field")), "{told}");
+}
+
+#[test]
+fn what_is_no_toml_is_told_with_its_line() {
+    let (told, line) = size_fault("routes = 32_000", "routes = 32_000 and more");
+    assert!(told.starts_with(&format!("size.toml:{line}: ")), "{told}");
+}
+
+#[test]
+fn all_faults_of_a_file_are_told_at_once_in_the_files_order() {
+    let text =
+        TARGET.1.replace("planners = 3_800", "planners = -1").replace("tenants = 82_000", "tenants = true");
+    let wrongs = Size::read("size.toml", &text).expect_err("two faults");
+    let fields: Vec<&str> = wrongs.0.iter().map(|wrong| wrong.field.as_str()).collect();
+    assert_eq!(fields, ["fleet.planners", "fleet.tenants"]);
+    assert!(wrongs.0[0].line < wrongs.0[1].line);
+}
+
+const SLOPE: &str = "[[slope]]\nname = \"list.bytes\"\nx = \"servers\"\nunit = \"bytes\"\n\
+                     points = [[1, 100], [2, 200]]\nrun = \"a command\"\ndate = 2026-12-01\nbuild = \"1234567\"\n";
+
+fn slope_fault(from: &str, to: &str) -> String {
+    let (text, line) = changed(SLOPE, from, to);
+    let told = Slopes::read("slopes.toml", &text).expect_err(to).to_string();
+    let here = format!("slopes.toml:{line}: ");
+    told.lines().find_map(|told| told.strip_prefix(&here)).unwrap_or(&told).to_string()
+}
+
+#[test]
+fn wrong_points_are_told_with_file_line_and_field() {
+    let cases = [
+        ("\"list.bytes\"", "\"list.bites\"", "slope(list.bites).name: there is no such slope"),
+        (
+            "x = \"servers\"",
+            "x = \"planners\"",
+            "slope(list.bytes).x: \"servers\" was expected, \"planners\" came",
+        ),
+        ("unit = \"bytes\"", "unit = \"KB\"", "slope(list.bytes).unit: \"bytes\" was expected, \"KB\" came"),
+        (
+            "[[1, 100], [2, 200]]",
+            "7",
+            "slope(list.bytes).points: a list of points was expected, [[x, y], ...]",
+        ),
+        ("[2, 200]", "[2]", "slope(list.bytes).points: a point was expected, [x, y]"),
+        (
+            "[2, 200]",
+            "[2, -200]",
+            "slope(list.bytes).points: between 0 and 1000000000000000000 was expected, -200 came",
+        ),
+        (
+            "date = 2026-12-01",
+            "date = \"yesterday\"",
+            "slope(list.bytes).date: a date was expected, 2026-12-31",
+        ),
+        ("date = 2026-12-01", "date = 12:00:00", "slope(list.bytes).date: a date was expected, 2026-12-31"),
+        ("build = \"1234567\"", "build = \"\"", "slope(list.bytes).build: is empty"),
+        ("run =", "runs =", "slope(list.bytes).runs: there is no such field"),
+    ];
+    for (from, to, what) in cases {
+        assert_eq!(slope_fault(from, to), what);
+    }
+}
+
+#[test]
+fn points_without_a_run_are_refused_and_a_place_without_points_needs_none() {
+    let text = SLOPE.replace("run = \"a command\"\n", "");
+    let told = Slopes::read("slopes.toml", &text).expect_err("no run").to_string();
+    assert!(told.contains("slopes.toml:1: slope(list.bytes).run: is missing"), "{told}");
+    // Of the repository's own file one set of points is taken out: it stays readable.
+    let place = "name = \"tier.snapshot\"\nx = \"changes in force\"\nunit = \"bytes\"\n";
+    assert!(MEASURED.1.contains(place));
+    let start = MEASURED.1.find(place).unwrap_or(0);
+    let rest = &MEASURED.1[start..];
+    let section = &rest[..rest.find("[[slope]]").unwrap_or(rest.len())];
+    let emptied = MEASURED.1.replace(section, &format!("{place}points = []\n"));
+    assert!(Slopes::read("slopes.toml", &emptied).is_ok());
+}
+
+#[test]
+fn a_slope_twice_or_one_left_out_is_told() {
+    let told = Slopes::read("slopes.toml", &SLOPE.repeat(2)).expect_err("twice").to_string();
+    assert!(told.contains("slopes.toml:10: slope(list.bytes).name: is there twice"), "{told}");
+    assert!(told.contains("slope: list.memory is missing; without points it keeps a place"), "{told}");
+}
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -1,6 +1,6 @@
 //! The fronts by scripts and the rehearsal kit.
 
-use crate::{cluster, drive, explore, operator, rehearse, Ended};
+use crate::{capacity, cluster, drive, explore, operator, rehearse, Ended};
 use clap::Subcommand;
 use pewtergap_lab::measure::Others;
 use pewtergap_reactor::Clock;
@@ -51,6 +51,8 @@
         #[command(subcommand)]
         what: Measured,
     },
+    /// What each role needs at the target, and what is over its budget.
+    Capacity(capacity::CapacityLine),
     /// Judge the five rules from a recording.
     Audit {
         recording: PathBuf,
@@ -140,6 +142,7 @@
         Front::Measure { what: Measured::Record { members, orders, kills, entries } } => {
             cluster::measure(&members, orders, kills, &entries)
         }
+        Front::Capacity(line) => capacity::capacity(&line),
         Front::Audit { recording, json } => rehearse::audit(&recording, json),
     }
 }
--- a/crates/pewtergap/src/main.rs
+++ b/crates/pewtergap/src/main.rs
@@ -4,6 +4,8 @@
 //! or recording; 3 the rehearsal or the program itself failed.
 #![forbid(unsafe_code)]
 
+#[cfg(feature = "fronts")]
+mod capacity;
 #[cfg(feature = "fronts")]
 mod cluster;
 #[cfg(feature = "fronts")]
