Measurements by size: planner and proxy by servers, routes, probes, streams; time that a proxy adds

docs/capacity has places for slopes that no command gave. The open-loop client counts from when a request was due, straight to the servers and through the proxy in turn and back.

--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -4,6 +4,8 @@
 use crate::bell::{Bell, Rung};
 use crate::cluster::links::{Links, Sightings};
 use crate::list::List;
+pub use crate::process::used;
+use crate::process::Process;
 use hdrhistogram::Histogram;
 use pewtergap_node::{Effect, Input, Node, Outbox};
 use pewtergap_protocol::{up, Frames, Up};
@@ -13,11 +15,8 @@
 use serde::Serialize;
 use std::any::Any;
 use std::collections::{BTreeSet, HashMap};
-use std::fs::File;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
@@ -73,35 +72,6 @@
     }
 }
 
-struct Planner(Child);
-
-impl Drop for Planner {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Planner {
-    /// Time of a processor so far, and memory in use, as the system counts them.
-    fn used(&self) -> (f64, f64) {
-        used(self.0.id())
-    }
-}
-
-/// Milliseconds of a processor so far, and memory in use in KiB, as the system counts them for a process.
-pub fn used(process: u32) -> (f64, f64) {
-    let read = |name: &str| std::fs::read_to_string(format!("/proc/{}/{name}", process)).unwrap_or_default();
-    let stat = read("stat");
-    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split_whitespace().collect();
-    let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
-    let status = read("status");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kib = line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0.0);
-    // Clock ticks are hundredths of a second on Linux.
-    ((ticks(11) + ticks(12)) * 10.0, kib)
-}
-
 /// Members beside the measured planner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Others {
@@ -131,49 +101,19 @@
     )
 }
 
-/// Starts a planner, until it listens for proxies; its doors by name.
-fn start(
-    program: &Path,
-    dir: &Path,
-    name: &str,
-    text: &str,
-) -> Result<(Planner, HashMap<String, SocketAddr>), String> {
+/// Starts a planner, until it listens for proxies.
+fn start(program: &Path, dir: &Path, name: &str, text: &str) -> Result<Process, String> {
     let told = |e: std::io::Error| format!("{name}: {e}");
-    let (file, home) = (dir.join(format!("{name}.star")), dir.join(name));
+    let home = dir.join(name);
     if name != "measured" {
         let _ = std::fs::remove_dir_all(&home);
         std::fs::create_dir_all(&home).map_err(told)?;
         std::fs::write(home.join("servers.json"), "").map_err(told)?;
     }
-    std::fs::write(&file, text).map_err(told)?;
-    let log = File::create(dir.join(format!("{name}.log"))).map_err(told)?;
-    let mut child = Command::new(program)
-        .args(["--log", "warn", "run", "--announce"])
-        .arg(&file)
-        .stdin(Stdio::null())
-        .stdout(Stdio::piped())
-        .stderr(log)
-        .spawn()
-        .map_err(told)?;
-    let out = child.stdout.take();
-    let planner = Planner(child);
-    let mut doors = HashMap::new();
     // The last door that opens; with others it waits for its number, so they all have to be started first.
     let last = if text.contains("admin =") { "admin" } else { "proxies" };
     let last = if name == "measured" { last } else { "members" };
-    let mut lines = BufReader::new(out.ok_or("no output")?).lines().map_while(Result::ok);
-    for line in lines.by_ref() {
-        if let ["listening", door, at] = line.split_whitespace().collect::<Vec<_>>()[..] {
-            let at = at.parse().map_err(|_| format!("{name} listens at '{at}'"))?;
-            doors.insert(door.to_string(), at);
-        }
-        if doors.contains_key(last) {
-            // What else it says is read as well: it would wait for a reader, or end without one.
-            std::thread::spawn(move || lines.for_each(drop));
-            return Ok((planner, doors));
-        }
-    }
-    Err(format!("{name} did not start, see its log"))
+    Process::start(program, dir, name, "run", text, last)
 }
 
 /// Until the planner at this admin door and the others agree.
@@ -260,16 +200,16 @@
         cluster = Links::settings(&listens, 0, &names, "") + "    admin = \"127.0.0.1:0\",";
         for at in 1..=OTHERS {
             let cluster = Links::settings(&listens, at, &names, "");
-            let (other, doors) = start(program, dir, &names[at], &other_text(&names[at], dir, &cluster))?;
-            tell(format!("target {at} {}", doors["members"]));
+            let other = start(program, dir, &names[at], &other_text(&names[at], dir, &cluster))?;
+            tell(format!("target {at} {}", other.doors["members"]));
             beside.push(other);
         }
     }
-    let (planner, doors) = start(program, dir, "measured", &planner_text(list_at, proxies, dir, &cluster))?;
-    let planner_at = doors["proxies"];
-    if let Some(members) = doors.get("members") {
+    let planner = start(program, dir, "measured", &planner_text(list_at, proxies, dir, &cluster))?;
+    let planner_at = planner.doors["proxies"];
+    if let Some(members) = planner.doors.get("members") {
         tell(format!("target 0 {members}"));
-        whole(doors["admin"])?;
+        whole(planner.doors["admin"])?;
     }
     let (_, empty_kib) = planner.used();
 
--- /dev/null
+++ b/crates/lab/src/slopes/mod.rs
@@ -0,0 +1,62 @@
+//! Measurements by size, each at several sizes of one kind with everything else kept as it is: a planner and a proxy by
+//! servers, routes, probes and proxies, and the time that a proxy adds to a request. docs/capacity/slopes.toml keeps their
+//! points.
+
+mod catalog;
+mod origin;
+mod path;
+mod planner;
+
+pub use path::{path, Path as AddedTime, Played};
+pub use planner::{by_probes, by_proxies, by_routes, by_servers, Probed, Routed, Served, Streamed};
+
+use pewtergap_node::Node;
+use pewtergap_reactor::{Clock, Handle, Place, Reactor};
+use std::path::Path;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// No wait of a measurement is longer.
+const CEILING: Duration = Duration::from_secs(60);
+const LOOK: Duration = Duration::from_millis(2);
+
+/// Nodes of this process on a thread of their own, until dropped.
+struct Hall {
+    handle: Handle,
+    places: Vec<Place>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Hall {
+    fn open(dir: &Path, nodes: Vec<Box<dyn FnOnce() -> Box<dyn Node> + Send>>) -> Result<Hall, String> {
+        let mut reactor = Reactor::new(Clock::default(), 64 << 20, dir.into()).map_err(|e| e.to_string())?;
+        let handle = reactor.handle();
+        let places = nodes.into_iter().map(|node| reactor.add(node())).collect();
+        let thread = std::thread::spawn(move || drop(reactor.run()));
+        Ok(Hall { handle, places, thread: Some(thread) })
+    }
+
+    /// To the first of its nodes.
+    fn tell(&self, word: String) -> bool {
+        self.handle.tell(self.places[0], word)
+    }
+}
+
+impl Drop for Hall {
+    fn drop(&mut self) {
+        self.handle.end();
+        self.thread.take().map(JoinHandle::join);
+    }
+}
+
+/// Waits for what somebody else does.
+fn until(what: &str, mut done: impl FnMut() -> bool) -> Result<(), String> {
+    let end = Instant::now() + CEILING;
+    while !done() {
+        if Instant::now() > end {
+            return Err(format!("waited {} s for {what}", CEILING.as_secs()));
+        }
+        std::thread::sleep(LOOK);
+    }
+    Ok(())
+}
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -1,6 +1,6 @@
 //! The fronts by scripts and the rehearsal kit.
 
-use crate::{capacity, cluster, drive, explore, operator, rehearse, Ended};
+use crate::{capacity, cluster, drive, explore, operator, rehearse, slopes, Ended};
 use clap::Subcommand;
 use pewtergap_lab::measure::Others;
 use pewtergap_reactor::Clock;
@@ -63,6 +63,8 @@
 
 #[derive(Subcommand)]
 pub enum Measured {
+    #[command(flatten)]
+    Sized(slopes::Sized),
     /// From a list change to the last proxy's ACK, by number of proxies; streams only, no calls.
     Order {
         #[arg(long, value_delimiter = ',', default_value = "10,100,1000")]
@@ -130,6 +132,7 @@
         Front::Rehearse(wanted) => rehearse::rehearse(wanted),
         Front::Explore(line) => explore::run(&line),
         Front::Replay(line) => explore::replay(&line),
+        Front::Measure { what: Measured::Sized(what) } => slopes::measure(&what),
         Front::Measure { what: Measured::Order { proxies, rounds, others, json } } => {
             order(&proxies, rounds, others, json)
         }
--- /dev/null
+++ b/crates/pewtergap/src/slopes.rs
@@ -0,0 +1,100 @@
+//! `pewtergap measure list|routes|probes|streams|path`: what docs/capacity/slopes.toml has its points from, a line of JSON for
+//! each size.
+
+use crate::Ended;
+use clap::Subcommand;
+use pewtergap_lab::slopes;
+use serde::Serialize;
+use std::path::Path;
+use std::time::Duration;
+
+#[derive(Subcommand)]
+pub enum Sized {
+    /// A planner and a proxy by servers in the list; no calls, no probes.
+    List {
+        #[arg(long, value_delimiter = ',', default_value = "200,1000,4000,12000,34000")]
+        servers: Vec<usize>,
+        /// Servers in one slice of the list; left out, a 51st of them.
+        #[arg(long)]
+        a_slice: Option<usize>,
+        /// Seconds at rest, twice a size.
+        #[arg(long, default_value_t = 8)]
+        rest: u64,
+    },
+    /// A planner by routes in its settings, 200 servers and 10 proxies.
+    Routes {
+        #[arg(long, value_delimiter = ',', default_value = "1,10,20,40,60")]
+        routes: Vec<usize>,
+        #[arg(long, default_value_t = 10)]
+        rest: u64,
+    },
+    /// A planner that probes servers; no proxies.
+    Probes {
+        #[arg(long, value_delimiter = ',', default_value = "50,100,200,400,800")]
+        servers: Vec<usize>,
+        #[arg(long, default_value_t = 10)]
+        rest: u64,
+    },
+    /// A planner by proxies that have no calls.
+    Streams {
+        #[arg(long, value_delimiter = ',', default_value = "10,50,100,200,400")]
+        proxies: Vec<usize>,
+        #[arg(long, default_value_t = 10)]
+        rest: u64,
+    },
+    /// The time that a proxy adds to a request, beside the same client straight to the servers.
+    Path {
+        #[arg(
+            long,
+            value_delimiter = ',',
+            default_value = "50,200,500,1000,2000,4000,6000,8000,10000,12000,15000,20000,30000"
+        )]
+        rates: Vec<f64>,
+        /// Seconds of a play; each rate has three of each kind.
+        #[arg(long, default_value_t = 2)]
+        seconds: u64,
+    },
+}
+
+pub fn measure(what: &Sized) -> Ended {
+    let program = std::env::current_exe().map_err(|e| (3, e.to_string()))?;
+    let dir = std::env::temp_dir().join(format!("pewtergap-slopes-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).map_err(|e| (3, e.to_string()))?;
+    let came = sizes(what, &program, &dir);
+    let _ = std::fs::remove_dir_all(&dir);
+    came.map(|()| 0).map_err(|why| (3, format!("the measurement failed: {why}")))
+}
+
+fn tell(row: &impl Serialize) {
+    println!("{}", serde_json::to_string(row).unwrap_or_default());
+}
+
+fn sizes(what: &Sized, program: &Path, dir: &Path) -> Result<(), String> {
+    let seconds = Duration::from_secs;
+    match what {
+        Sized::List { servers, a_slice, rest } => {
+            for count in servers.iter().filter(|count| **count > 0) {
+                tell(&slopes::by_servers(program, dir, *count, *a_slice, seconds(*rest))?);
+            }
+        }
+        Sized::Routes { routes, rest } => {
+            for count in routes {
+                tell(&slopes::by_routes(program, dir, *count, seconds(*rest))?);
+            }
+        }
+        Sized::Probes { servers, rest } => {
+            for count in servers {
+                tell(&slopes::by_probes(program, dir, *count, seconds(*rest))?);
+            }
+        }
+        Sized::Streams { proxies, rest } => {
+            for count in proxies {
+                tell(&slopes::by_proxies(program, dir, *count, seconds(*rest))?);
+            }
+        }
+        Sized::Path { rates, seconds: lasts } => {
+            slopes::path(program, dir, rates, seconds(*lasts), &mut |row| tell(row))?;
+        }
+    }
+    Ok(())
+}
