--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod report;
 pub mod server;
 pub mod sharing;
+pub mod slopes;
 mod words;
 pub mod wrong;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -11,6 +11,8 @@
 /// Ended with its owner.
 pub struct Process {
     child: Child,
+    /// Where it listens, by the names of its doors.
+    pub doors: HashMap<String, SocketAddr>,
 }
 
 impl Drop for Process {
@@ -21,7 +23,8 @@
 }
 
 impl Process {
-    /// Starts `program VERB FILE --announce` on these settings, until all of these doors are open; its doors by name. Settings and log lie in `dir`.
+    /// Starts `program VERB FILE --announce` on these settings, until all of these doors are open. Settings and log lie in
+    /// `dir`.
     ///
     /// # Errors
     /// What could not be written or started, or that it ended before it listened.
@@ -32,7 +35,7 @@
         name: &str,
         text: &str,
         wanted: &[&str],
-    ) -> Result<(Process, HashMap<String, SocketAddr>), String> {
+    ) -> Result<Process, String> {
         let told = |e: std::io::Error| format!("{name}: {e}");
         let file = dir.join(format!("{name}.star"));
         std::fs::write(&file, text).map_err(told)?;
@@ -47,18 +50,17 @@
             .spawn()
             .map_err(told)?;
         let out = child.stdout.take();
-        let process = Process { child };
-        let mut doors = HashMap::new();
+        let mut process = Process { child, doors: HashMap::new() };
         let mut lines = BufReader::new(out.ok_or("no output")?).lines().map_while(Result::ok);
         for line in lines.by_ref() {
             if let ["listening", door, at] = line.split_whitespace().collect::<Vec<_>>()[..] {
                 let at = at.parse().map_err(|_| format!("{name} listens at '{at}'"))?;
-                doors.insert(door.to_string(), at);
+                process.doors.insert(door.to_string(), at);
             }
-            if wanted.iter().all(|door| doors.contains_key(*door)) {
+            if wanted.iter().all(|door| process.doors.contains_key(*door)) {
                 // What else it says is read as well: it would wait for a reader, or end without one.
                 std::thread::spawn(move || lines.for_each(drop));
-                return Ok((process, doors));
+                return Ok(process);
             }
         }
         Err(format!("{name} did not start, see its log"))
@@ -66,7 +68,7 @@
 
     /// One that is started already.
     pub fn of(child: Child) -> Process {
-        Process { child }
+        Process { child, doors: HashMap::new() }
     }
 
     pub fn id(&self) -> u32 {
@@ -81,6 +83,20 @@
     pub fn used(&self) -> (f64, f64) {
         used(self.id())
     }
+
+    /// Seconds of a processor so far.
+    pub fn processor_s(&self) -> f64 {
+        self.used().0 / 1e3
+    }
+
+    /// Bytes of memory in use.
+    pub fn memory(&self) -> f64 {
+        self.used().1 * 1024.0
+    }
+
+    pub fn descriptors(&self) -> usize {
+        descriptors(self.id())
+    }
 }
 
 /// Milliseconds of a processor so far, and memory in use in KiB, as the system counts them for a process.
--- a/crates/pewtergap/src/main.rs
+++ b/crates/pewtergap/src/main.rs
@@ -19,6 +19,8 @@
 mod rehearse;
 #[cfg(feature = "fronts")]
 mod scale;
+#[cfg(feature = "fronts")]
+mod slopes;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use pewtergap_node::Node;
