--- a/crates/scale/src/director.rs
+++ b/crates/scale/src/director.rs
@@ -376,7 +376,7 @@
         }
         let told = in_force(&view);
         let (count, forgotten) = self.parties.crowds.by(place, returned)?;
-        let may = self.parties.real_places().iter().filter(|real| real.0 >= place).count() as u64;
+        let may = self.parties.real_past(place);
         let done = told.done();
         self.seen.push(Seen::Answer { place, returned, told, had: count + forgotten, may });
         Ok(Some((done, returned)))
--- a/crates/scale/src/parties.rs
+++ b/crates/scale/src/parties.rs
@@ -54,6 +54,8 @@
     name: String,
     admin: SocketAddr,
     proxies: SocketAddr,
+    /// The highest place that it told; a restart begins from its disk, and what it said before stays said.
+    told: u64,
     process: Option<Process>,
 }
 
@@ -344,7 +346,8 @@
         for nth in 0..self.size.real {
             let dir = self.dir.join(format!("p{nth}"));
             std::fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
-            self.reals.push(Real { name: format!("p{nth}"), admin: any, proxies: any, process: None });
+            let name = format!("p{nth}");
+            self.reals.push(Real { name, admin: any, proxies: any, told: 0, process: None });
             self.start_one_real(nth)?;
             for of in 0..self.size.proxies {
                 let name = format!("x{nth}-{of}");
@@ -374,18 +377,28 @@
     }
 
     pub fn kill_real(&mut self, nth: usize) {
+        // Up to its end it may have said more than when it was asked last.
+        self.real_places();
         if let Some(process) = self.reals[nth].process.take() {
             self.sampler.gone(process.id());
         }
     }
 
     /// What each real planner has in force, by its own word: place, and the machine it watches.
-    pub fn real_places(&self) -> Vec<(u64, Option<String>)> {
-        let one = |real: &Real| {
+    pub fn real_places(&mut self) -> Vec<(u64, Option<String>)> {
+        let one = |real: &mut Real| {
             let view = get(real.admin, "/record?stale");
-            (view["index"].as_u64().unwrap_or(0), view["watching"].as_str().map(str::to_string))
+            let place = view["index"].as_u64().unwrap_or(0);
+            real.told = real.told.max(place);
+            (place, view["watching"].as_str().map(str::to_string))
         };
-        self.reals.iter().map(one).collect()
+        self.reals.iter_mut().map(one).collect()
+    }
+
+    /// Real planners that have had this place by now.
+    pub fn real_past(&mut self, place: u64) -> u64 {
+        self.real_places();
+        self.reals.iter().filter(|real| real.told >= place).count() as u64
     }
 
     /// The watcher that reads nothing: `dial` or `leave`, at a machine.
--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -15,7 +15,7 @@
 
 const MIB: u64 = 1024 * 1024;
 /// Of a process of the program before it has a peer.
-const PROCESS: u64 = 24 * MIB;
+const PROCESS: u64 = 40 * MIB;
 /// Of the director with relay and stand-ins.
 const DIRECTOR: u64 = 96 * MIB;
 /// Of a hollow planner, in its own process: its client, its link, its steps.
