--- a/crates/pewtergap/src/scale.rs
+++ b/crates/pewtergap/src/scale.rs
@@ -37,6 +37,9 @@
     rest: u64,
     #[arg(long, default_value_t = 10)]
     hold: u64,
+    /// The program whose processes are run, where it is another build than this one.
+    #[arg(long)]
+    program: Option<PathBuf>,
     /// Shows the judge a break that it must find: taken-back, unheard-counted.
     #[arg(long, value_parser = planted)]
     plant: Option<Planted>,
@@ -83,7 +86,11 @@
     });
     // Before any of them is run.
     let needs = needs.collect::<Result<Vec<Need>, _>>()?;
-    let program = std::env::current_exe().map_err(|e| (3, e.to_string()))?;
+    let own = if cfg!(debug_assertions) { "debug" } else { "release" };
+    let (program, build) = match &line.program {
+        Some(other) => (other.clone(), format!("{}, director {own}", other.display())),
+        None => (std::env::current_exe().map_err(|e| (3, e.to_string()))?, own.to_string()),
+    };
     let base = line.out.clone();
     let base =
         base.unwrap_or_else(|| std::env::temp_dir().join(format!("pewtergap-scale-{}", std::process::id())));
@@ -98,6 +105,7 @@
         ));
         let run = Run {
             program: &program,
+            build: &build,
             dir: base.join(size.planners.to_string()),
             size: *size,
             need,
--- a/crates/scale/src/director.rs
+++ b/crates/scale/src/director.rs
@@ -22,6 +22,8 @@
 /// One run.
 pub struct Run<'a> {
     pub program: &'a Path,
+    /// How it is called in what is told.
+    pub build: &'a str,
     pub dir: PathBuf,
     pub size: Size,
     pub need: Need,
@@ -99,7 +101,7 @@
     pub size: Size,
     pub need: Need,
     pub seed: u64,
-    pub build: &'static str,
+    pub build: String,
     /// Until all machines gave fresh reads, and until all planners watched, in seconds.
     pub machines_s: f64,
     pub planners_s: f64,
@@ -177,7 +179,7 @@
         size,
         need: run.need,
         seed: run.seed,
-        build: if cfg!(debug_assertions) { "debug" } else { "release" },
+        build: run.build.to_string(),
         machines_s,
         planners_s,
         rest,
