--- a/crates/scale/src/director.rs
+++ b/crates/scale/src/director.rs
@@ -81,6 +81,13 @@
     pub machine_cpu: f64,
 }
 
+impl Load {
+    /// Of so much a second, all that this stretch had.
+    pub fn whole(&self, a_second: f64) -> f64 {
+        a_second * self.seconds
+    }
+}
+
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Changes {
     pub orders: usize,
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -34,8 +34,16 @@
 pub const FIGURES: &[Figure] = &[
     Figure { name: "rest_down", unit: "bytes/s a planner", of: |came| hollow(came, came.rest.down) },
     Figure { name: "rest_up", unit: "bytes/s a planner", of: |came| hollow(came, came.rest.up) },
-    Figure { name: "burst_down", unit: "bytes/s a planner", of: |came| hollow(came, came.burst.load.down) },
-    Figure { name: "burst_up", unit: "bytes/s a planner", of: |came| hollow(came, came.burst.load.up) },
+    Figure {
+        name: "burst_down",
+        unit: "bytes a planner for 100 changes",
+        of: |came| hollow(came, came.burst.load.whole(came.burst.load.down)),
+    },
+    Figure {
+        name: "burst_up",
+        unit: "bytes a planner for 100 changes",
+        of: |came| hollow(came, came.burst.load.whole(came.burst.load.up)),
+    },
     Figure {
         name: "real_rest_down",
         unit: "bytes/s a real planner",
@@ -44,13 +52,13 @@
     Figure { name: "real_rest_up", unit: "bytes/s a real planner", of: |came| real(came, came.rest.real_up) },
     Figure {
         name: "real_burst_down",
-        unit: "bytes/s a real planner",
-        of: |came| real(came, came.burst.load.real_down),
+        unit: "bytes a real planner for 100 changes",
+        of: |came| real(came, came.burst.load.whole(came.burst.load.real_down)),
     },
     Figure {
         name: "real_burst_up",
-        unit: "bytes/s a real planner",
-        of: |came| real(came, came.burst.load.real_up),
+        unit: "bytes a real planner for 100 changes",
+        of: |came| real(came, came.burst.load.whole(came.burst.load.real_up)),
     },
     Figure {
         name: "rest_planner_cpu",
@@ -59,8 +67,8 @@
     },
     Figure {
         name: "burst_planner_cpu",
-        unit: "ms/s a planner",
-        of: |came| hollow(came, came.burst.load.planner_cpu),
+        unit: "ms a planner for 100 changes",
+        of: |came| hollow(came, came.burst.load.whole(came.burst.load.planner_cpu)),
     },
     Figure {
         name: "rest_machine_cpu",
@@ -69,8 +77,8 @@
     },
     Figure {
         name: "burst_machine_cpu",
-        unit: "ms/s a control machine",
-        of: |came| Some(came.burst.load.machine_cpu),
+        unit: "ms a control machine for 100 changes",
+        of: |came| Some(came.burst.load.whole(came.burst.load.machine_cpu)),
     },
     Figure {
         name: "machine_rss",
@@ -125,8 +133,18 @@
 ];
 
 const PLOTS: &[(&str, &str, &str, &[&str])] = &[
-    ("bytes", "Bytes of a watch", "bytes/s a planner", &["rest_down", "rest_up", "burst_down", "burst_up"]),
-    ("cpu", "Processor time of a control machine", "ms/s", &["rest_machine_cpu", "burst_machine_cpu"]),
+    (
+        "bytes",
+        "Bytes of a watch",
+        "bytes a planner: at rest a second, 100 changes in all",
+        &["rest_down", "rest_up", "burst_down", "burst_up"],
+    ),
+    (
+        "cpu",
+        "Processor time of a control machine",
+        "ms: at rest a second, 100 changes in all",
+        &["rest_machine_cpu", "burst_machine_cpu"],
+    ),
     ("memory", "Memory of a control machine", "KiB", &["machine_rss"]),
     ("in-force", "From kept to in force", "ms", &["burst_p50", "burst_p99", "burst_worst", "single_p99"]),
 ];
@@ -194,6 +212,18 @@
         let _ = writeln!(text, "| {} ({}) | {measured} | {} | {met} |", aim.name, aim.unit, aim.most);
     }
     let _ = writeln!(text);
+    for struck in &came.faults {
+        let (before, after) = struck.control_kib;
+        let _ = write!(text, "- {:?}: most watches over an even part", struck.fault);
+        let _ =
+            write!(text, " {:.2}; {} of {} orders kept", struck.most_over_even, struck.kept, struck.orders);
+        let _ = write!(text, "; control machines' memory {before:.0} KiB before, {after:.0} after");
+        let _ = match struck.ended {
+            Some(true) => writeln!(text, "; its machine ended it"),
+            Some(false) => writeln!(text, "; its machine had **not** ended it"),
+            None => writeln!(text),
+        };
+    }
     for breach in &came.breaches {
         let _ = writeln!(text, "- **broken**: {breach}");
     }
@@ -298,14 +328,14 @@
         unit: "bytes/s",
         of: |came| {
             let load = &came.burst.load;
-            Some((each(came), hollow(came, load.down + load.up)? * each(came)))
+            Some((each(came), hollow(came, load.whole(load.down + load.up))? * each(came)))
         },
     },
     Slope {
         name: "tier.machine.burst_core",
         x: WATCHING,
         unit: "core",
-        of: |came| Some((each(came), came.burst.load.machine_cpu / 1e3)),
+        of: |came| Some((each(came), came.burst.load.whole(came.burst.load.machine_cpu) / 1e3)),
     },
     Slope {
         name: "tier.planner.bytes",
@@ -332,7 +362,15 @@
         name: "tier.planner.burst_bytes",
         x: ALL,
         unit: "bytes/s",
-        of: |came| in_all(came, hollow(came, came.burst.load.down + came.burst.load.up)),
+        of: |came| {
+            in_all(
+                came,
+                hollow(
+                    came,
+                    came.burst.load.whole(came.burst.load.down) + came.burst.load.whole(came.burst.load.up),
+                ),
+            )
+        },
     },
     Slope {
         name: "tier.in_force_p99",
