--- a/crates/scale/src/director.rs
+++ b/crates/scale/src/director.rs
@@ -22,6 +22,8 @@
 /// One run.
 pub struct Run<'a> {
     pub program: &'a Path,
+    /// How it is called in what is told.
+    pub build: &'a str,
     pub dir: PathBuf,
     pub size: Size,
     pub need: Need,
@@ -79,6 +81,13 @@
     pub machine_cpu: f64,
 }
 
+impl Load {
+    /// Of so much a second, all that this stretch had.
+    pub fn whole(&self, a_second: f64) -> f64 {
+        a_second * self.seconds
+    }
+}
+
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Changes {
     pub orders: usize,
@@ -99,7 +108,7 @@
     pub size: Size,
     pub need: Need,
     pub seed: u64,
-    pub build: &'static str,
+    pub build: String,
     /// Until all machines gave fresh reads, and until all planners watched, in seconds.
     pub machines_s: f64,
     pub planners_s: f64,
@@ -177,7 +186,7 @@
         size,
         need: run.need,
         seed: run.seed,
-        build: if cfg!(debug_assertions) { "debug" } else { "release" },
+        build: run.build.to_string(),
         machines_s,
         planners_s,
         rest,
@@ -376,7 +385,7 @@
         }
         let told = in_force(&view);
         let (count, forgotten) = self.parties.crowds.by(place, returned)?;
-        let may = self.parties.real_places().iter().filter(|real| real.0 >= place).count() as u64;
+        let may = self.parties.real_past(place);
         let done = told.done();
         self.seen.push(Seen::Answer { place, returned, told, had: count + forgotten, may });
         Ok(Some((done, returned)))
