--- a/crates/agree/src/leader.rs
+++ b/crates/agree/src/leader.rs
@@ -357,7 +357,8 @@
         let changed = before.iter().filter(|id| !after.contains(id)).count()
             + after.iter().filter(|id| !before.contains(id)).count();
         let known = &self.log.members.1;
-        let raised = members.list.iter().any(|member| member.votes && (member.observes || known.observes(member.id)));
+        let raised =
+            members.list.iter().any(|member| member.votes && (member.observes || known.observes(member.id)));
         if changed > 1 || after.is_empty() || after.contains(&0) || raised {
             return Err(Refusal::Leap);
         }
--- a/crates/member/src/admin.rs
+++ b/crates/member/src/admin.rs
@@ -150,7 +150,8 @@
 }
 
 pub fn drains_view(record: &Record) -> Vec<Value> {
-    let view = |d: &Drain| json!({ "server": d.server, "started": d.started, "told": d.told, "grace": d.grace });
+    let view =
+        |d: &Drain| json!({ "server": d.server, "started": d.started, "told": d.told, "grace": d.grace });
     record.drains().map(view).collect()
 }
 
--- a/crates/member/src/alone.rs
+++ b/crates/member/src/alone.rs
@@ -41,7 +41,13 @@
         }
     }
     let members = log.members.1.list.iter().map(|member| member.name.clone()).collect();
-    let seat = Seat { id: identity.id, name: identity.name.clone(), at: String::new(), votes: true, observes: false };
+    let seat = Seat {
+        id: identity.id,
+        name: identity.name.clone(),
+        at: String::new(),
+        votes: true,
+        observes: false,
+    };
     // Another cluster: what is left of the old one must not meet it as the same.
     identity.founders = vec![seat];
     identity.cluster = digest(&identity.founders);
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -21,7 +21,8 @@
 pub use alone::{alone, GoesOn};
 pub use books::Receiver;
 pub use member::{
-    digest, Duties, Member, PartView, Post, Reply, Request, SeatView, Told, DOOR, MOST_MEMBERS, MOST_OBSERVERS, TIMERS,
+    digest, Duties, Member, PartView, Post, Reply, Request, SeatView, Told, DOOR, MOST_MEMBERS,
+    MOST_OBSERVERS, TIMERS,
 };
 pub use orders::Among;
 pub use sharing::{Shares, COLD};
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -512,7 +512,8 @@
             }
             word::Kind::Renew(renew) => self.renews(now, from, renew),
             word::Kind::HandOn(asked) => self.hand_on(now, &asked, out),
-            word::Kind::Hello(_) | word::Kind::Welcome(_) | word::Kind::Refuse(_) | word::Kind::Roster(_) => {}
+            word::Kind::Hello(_) | word::Kind::Welcome(_) | word::Kind::Refuse(_) | word::Kind::Roster(_) => {
+            }
         }
     }
 
--- a/crates/member/src/together.rs
+++ b/crates/member/src/together.rs
@@ -151,18 +151,14 @@
         let Asked { link, method, target, body } = asked;
         let refuse = |why: String| json!({ "refused": why }).to_string();
         match (method.as_str(), target.as_str()) {
-            ("POST", "/orders") => {
-                match admin::order(&body) {
-                    Ok(command) => self.ask(now, Purpose::Answer(link), Request::Command(command), out),
-                    Err(why) => self.service.answer(link, 400, &refuse(why), out),
-                }
-            }
-            ("POST", "/duties") => {
-                match admin::hand(&body) {
-                    Ok(command) => self.ask(now, Purpose::Answer(link), Request::Command(command), out),
-                    Err(why) => self.service.answer(link, 400, &refuse(why), out),
-                }
-            }
+            ("POST", "/orders") => match admin::order(&body) {
+                Ok(command) => self.ask(now, Purpose::Answer(link), Request::Command(command), out),
+                Err(why) => self.service.answer(link, 400, &refuse(why), out),
+            },
+            ("POST", "/duties") => match admin::hand(&body) {
+                Ok(command) => self.ask(now, Purpose::Answer(link), Request::Command(command), out),
+                Err(why) => self.service.answer(link, 400, &refuse(why), out),
+            },
             ("GET", "/shared") => {
                 let view = self.shared_view(now);
                 self.service.answer(link, 200, &view, out);
--- a/crates/member/tests/hand.rs
+++ b/crates/member/tests/hand.rs
@@ -228,8 +228,9 @@
     let before = hand.dialled.len();
     hand.pass(1_500);
     assert!(hand.dialled.len() > before, "it dials again");
-    let founders: Vec<Seat> =
-        (5..8).map(|id| Seat { id, name: format!("m{id}"), at: String::new(), votes: true, observes: false }).collect();
+    let founders: Vec<Seat> = (5..8)
+        .map(|id| Seat { id, name: format!("m{id}"), at: String::new(), votes: true, observes: false })
+        .collect();
     let cluster = pewtergap_member::digest(&founders);
     for link in hand.dialled.clone().into_iter().skip(before) {
         for name in ["b", "c"] {
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -163,13 +163,7 @@
     let file = planner_file(file)?;
     let dir = file.dir.clone();
     let clock = Clock::default();
-    drive(
-        clock,
-        file.node(clock.now(), seed(clock)),
-        dir,
-        announce,
-        MOST_UNWRITTEN,
-    )
+    drive(clock, file.node(clock.now(), seed(clock)), dir, announce, MOST_UNWRITTEN)
 }
 
 /// Told apart among processes that start at one moment.
--- a/crates/pewtergap/src/operator.rs
+++ b/crates/pewtergap/src/operator.rs
@@ -258,7 +258,9 @@
             let view = call(*address, "GET", &format!("/watchers?place={place}"), None);
             let view = match view {
                 Ok((200, text)) => serde_json::from_str::<Value>(&text).unwrap_or_default(),
-                Ok((404, _)) => return Err((2, format!("{address} is no control machine: nobody watches it"))),
+                Ok((404, _)) => {
+                    return Err((2, format!("{address} is no control machine: nobody watches it")))
+                }
                 _ => continue,
             };
             let count = |name: &str| view[name].as_u64().unwrap_or(0);
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -456,7 +456,8 @@
     pub fn touched(&self, command: &Command) -> Vec<Subject> {
         match &command.what {
             Some(What::Clean(clean)) => {
-                let over = |s: &Standing| s.order.as_ref().is_none_or(|o| o.until > 0 && o.until <= clean.now);
+                let over =
+                    |s: &Standing| s.order.as_ref().is_none_or(|o| o.until > 0 && o.until <= clean.now);
                 let orders = self.orders.iter().filter(|(_, standing)| over(standing));
                 let drains = self.drains.values().filter(|d| d.told + d.grace + DRAINED <= clean.now);
                 let drains = drains.map(|drain| Subject::Server(drain.server.clone()));
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -7,9 +7,7 @@
 use pewtergap_control::{Charge, Doors, Probing, Reports, Service, Source};
 use pewtergap_duty::Lease;
 use pewtergap_member::words::FORMATS;
-use pewtergap_member::{
-    slice_names, Duties, Post, Receiver, Shares, Together, MOST_MEMBERS, MOST_OBSERVERS,
-};
+use pewtergap_member::{slice_names, Duties, Post, Receiver, Shares, Together, MOST_MEMBERS, MOST_OBSERVERS};
 use pewtergap_node::Node;
 use pewtergap_planner::{
     Channel, Fleet, KeyScope, Planner, Pledge, Reach, Repeats, Route, Slicing, Throttle,
@@ -17,7 +15,7 @@
 use pewtergap_proxy::{Front, Home, Proxy, Shunning};
 use pewtergap_record::{BOOKS, CLEANING, OBSERVERS, RELEASE};
 use pewtergap_shares::Terms;
-use pewtergap_tier::{ControlMachine, WatchingPlanner, Watches};
+use pewtergap_tier::{ControlMachine, Watches, WatchingPlanner};
 use pewtergap_time::{Moment, Span};
 use pewtergap_watch::Terms as WatchTerms;
 use std::net::SocketAddr;
@@ -188,7 +186,10 @@
         part.fault("observers", format!("\"{}\" is among the members, who vote", both.0));
     }
     if observers.len() > MOST_OBSERVERS {
-        part.fault("observers", format!("{} observers: {MOST_OBSERVERS} at most were expected", observers.len()));
+        part.fault(
+            "observers",
+            format!("{} observers: {MOST_OBSERVERS} at most were expected", observers.len()),
+        );
     }
     if members.is_empty() && !observers.is_empty() {
         part.fault("observers", "members is missing: whom do they observe?");
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,7 +10,8 @@
 mod script;
 
 pub use files::{
-    channel, control_file, proxy_file, routes, rules, service_file, ControlFile, ProxyFile, RouteFile, ServiceFile,
+    channel, control_file, proxy_file, routes, rules, service_file, ControlFile, ProxyFile, RouteFile,
+    ServiceFile,
 };
 pub use read::{Fault, Faults, Read, Section, Share};
 pub use script::{run, Script};
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -4,8 +4,8 @@
 //! Not in here: agreement, words and machines of a watch, what an order means at a planner, decisions.
 #![forbid(unsafe_code)]
 
-pub mod keys;
 mod kept;
+pub mod keys;
 mod machine;
 mod planner;
 
--- a/crates/tier/src/machine.rs
+++ b/crates/tier/src/machine.rs
@@ -183,7 +183,8 @@
                 _ => return self.answer(link, 200, &json!({ "serves": self.place }).to_string(), out),
             },
             _ => {
-                let why = "there are POST /orders, /members, GET /members, /record, /record?stale, /watchers, \
+                let why =
+                    "there are POST /orders, /members, GET /members, /record, /record?stale, /watchers, \
                            /watchers?place=N and /healthz";
                 (404, why.into())
             }
@@ -199,7 +200,9 @@
         };
         let held = self.member.record.duties().get(RELEASE).is_some_and(|duty| duty.holder != 0);
         match in_steps && !held {
-            true => Err(format!("steps: no member holds the duty '{RELEASE}', so nobody would let them go on")),
+            true => {
+                Err(format!("steps: no member holds the duty '{RELEASE}', so nobody would let them go on"))
+            }
             false => Ok(command),
         }
     }
@@ -230,17 +233,23 @@
     /// Who has what in force, over all machines.
     fn watchers(&self, now: Moment, query: &str) -> Result<String, String> {
         let place = match query.strip_prefix("place=") {
-            Some(place) => place.parse().map_err(|_| format!("place: '{place}' is no place of the record"))?,
+            Some(place) => {
+                place.parse().map_err(|_| format!("place: '{place}' is no place of the record"))?
+            }
             None if query.is_empty() => self.place,
             None => return Err(format!("'{query}': place=N is known")),
         };
         let force = self.serving.roster.in_force(now, place);
         let view = self.serving.view();
-        let refused: BTreeMap<String, u64> =
-            view.refused.iter().map(|(reason, count)| (format!("{reason:?}").to_lowercase(), *count)).collect();
+        let refused: BTreeMap<String, u64> = view
+            .refused
+            .iter()
+            .map(|(reason, count)| (format!("{reason:?}").to_lowercase(), *count))
+            .collect();
         let ms = |span: Span| span.0.div_ceil(1_000_000);
         let slowest = force.slowest.iter().map(|(planner, at)| json!({ "planner": planner, "place": at }));
-        let unheard = force.unheard.iter().map(|(planner, of)| json!({ "planner": planner, "for_ms": ms(*of) }));
+        let unheard =
+            force.unheard.iter().map(|(planner, of)| json!({ "planner": planner, "for_ms": ms(*of) }));
         Ok(json!({ "name": self.home.post.name, "head": self.place, "place": place,
             "expected": force.expected, "heard": force.heard, "at_or_past": force.at_or_past, "lowest": force.lowest,
             "slowest": slowest.collect::<Vec<_>>(), "unheard": unheard.collect::<Vec<_>>(),
