--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -377,11 +377,10 @@
 
     /// Gives up places of servers long gone: each deploy took new ones, for as long as the planner ran.
     fn forget(&mut self, now: Moment, orders: &mut Vec<Order>) {
-        for (server, left) in self.state.bare(now) {
-            if now.since(left) >= FORGOTTEN {
-                self.state.servers[server] = Server::default();
-                orders.push(Order::Forget { server });
-            }
+        let forgotten = |bare: &(ServerIx, Moment)| now.since(bare.1) >= FORGOTTEN;
+        for (server, _) in self.state.bare(now).into_iter().filter(forgotten) {
+            self.state.servers[server] = Server::default();
+            orders.push(Order::Forget { server });
         }
     }
 
@@ -432,9 +431,7 @@
             }
         }
         let mut room = vec![0.0; zones];
-        for (at, server) in self.state.servers.iter().enumerate() {
-            room[server.zone] += carries[at];
-        }
+        self.state.servers.iter().zip(&carries).for_each(|(server, carries)| room[server.zone] += carries);
         let total: f64 = room.iter().sum();
         let mut load = vec![0.0; zones];
         self.state.proxies.iter().filter(|p| p.joined).for_each(|p| load[p.zone] += self.demand(p));
@@ -514,9 +511,8 @@
             let warm: f64 = row.iter().filter(|line| !cold(line.0)).map(|line| line.1).sum();
             bare |= warm <= 0.0 && row.iter().any(|line| over(line.0));
             if warm > 0.0 {
-                row.iter_mut()
-                    .filter(|line| over(line.0))
-                    .for_each(|line| line.1 *= most[line.0] / sent[line.0]);
+                let capped = row.iter_mut().filter(|line| over(line.0));
+                capped.for_each(|line| line.1 *= most[line.0] / sent[line.0]);
                 let kept: f64 = row.iter().filter(|line| cold(line.0)).map(|line| line.1).sum();
                 row.iter_mut().filter(|line| !cold(line.0)).for_each(|line| line.1 *= (1.0 - kept) / warm);
                 row.retain(|line| line.1 > 0.0);
@@ -588,14 +584,12 @@
             // A part of cold servers alone was given all lines of its class: in a deploy these filled the
             // channel.
             let seats = |at: ServerIx| parts.iter().filter(|part| part.servers.contains(&at)).count();
-            let mut ripe: Vec<(usize, ServerIx)> = ripe.iter().map(|at| (seats(*at), *at)).collect();
-            for part in parts {
-                if !ripe.iter().any(|ripe| part.servers.contains(&ripe.1)) {
-                    ripe.sort();
-                    ripe.iter_mut().take(COVER as usize).for_each(|(seats, at)| {
-                        *seats += 1;
-                        part.servers.insert(*at);
-                    });
+            let mut seated: Vec<(usize, ServerIx)> = ripe.iter().map(|at| (seats(*at), *at)).collect();
+            for part in parts.into_iter().filter(|part| !ripe.iter().any(|at| part.servers.contains(at))) {
+                seated.sort();
+                for (seats, at) in seated.iter_mut().take(COVER as usize) {
+                    *seats += 1;
+                    part.servers.insert(*at);
                 }
             }
         }
@@ -615,8 +609,7 @@
         let inside: Vec<usize> = (0..held.len()).filter(|part| held[*part].0 > 0).collect();
         for (class, (target, all)) in targets.iter().enumerate() {
             let mine = inside.iter().filter(|part| self.state.parts[**part].class == class);
-            let parts: Vec<(&Part, f64)> =
-                mine.clone().map(|at| (&self.state.parts[*at], held[*at].1)).collect();
+            let parts: Vec<_> = mine.clone().map(|at| (&self.state.parts[*at], held[*at].1)).collect();
             let heard: f64 = parts.iter().map(|part| part.1).sum();
             for (at, row) in mine.zip(spread(target, &parts, SWEEPS.0, SWEEPS.1)) {
                 // A part of cold servers alone would push them over; one of none would keep what drains.
@@ -652,10 +645,8 @@
                 let busy = |t: &TableNo| taken.contains(t) || members.iter().any(|m| m.group == Some(*t));
                 let known = self.state.tables.len();
                 let table = used.or_else(|| (0..known).find(|t| !busy(t))).unwrap_or(known);
-                if table == known {
-                    self.state.tables.push(Table::default());
-                    self.state.wanted.push(Vec::new());
-                }
+                self.state.tables.resize(known.max(table + 1), Table::default());
+                self.state.wanted.resize(known.max(table + 1), Vec::new());
                 taken.push(table);
             }
             for (member, kind) in members.iter_mut().zip(groups) {
@@ -769,10 +760,8 @@
             users.iter().for_each(|p| spent[*p] += cost);
         }
         if late > 0.0 && self.state.reviewed == now {
-            let wait = (queued + late) / pace;
-            let text = format!(
-                "removals wait: {late:.0} lines beyond {queued:.0} in the channel, {wait:.1} s at its pace"
-            );
+            let (beyond, wait) = (format!("{late:.0} lines beyond {queued:.0}"), (queued + late) / pace);
+            let text = format!("removals wait: {beyond} in the channel, {wait:.1} s at its pace");
             orders.push(Order::Note { text });
         }
         let binds = binds.unwrap_or_else(|| self.binds(now, claims[3], &mut queued, &mut spent));
@@ -840,9 +829,8 @@
             let gate = |level| Order::Gate { table, routes: 0, level, resend: Resend::Never };
             if self.slicing.exclusive && !lost.is_empty() {
                 orders.extend(slice.held_until.is_none().then(|| gate(0.0)));
-                if now
-                    < *slice.held_until.get_or_insert(now + self.slicing.keeps_writing + self.slicing.lingers)
-                {
+                let rest = self.slicing.keeps_writing + self.slicing.lingers;
+                if now < *slice.held_until.get_or_insert(now + rest) {
                     continue;
                 }
             }
@@ -915,10 +903,9 @@
         };
         // The thinnest are looked at alone: all of a fleet that doubles is thin, and took the CPU.
         let droppable = thin.into_iter().filter(|line| !alone(line.0)).take(LOOKED_AT);
-        match droppable.map(without).min_by(|a, b| a.0.total_cmp(&b.0)) {
-            Some((_, left)) => table = left,
-            None => return table,
-        }
+        let least = droppable.map(without).min_by(|a, b| a.0.total_cmp(&b.0));
+        let Some((_, left)) = least else { return table };
+        table = left;
     }
 }
 
