A planner that others' proxies come to hands out narrow parts, so that drains leave in time

Seen: four of five planners are killed, 192 proxies come to the last; their tables are as wide as for its part of them (57 lines), fill the channel, and a drain told a second later waits behind them (133 of 240 rid of it in time). At fault: seat() took one width for good, reckoned for a planner's part of the proxies; push() let lines that a new plan drops go as removals in a filled channel. Change: with over 1.8 times its part of the proxies here, those that hold nothing yet go to parts as narrow as the channel can hand to all by itself, at least lines / width of them; a part keeps its width, seats are dealt for each class and width; in a filled channel only lines of servers that leave, or of cold ones, are removed.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -55,6 +55,8 @@
 /// How far a server's seats may fall under what they should be, so that a deploy rewrites few tables twice.
 const SEATED: f64 = 0.7;
 const SWEEPS: (usize, f64) = (8, 1.5);
+/// Times our part of the proxies from which the channel may have to hand tables to all of them by itself.
+const CROWDED: f64 = 1.8;
 /// Calls that a proxy's first guess counts for: the demand of small ones stays near it until heard often.
 const GUESS_CALLS: f64 = 3.0;
 /// Routine probes a second, however large the fleet.
@@ -522,11 +524,11 @@
         self.state.step = if bare { LEVELS.len() - 1 } else { self.state.step };
     }
 
-    fn width(&self) -> usize {
+    fn width(&self, planners: usize) -> usize {
         let servers = self.state.servers.iter().filter(|s| s.stand == Open).count();
         let proxies = self.fleet.proxies.max(1) as f64;
         let lines = HANDED_OUT.seconds() * self.channel.lines_per_s;
-        let handed = lines * self.fleet.planners.max(1) as f64 / proxies - self.channel.head;
+        let handed = lines * planners.max(1) as f64 / proxies - self.channel.head;
         let connected = CONNECTED * self.fleet.conns_least * servers as f64 / proxies;
         let kept = self.fleet.keep_alive.seconds() * self.state.average.max(1.0) / CALLS_KEPT;
         handed.min(connected).min(kept).clamp(NARROW, 1e6) as usize
@@ -535,39 +537,49 @@
     /// Gives each proxy a part of the servers, and the parts their servers: all of them, unless a table may
     /// not be that wide. Then light proxies go to parts that overlap, each server in as many as its weight
     /// asks for. Harms when a part loses most servers at once: its proxies crowd on the rest until the plan.
+    /// Where other planners' proxies have come to us, those that hold nothing yet go to narrower parts: with
+    /// the usual ones, what drained in the meantime waited for the channel beyond its grace.
     fn seat(&mut self, now: Moment, targets: &[(Vec<Share>, f64)]) {
-        let width = self.state.width.unwrap_or(self.width());
-        self.state.width = Some(width);
+        let widths = self.state.widths.unwrap_or([self.fleet.planners, 1].map(|among| self.width(among)));
+        self.state.widths = Some(widths);
         let mut held = self.state.held(|proxy| self.demand(proxy));
-        let seatless = |p: &(usize, &Proxy)| p.1.joined && p.1.part.is_none();
+        let here = self.state.proxies.iter().filter(|p| p.joined).count() * self.fleet.planners;
+        let crowded = here as f64 > CROWDED * self.fleet.proxies as f64;
+        let (width, among) = (widths[usize::from(crowded)], if crowded { 1 } else { self.fleet.planners });
+        let other = |part: usize| self.state.parts[part].width != width;
+        let waits = |p: &Proxy| p.part.is_none_or(|part| p.holds.is_none() && other(part));
+        let seatless = |p: &(usize, &Proxy)| p.1.joined && waits(p.1);
         let newcomers: Vec<_> = self.state.proxies.iter().enumerate().filter(seatless).map(|p| p.0).collect();
         for at in newcomers {
             let proxy = &self.state.proxies[at];
             let (class, demand) = (proxy.zone.min(targets.len() - 1), self.demand(proxy));
-            if !self.state.parts.iter().any(|part| part.class == class) {
+            let alike = |part: &Part| (part.class, part.width) == (class, width);
+            if !self.state.parts.iter().any(alike) {
                 let lines = targets[class].0.len();
                 let most = (COVER * lines as f64 / width as f64).ceil() as usize;
-                let sharing = self.fleet.proxies / self.fleet.planners.max(targets.len()) / SHARERS;
-                let narrow = if width * 4 / 3 < lines { sharing.clamp(1, most) } else { 0 };
-                let parts = (0..=narrow).map(|at| Part { class, whole: at == 0, ..Part::default() });
+                let least = if crowded { lines / width } else { 1 };
+                let sharing = self.fleet.proxies / among.max(targets.len()) / SHARERS;
+                let narrow = if width * 4 / 3 < lines { sharing.clamp(least, most) } else { 0 };
+                let parts = (0..=narrow).map(|at| Part { class, whole: at == 0, width, ..Part::default() });
                 self.state.parts.extend(parts);
                 held.resize(self.state.parts.len(), (0, 0.0));
             }
             let unlike = |at: usize| self.state.parts[at].whole != (demand > HEAVY * self.state.average);
-            let mine = (0..held.len()).filter(|at| self.state.parts[*at].class == class);
+            let mine = (0..held.len()).filter(|at| alike(&self.state.parts[*at]));
             let by_demand = |a: &usize, b: &usize| held[*a].1.total_cmp(&held[*b].1);
             let part = mine.min_by(|a, b| unlike(*a).cmp(&unlike(*b)).then(by_demand(a, b)));
             part.iter().for_each(|part| held[*part].1 += demand);
             self.state.proxies[at].part = part;
         }
-        for (class, (target, _)) in targets.iter().enumerate() {
+        let dealt = |width| targets.iter().enumerate().map(move |(class, target)| (class, &target.0, width));
+        for (class, target, width) in BTreeSet::from(widths).into_iter().flat_map(dealt) {
             let warm = |line: &Share| line.1 / RAMP[self.warmth(now, line.0)];
             let warm: BTreeMap<ServerIx, f64> = target.iter().map(|line| (line.0, warm(line))).collect();
             let all: f64 = warm.values().sum();
             let ripe = |at: &ServerIx| self.warmth(now, *at) == RAMP.len() - 1;
             let ripe: Vec<ServerIx> = warm.keys().copied().filter(ripe).collect();
-            let mut parts: Vec<&mut Part> =
-                self.state.parts.iter_mut().filter(|part| part.class == class && !part.whole).collect();
+            let alike = |part: &&mut Part| (part.class, part.width, part.whole) == (class, width, false);
+            let mut parts: Vec<&mut Part> = self.state.parts.iter_mut().filter(alike).collect();
             parts.iter_mut().for_each(|part| part.servers.retain(|at| warm.contains_key(at)));
             let count = parts.len() as f64;
             for (at, share) in &warm {
@@ -680,14 +692,14 @@
         let mut spent = vec![0.0; self.state.proxies.len()];
         let head = self.channel.head + 1.0;
         let mut users = self.state.users();
+        let leaves = |at: ServerIx| matches!(self.state.servers[at].stand, Stand::Gone | Draining | Out);
+        let leaving: Vec<bool> = (0..self.state.servers.len()).map(leaves).collect();
+        let leaves = |line: &Share| line.1 <= 0.0 && leaving[line.0];
         let due = |table: TableNo| {
             let standing = &self.state.tables[table];
             let changes = deltas(&standing.lines, &self.state.wanted[table]);
-            let haste = |(server, weight): &Share| match self.state.servers[*server].stand {
-                Stand::Gone | Draining | Out if *weight <= 0.0 => 2,
-                _ => usize::from(self.warmth(now, *server) == 0),
-            };
-            let haste = changes.iter().map(haste).max().unwrap_or(0);
+            let cold = changes.iter().any(|change| self.warmth(now, change.0) == 0);
+            let haste = if changes.iter().any(leaves) { 2 } else { usize::from(cold) };
             let moved: f64 = changes.iter().map(|(at, weight)| (weight - standing.weight(*at)).abs()).sum();
             (haste, moved * users[table].len() as f64, table, changes)
         };
@@ -695,7 +707,7 @@
         due.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
         // What removals alone would take. Where that passes their claim the smallest messages go first: so
         // most proxies are told in time. Levels never go along beyond what ordinary lines may fill.
-        let gone = |changes: &[Share]| changes.iter().filter(|change| change.1 <= 0.0).count();
+        let gone = |changes: &[Share]| changes.iter().filter(|change| leaves(change)).count();
         let urgent = due.iter().filter(|due| due.0 == 2);
         let removals: f64 = urgent.map(|due| (gone(&due.3) as f64 + head) * users[due.2].len() as f64).sum();
         let jammed = queued + removals > claims[2];
@@ -719,7 +731,7 @@
             // What nobody follows is sent to nobody: held back, it kept the first of a zone from their table.
             let room = if users.is_empty() { f64::INFINITY } else { claims[haste] - queued };
             let fits = (room / users.len().max(1) as f64 - head).max(0.0) as usize;
-            let removed = |at: ServerIx| changes.iter().any(|change| change.0 == at && change.1 <= 0.0);
+            let removed = |at: ServerIx| changes.iter().any(|change| change.0 == at && leaves(change));
             let warm = |line: &Share| self.warmth(now, line.0) == RAMP.len() - 1;
             let stays = self.state.tables[table].lines.iter().any(|line| warm(line) && !removed(line.0));
             // An operator's hold: removals go on, and what a table without a warm line needs (rule 1).
@@ -730,7 +742,8 @@
                 // only cold lines would be left, one took all calls and was pushed over: some go along.
                 let few = changes.iter().filter(|change| change.1 > 0.0).take(if stays { 0 } else { ALONG });
                 let along: BTreeSet<ServerIx> = few.map(|change| change.0).collect();
-                changes.retain(|change| change.1 <= 0.0 || along.contains(&change.0));
+                let goes = |line: &Share| leaves(line) || line.1 <= 0.0 && !warm(line);
+                changes.retain(|change| goes(change) || along.contains(&change.0));
             }
             if haste < 2 && held {
                 changes.clear();
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -419,6 +419,8 @@
 pub struct Part {
     pub class: usize,
     pub whole: bool,
+    /// Lines that its table was to have when the part was made.
+    pub width: usize,
     pub table: Option<TableNo>,
     pub servers: BTreeSet<ServerIx>,
 }
@@ -455,8 +457,8 @@
     /// What each table should hold; deltas lead there.
     pub wanted: Vec<Vec<Share>>,
     pub parts: Vec<Part>,
-    /// Lines of a table that goes to a part of the servers.
-    pub width: Option<usize>,
+    /// Lines of a table that goes to a part of the servers, among all planners and with all proxies come here.
+    pub widths: Option<[usize; 2]>,
     /// Mean demand of a proxy.
     pub average: f64,
     pub slices: Vec<Slice>,
