--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod days;
 pub mod explore;
 pub mod explore_watch;
-mod list;
 pub mod list;
 pub mod measure;
 mod members;
