--- a/crates/pewtergap/src/scale.rs
+++ b/crates/pewtergap/src/scale.rs
@@ -6,7 +6,7 @@
 use pewtergap_scale::faults::{Fault, FAULTS};
 use pewtergap_scale::judge::{Planted, PLANTED};
 use pewtergap_scale::reckon::{fits, Limits, Need, Size};
-use pewtergap_scale::report::write;
+use pewtergap_scale::report::{read, write};
 use serde_json::json;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -14,12 +14,12 @@
 #[derive(Args)]
 pub struct ScaleLine {
     /// Planners in all; several sizes are run one after the other.
-    #[arg(long, value_delimiter = ',', required = true)]
+    #[arg(long, value_delimiter = ',', required_unless_present = "beside")]
     planners: Vec<usize>,
     /// Control machines; five of them vote at most, the others observe.
-    #[arg(long)]
+    #[arg(long, default_value_t = 11)]
     control: usize,
-    #[arg(long)]
+    #[arg(long, default_value_t = 17)]
     regions: usize,
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -40,6 +40,9 @@
     /// The program whose processes are run, where it is another build than this one.
     #[arg(long)]
     program: Option<PathBuf>,
+    /// What came of other sizes, from `--json`: they go into the report as well; with no planners the report is all.
+    #[arg(long)]
+    beside: Vec<PathBuf>,
     /// Shows the judge a break that it must find: taken-back, unheard-counted.
     #[arg(long, value_parser = planted)]
     plant: Option<Planted>,
@@ -94,6 +97,16 @@
     let base = line.out.clone();
     let base =
         base.unwrap_or_else(|| std::env::temp_dir().join(format!("pewtergap-scale-{}", std::process::id())));
+    let mut beside: Vec<Came> = Vec::new();
+    for file in &line.beside {
+        beside.extend(read(file).map_err(|why| (2, why))?);
+    }
+    let report = |all: &[Came]| {
+        let mut whole = [&beside, all].concat();
+        whole.sort_by_key(|came| came.size.planners);
+        line.out.as_ref().map_or(Ok(()), |out| write(out, &whole)).map_err(|why| (3, why))
+    };
+    report(&[])?;
     let mut all: Vec<Came> = Vec::new();
     for (size, need) in sizes.iter().zip(needs) {
         let say = |what: &str| eprintln!("{:>5} planners  {what}", size.planners);
@@ -118,9 +131,8 @@
             progress: &say,
         };
         all.push(play(&run).map_err(|why| (3, format!("the scale run failed: {why}")))?);
-        if line.out.is_some() {
-            write(&base, &all).map_err(|why| (3, why))?;
-        }
+        // Should a later size fail, what came of this one stays.
+        report(&all)?;
     }
     if line.out.is_none() {
         let _ = std::fs::remove_dir_all(&base);
--- a/crates/pewtergap/tests/tier.rs
+++ b/crates/pewtergap/tests/tier.rs
@@ -233,7 +233,8 @@
         for mut stream in other.incoming().map_while(Result::ok) {
             let word = hear::<Word>(&mut stream);
             assert!(matches!(word.kind, Some(Kind::Hello(_))), "{word:?}");
-            let welcome = Welcome { version: 9, record: 5, head: 1 << 40, machine: "c0".into(), goes_on: false };
+            let welcome =
+                Welcome { version: 9, record: 5, head: 1 << 40, machine: "c0".into(), goes_on: false };
             say(&mut stream, Kind::Welcome(welcome));
             let _ = stream.read_to_end(&mut Vec::new());
         }
@@ -254,10 +255,9 @@
     assert!(met, "none asked the strange machine first");
     // A member from before observers: whatever it came as, it would take an observer for one that learns.
     let mut member = TcpStream::connect(machine.members.at).expect("a link");
-    let hello = members::Hello { lowest: 1, highest: 3, name: "c2".into(), id: 5, start: 1, ..Default::default() };
-    member
-        .write_all(&encode(&members::Word::of(members::word::Kind::Hello(hello))))
-        .expect("written");
+    let hello =
+        members::Hello { lowest: 1, highest: 3, name: "c2".into(), id: 5, start: 1, ..Default::default() };
+    member.write_all(&encode(&members::Word::of(members::word::Kind::Hello(hello)))).expect("written");
     match hear::<members::Word>(&mut member).kind {
         Some(members::word::Kind::Refuse(refuse)) => {
             assert_eq!(refuse.reason, "speaks formats 1 to 3, we 4 to 4");
--- a/crates/scale/src/director.rs
+++ b/crates/scale/src/director.rs
@@ -7,7 +7,7 @@
 use crate::reckon::{Need, Size};
 use crate::sample::{Role, Used};
 use crate::track::{Answer, Ask, Spread, Told};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -39,7 +39,7 @@
 }
 
 /// p50, p99 and worst in milliseconds, of so many.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Times {
     pub count: u64,
     pub p50_ms: f64,
@@ -65,7 +65,7 @@
 }
 
 /// What a stretch of time cost. Bytes are those of the hollow planners' links, by their own count.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     pub seconds: f64,
     /// Bytes a second and planner, to it and from it.
@@ -88,7 +88,7 @@
     }
 }
 
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Changes {
     pub orders: usize,
     pub kept: usize,
@@ -103,7 +103,7 @@
     pub load: Load,
 }
 
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Came {
     pub size: Size,
     pub need: Need,
--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -6,7 +6,7 @@
 use crate::parties::{get, Parties, CEILING, SERVERS_EACH};
 use crate::track::Ask;
 use rustix::process::Signal;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -19,7 +19,7 @@
 /// All planners are restarted within.
 const RESTART_MS: u64 = 10_000;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Fault {
     /// A control machine that does not lead is killed, and started again.
@@ -48,7 +48,7 @@
 ];
 
 /// What came of one.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Struck {
     pub fault: Fault,
     pub who: String,
--- a/crates/scale/src/judge.rs
+++ b/crates/scale/src/judge.rs
@@ -1,6 +1,6 @@
 //! What a scale run has to keep to, judged from what was seen alone; and the aims, met or not.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// What was seen, in the order of the run.
@@ -41,9 +41,9 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Breach {
-    pub rule: &'static str,
+    pub rule: String,
     pub what: String,
 }
 
@@ -55,7 +55,7 @@
 
 pub fn judge(all: &[Seen]) -> Vec<Breach> {
     let (mut breaches, mut belong) = (Vec::new(), 0);
-    let mut wrong = |rule: &'static str, what: String| breaches.push(Breach { rule, what });
+    let mut wrong = |rule: &str, what: String| breaches.push(Breach { rule: rule.into(), what });
     for seen in all {
         match seen {
             Seen::Belong { planners } => belong = *planners,
@@ -86,18 +86,18 @@
 }
 
 /// What the users want of a run: a figure, and the most it may be.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Aim {
     pub name: String,
-    pub unit: &'static str,
+    pub unit: String,
     pub most: f64,
     /// None: it was not measured in this run.
     pub measured: Option<f64>,
 }
 
 impl Aim {
-    pub fn new(name: impl Into<String>, unit: &'static str, most: f64, measured: Option<f64>) -> Aim {
-        Aim { name: name.into(), unit, most, measured }
+    pub fn new(name: impl Into<String>, unit: &str, most: f64, measured: Option<f64>) -> Aim {
+        Aim { name: name.into(), unit: unit.into(), most, measured }
     }
 
     /// None: not measured.
--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -4,7 +4,7 @@
 //! more than half of the machine's memory all the same is ended.
 
 use rustix::process::{getrlimit, Resource};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Processes that a run may have.
 pub const MOST_PROCESSES: usize = 300;
@@ -28,7 +28,7 @@
 const DESCRIPTORS: u64 = 64;
 
 /// What a run consists of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Size {
     pub planners: usize,
     /// Of them real ones, each with so many proxies.
@@ -39,7 +39,7 @@
 }
 
 /// Bytes, processes, and descriptors of the process that has most.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Need {
     pub memory: u64,
     pub processes: u64,
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -4,6 +4,7 @@
 use crate::faults::{Fault, Struck};
 use crate::plot::{plot, Curve};
 use crate::sample::{Role, Used};
+use serde::Deserialize;
 use std::fmt::Write;
 use std::path::Path;
 
@@ -236,6 +237,7 @@
 /// # Errors
 /// A file could not be written.
 pub fn write(dir: &Path, all: &[Came]) -> Result<(), String> {
+    std::fs::create_dir_all(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
     let put = |name: &str, text: &str| {
         std::fs::write(dir.join(name), text).map_err(|e| format!("{}: {e}", dir.join(name).display()))
     };
@@ -262,6 +264,21 @@
     put("report.md", &text)
 }
 
+#[derive(Deserialize)]
+struct Told {
+    runs: Vec<Came>,
+}
+
+/// What came of an earlier run, as it was told with `--json`.
+///
+/// # Errors
+/// The file can't be read, or is no such thing.
+pub fn read(file: &Path) -> Result<Vec<Came>, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let told = serde_json::from_str::<Told>(&text).map_err(|e| format!("{}: {e}", file.display()))?;
+    Ok(told.runs)
+}
+
 fn sizes(all: &[Came]) -> String {
     all.iter().map(|came| came.size.planners.to_string()).collect::<Vec<_>>().join(" | ")
 }
--- a/crates/scale/src/sample.rs
+++ b/crates/scale/src/sample.rs
@@ -1,7 +1,7 @@
 //! What the processes of a run use, as the system counts it.
 
 use pewtergap_lab::process::{descriptors, used};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -10,7 +10,7 @@
 
 const EVERY: Duration = Duration::from_millis(500);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
     Control,
@@ -27,7 +27,7 @@
 }
 
 /// Sums over the processes of a role, and the most that one has.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Used {
     pub processes: usize,
     pub cpu_ms: f64,
--- a/crates/scale/tests/judge.rs
+++ b/crates/scale/tests/judge.rs
@@ -6,8 +6,8 @@
     Seen::Answer { place: 7, returned: 1, told: InForce { expected, at_or_past, unheard }, had, may }
 }
 
-fn rules(all: &[Seen]) -> Vec<&'static str> {
-    judge(all).iter().map(|breach| breach.rule).collect()
+fn rules(all: &[Seen]) -> Vec<String> {
+    judge(all).into_iter().map(|breach| breach.rule).collect()
 }
 
 #[test]
