--- a/crates/lab/src/cluster/links.rs
+++ b/crates/lab/src/cluster/links.rs
@@ -11,6 +11,7 @@
 use std::any::Any;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// What was seen on members' links, for the audit.
@@ -28,6 +29,13 @@
 
 pub type Sightings = Arc<Mutex<Vec<(Moment, Seen)>>>;
 
+/// What came from members on all links, each word once.
+#[derive(Default)]
+pub struct Passed {
+    pub bytes: AtomicU64,
+    pub words: AtomicU64,
+}
+
 #[derive(Default)]
 struct Half {
     queue: VecDeque<(Moment, Vec<u8>)>,
@@ -63,6 +71,7 @@
     sightings: Sightings,
     /// A door is cut when a piece of a snapshot from this byte on comes to it.
     hold_from: Option<u64>,
+    pub passed: Arc<Passed>,
 }
 
 /// So much is held for one direction; beyond it the sender is not read any more.
@@ -80,6 +89,7 @@
             next: 0,
             sightings,
             hold_from: None,
+            passed: Arc::default(),
         }
     }
 
@@ -167,10 +177,12 @@
 }
 
 /// What passes, as the audit needs it; bytes that cannot be read still pass.
-fn read(pair: &mut Pair, way: usize, bytes: &[u8]) -> Vec<Seen> {
+fn read(pair: &mut Pair, way: usize, bytes: &[u8], passed: &Passed) -> Vec<Seen> {
     let mut seen = Vec::new();
+    passed.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
     pair.halves[way].frames.push(bytes);
     while let Ok(Some(word)) = pair.halves[way].frames.take() {
+        passed.words.fetch_add(1, Ordering::Relaxed);
         match word.kind {
             Some(word::Kind::Hello(hello)) => {
                 pair.who[0] = hello.id;
@@ -235,7 +247,7 @@
                 let Some((at, way)) = self.by_link.get(&link).copied() else { return };
                 let Some(pair) = self.pairs.get_mut(&at) else { return };
                 // As it was said, not as it passes: what a dead member said may pass long after.
-                let seen = read(pair, way, bytes);
+                let seen = read(pair, way, bytes, &self.passed);
                 let late = |seen: &Seen| match seen {
                     Seen::Piece { at, .. } => self.hold_from.is_some_and(|from| *at >= from),
                     _ => false,
--- a/crates/lab/src/cluster/measure.rs
+++ b/crates/lab/src/cluster/measure.rs
@@ -91,19 +91,24 @@
     orders_of(at, members, operators, each, Duration::ZERO)
 }
 
+/// An order as an operator's tool puts it, given so long ago.
+fn order_of(operator: usize, ago: Duration) -> String {
+    let ms = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let ms = ms.saturating_sub(ago).as_millis() as u64;
+    json!({ "id": format!("{:016x}", fastrand::u64(1..)), "given": ms, "who": "lab", "why": "a measurement",
+        "order": "weight", "server": format!("s{operator}"), "weight": 1.0 })
+    .to_string()
+}
+
 /// Given so long ago: the record holds no more than 100,000 ids, those of the last quarter of an hour.
 fn orders_of(at: SocketAddr, members: usize, operators: usize, each: usize, ago: Duration) -> Orders {
     let begin = Instant::now();
     let one = |operator: usize| {
         let (mut client, mut all, mut failed) = (Client::new(at), Vec::new(), 0);
         for _ in 0..each {
-            let ms = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-            let ms = ms.saturating_sub(ago);
-            let body = json!({ "id": format!("{:016x}", fastrand::u64(1..)), "given": ms.as_millis() as u64,
-                "who": "lab", "why": "a measurement", "order": "weight", "server": format!("s{operator}"),
-                "weight": 1.0 });
+            let body = order_of(operator, ago);
             let begin = Instant::now();
-            match client.call("POST", "/orders", Some(&body.to_string())) {
+            match client.call("POST", "/orders", Some(&body)) {
                 Ok((200, _)) => all.push(begin.elapsed()),
                 _ => failed += 1,
             }
@@ -131,7 +136,78 @@
     pub meanwhile: Times,
 }
 
+/// What a voter spends at a rate of orders; parts of a core, bytes, a second.
+#[derive(Clone, Debug, Serialize)]
+pub struct Voter {
+    pub voters: usize,
+    pub orders_per_s: f64,
+    pub kept_per_s: f64,
+    pub leader_core: f64,
+    /// The other voters', on the mean.
+    pub other_core: f64,
+    /// On all links between voters.
+    pub bytes_per_s: f64,
+    pub words_per_s: f64,
+    pub entries: u64,
+    pub leader_memory: f64,
+    pub leader_disk: f64,
+    pub leader_descriptors: usize,
+}
+
 impl Director<'_> {
+    /// What voters spend while orders come at a steady rate, none at 0.
+    pub fn measure_voter(&mut self, rate: f64, lasts: Duration) -> Result<Voter, String> {
+        use std::sync::atomic::Ordering::Relaxed;
+        let (leader, admin) = self.leader_admin()?;
+        let ids: Vec<u32> = self.running.iter().flatten().map(|running| running.child.id()).collect();
+        let id =
+            self.running[leader].as_ref().map(|running| running.child.id()).ok_or("the leader is gone")?;
+        let spent = || ids.iter().map(|id| crate::measure::used(*id).0 / 1e3).sum::<f64>();
+        let own = || crate::measure::used(id).0 / 1e3;
+        let (all_before, own_before) = (spent(), own());
+        let (bytes, words) = (self.passed.bytes.load(Relaxed), self.passed.words.load(Relaxed));
+        let (mut client, begun, mut kept) = (Client::new(admin), Instant::now(), 0u32);
+        let mut given = 0u32;
+        while rate > 0.0 && begun.elapsed() < lasts {
+            let due = Duration::from_secs_f64(f64::from(given) / rate);
+            std::thread::sleep(due.saturating_sub(begun.elapsed()));
+            let body = order_of(given as usize % 16, Duration::ZERO);
+            given += 1;
+            kept += u32::from(matches!(client.call("POST", "/orders", Some(&body)), Ok((200, _))));
+        }
+        std::thread::sleep(lasts.saturating_sub(begun.elapsed()));
+        let lasted = begun.elapsed().as_secs_f64();
+        let (leader_core, all) = ((own() - own_before) / lasted, (spent() - all_before) / lasted);
+        let per_s = |before: u64, now: u64| (now - before) as f64 / lasted;
+        let view = ask_view(admin);
+        let disk = std::fs::metadata(super::record_file(&self.day.dir, leader)).map_or(0, |kept| kept.len());
+        Ok(Voter {
+            voters: self.day.members,
+            orders_per_s: rate,
+            kept_per_s: f64::from(kept) / lasted,
+            leader_core,
+            other_core: (all - leader_core) / (ids.len().max(2) - 1) as f64,
+            bytes_per_s: per_s(bytes, self.passed.bytes.load(Relaxed)),
+            words_per_s: per_s(words, self.passed.words.load(Relaxed)),
+            entries: view["index"].as_u64().unwrap_or(0),
+            leader_memory: crate::measure::used(id).1 * 1024.0,
+            leader_disk: disk as f64,
+            leader_descriptors: crate::process::descriptors(id),
+        })
+    }
+
+    /// The same after so many entries, for memory and disk: they come at once, at rest it is looked at.
+    pub fn measure_filled(&mut self, entries: usize) -> Result<Voter, String> {
+        let (_, admin) = self.leader_admin()?;
+        let missing =
+            (entries as u64).saturating_sub(ask_view(admin)["index"].as_u64().unwrap_or(0)) as usize;
+        let put = orders(admin, self.day.members, 16, missing.div_ceil(16));
+        if put.failed > 0 {
+            return Err(format!("{} of {missing} orders were not kept", put.failed));
+        }
+        self.measure_voter(0.0, Duration::from_secs(2))
+    }
+
     pub(super) fn leader_admin(&self) -> Result<(usize, SocketAddr), String> {
         let end = Instant::now() + Duration::from_secs(30);
         loop {
@@ -170,11 +246,7 @@
     /// A follower loses its disk after so many entries and comes back with none.
     pub fn measure_bringing_up(&mut self, entries: usize) -> Result<BroughtUp, String> {
         let (leader, admin) = self.leader_admin()?;
-        let count = |admin| {
-            let view =
-                Client::new(admin).call("GET", "/record", None).map(|answer| answer.1).unwrap_or_default();
-            serde_json::from_str::<Value>(&view).unwrap_or_default()["index"].as_u64().unwrap_or(0)
-        };
+        let count = |admin| ask_view(admin)["index"].as_u64().unwrap_or(0);
         let held = count(admin);
         let missing = (entries as u64).saturating_sub(held) as usize;
         // Forgotten two seconds after they were given: more than a million ids have no place.
@@ -199,6 +271,12 @@
     }
 }
 
+/// What the record's door says of it.
+fn ask_view(admin: SocketAddr) -> Value {
+    let view = Client::new(admin).call("GET", "/record", None).map(|answer| answer.1).unwrap_or_default();
+    serde_json::from_str(&view).unwrap_or_default()
+}
+
 /// A cluster without faults, to measure it.
 pub fn with_cluster<T>(
     program: &Path,
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -164,6 +164,7 @@
     most_blocks: Vec<Option<u64>>,
     leases: Vec<u64>,
     sightings: Sightings,
+    passed: Arc<links::Passed>,
     said: shares::Sayings,
     shares_nothing: Option<usize>,
     receiver: Option<Place>,
@@ -199,7 +200,9 @@
         let (bell, rungs) = Bell::new();
         let sightings: Sightings = Arc::default();
         let mut reactor = Reactor::new(clock, 16 * 1024 * 1024, day.dir.clone()).map_err(told)?;
-        let relay = reactor.add(Box::new(Links::new(day.members, bell.clone(), sightings.clone())));
+        let links = Links::new(day.members, bell.clone(), sightings.clone());
+        let passed = links.passed.clone();
+        let relay = reactor.add(Box::new(links));
         let ledger = Ledger::default();
         let receiver = receiver::Receiver::new(bell.clone(), ledger.clone());
         let receiver = day.duties.is_some().then(|| reactor.add(Box::new(receiver)));
@@ -227,6 +230,7 @@
             most_blocks: vec![None; day.members],
             leases: vec![duties::LEASE_MS; day.members],
             sightings: sightings.clone(),
+            passed,
             said: shares::Sayings::default(),
             shares_nothing: day.shares_nothing,
             receiver,
--- a/crates/lab/src/slopes/planner.rs
+++ b/crates/lab/src/slopes/planner.rs
@@ -60,6 +60,7 @@
     pub messages_per_s: f64,
     pub bytes_per_s: f64,
     pub core: f64,
+    pub memory: f64,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -341,15 +342,19 @@
     let told = Told { list: list_at, zones: 2, proxies: 2, routes: 1, probes: true };
     let measured = planner(program, dir, &told)?;
     until("the list to be watched", || seen.watches.load(SeqCst) > 0)?;
+    // All are asked at once when they are first seen; what is measured comes after that.
+    until("each server to be asked once", || heard.requests.load(SeqCst) >= servers as u64)?;
     std::thread::sleep(SETTLES);
     let (requests, bytes) = (heard.requests.load(SeqCst), heard.bytes.load(SeqCst));
     let begun = Instant::now();
     let core = core_over(&measured, rest);
+    let memory = measured.memory();
     let lasted = begun.elapsed().as_secs_f64();
     let requests = (heard.requests.load(SeqCst) - requests) as f64 / lasted;
     let bytes_per_s = (heard.bytes.load(SeqCst) - bytes) as f64 / lasted;
     drop((measured, list, origins));
-    Ok(Probed { servers, probes_per_s: requests, messages_per_s: 2.0 * requests, bytes_per_s, core })
+    let messages_per_s = 2.0 * requests;
+    Ok(Probed { servers, probes_per_s: requests, messages_per_s, bytes_per_s, core, memory })
 }
 
 /// A planner by proxies that follow it and have no calls, 20 servers.
--- a/crates/pewtergap/src/slopes.rs
+++ b/crates/pewtergap/src/slopes.rs
@@ -1,8 +1,9 @@
-//! `pewtergap measure list|routes|probes|streams|path`: what docs/capacity/slopes.toml has its points from, a line of JSON for
+//! `pewtergap measure list|routes|probes|streams|voter|leases|path`: what docs/capacity/slopes.toml has its points from, a line of JSON for
 //! each size.
 
 use crate::Ended;
 use clap::Subcommand;
+use pewtergap_lab::cluster::measure::with_cluster;
 use pewtergap_lab::slopes;
 use serde::Serialize;
 use std::path::Path;
@@ -42,6 +43,25 @@
         #[arg(long, default_value_t = 10)]
         rest: u64,
     },
+    /// What voters spend by orders a second, by entries that they hold, and by their number.
+    Voter {
+        #[arg(long, value_delimiter = ',', default_value = "0,25,50,100,200,400")]
+        rates: Vec<f64>,
+        #[arg(long, value_delimiter = ',', default_value = "2000,5000,10000,20000,40000")]
+        entries: Vec<usize>,
+        #[arg(long, value_delimiter = ',', default_value = "1,3,5,7")]
+        voters: Vec<usize>,
+        /// Seconds of each rate, with five voters.
+        #[arg(long, default_value_t = 8)]
+        seconds: u64,
+    },
+    /// What a planner spends by duties held, seven planners.
+    Leases {
+        #[arg(long, value_delimiter = ',', default_value = "10,50,100,200,400")]
+        duties: Vec<usize>,
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+    },
     /// The time that a proxy adds to a request, beside the same client straight to the servers.
     Path {
         #[arg(
@@ -92,6 +112,34 @@
                 tell(&slopes::by_proxies(program, dir, *count, seconds(*rest))?);
             }
         }
+        Sized::Voter { rates, entries, voters, seconds: lasts } => {
+            with_cluster(program, dir, 5, None, |director| {
+                for rate in rates {
+                    tell(&director.measure_voter(*rate, seconds(*lasts))?);
+                }
+                Ok(())
+            })?;
+            for count in entries {
+                with_cluster(program, dir, 5, None, |director| {
+                    tell(&director.measure_filled(*count)?);
+                    Ok(())
+                })?;
+            }
+            for count in voters {
+                with_cluster(program, dir, *count, None, |director| {
+                    tell(&director.measure_voter(0.0, seconds(*lasts))?);
+                    Ok(())
+                })?;
+            }
+        }
+        Sized::Leases { duties, seconds: lasts } => {
+            for count in duties {
+                with_cluster(program, dir, 7, Some(*count), |director| {
+                    tell(&director.measure_at_rest(*lasts)?);
+                    Ok(())
+                })?;
+            }
+        }
         Sized::Path { rates, seconds: lasts } => {
             slopes::path(program, dir, rates, seconds(*lasts), &mut |row| tell(row))?;
         }
