--- a/crates/capacity/src/read.rs
+++ b/crates/capacity/src/read.rs
@@ -223,8 +223,8 @@
         }
     }
 
-    /// Points of two numbers each, none below zero.
-    pub fn points(&mut self, name: &str) -> Vec<[f64; 2]> {
+    /// Points of two numbers each: a size, and what was measured there, `least` or more.
+    pub fn points(&mut self, name: &str, least: f64) -> Vec<[f64; 2]> {
         let Some(value) = self.need(name) else { return Vec::new() };
         let Some(all) = value.get_ref().as_array() else {
             self.wrong(name, "a list of points was expected, [[x, y], ...]");
@@ -238,7 +238,7 @@
                 self.source.wrong(point.span().start, &self.field(name), "a point was expected, [x, y]");
                 continue;
             };
-            points.push([x, y].map(|value| self.within(name, value, &(0.0..=1e18))));
+            points.push([self.within(name, x, &(0.0..=1e18)), self.within(name, y, &(least..=1e18))]);
         }
         points
     }
--- a/crates/capacity/src/roles.rs
+++ b/crates/capacity/src/roles.rs
@@ -46,6 +46,12 @@
     sheet.size.planners / (sheet.open("machines_out") * -1.0 + sheet.size.machines)
 }
 
+/// Probes a second that a planner makes of so many servers, all in order: each every 2 s, 60 at most (the module's
+/// `PROBES_PER_S`).
+fn probes(servers: f64) -> f64 {
+    (servers / 2.0).min(60.0)
+}
+
 fn voter(sheet: &mut Sheet<'_>) {
     sheet.of(Role::Voter);
     let size = sheet.size;
@@ -147,8 +153,8 @@
     sheet.put(Rest, all, State, sheet.at("list.kept", size.servers), None, LIST);
     sheet.put(Rest, all, Core, sheet.at("list.core", size.servers), core, LIST);
     sheet.put(Rest, all, Memory, sheet.at("list.memory", size.servers), memory, LIST);
-    sheet.put(Rest, own, Core, sheet.through("list.core", servers.clone()), core, LIST_SCOPED);
-    sheet.put(Rest, own, Memory, sheet.through("list.memory", servers.clone()), memory, LIST_SCOPED);
+    sheet.put(Rest, own, Core, sheet.through("scope.core", servers.clone()), core, LIST_SCOPED);
+    sheet.put(Rest, own, Memory, sheet.through("scope.memory", servers.clone()), memory, LIST_SCOPED);
 
     let streams = sheet.each("stream.memory") * proxies.clone();
     sheet.put(Rest, "streams", Messages, sheet.through("stream.messages", proxies.clone()), None, STREAMS);
@@ -161,10 +167,13 @@
     let probed =
         [(Messages, "probes.messages", None), (Bytes, "probes.bytes", bytes), (Core, "probes.core", core)];
     for (quantity, slope, budget) in probed {
-        sheet.put(Rest, "probes of all servers", quantity, sheet.at(slope, size.servers), budget, PROBES);
-        let own = sheet.through(slope, servers.clone());
-        sheet.put(Rest, "probes of its services' servers", quantity, own, budget, PROBES_SLICED);
+        let all = sheet.at(slope, probes(size.servers));
+        sheet.put(Rest, "probes of all servers, as many as it makes at most", quantity, all, budget, PROBES);
+        let own = sheet.through(slope, servers.clone().map(probes));
+        sheet.put(Rest, "probes of its services' servers", quantity, own, budget, PROBES);
     }
+    let off = sheet.at("list.core_unprobed", size.servers);
+    sheet.put(Rest, "list of all servers, probes off", Core, off, core, LIST);
 
     let everybody = (size.planners - 1.0) * size.servers;
     let among = (peers - 1.0) * servers.clone();
@@ -202,16 +211,20 @@
     let whole = "all of today, but its watch and sharing";
     let used = sheet.at("list.memory", size.servers) + streams.clone() + settings.clone();
     sheet.put(Rest, whole, Memory, used, memory, LIST);
-    let used = sheet.at("probes.core", size.servers) + sheet.through("stream.core", proxies.clone());
+    let used = sheet.at("list.core", size.servers)
+        + sheet.at("probes.core", probes(size.servers))
+        + sheet.through("stream.core", proxies.clone());
     sheet.put(Rest, whole, Core, used, core, LIST);
     let part = "all by scope, but its watch";
-    let used = sheet.through("list.memory", servers.clone()) + streams + settings;
+    let used = sheet.through("scope.memory", servers.clone()) + streams + settings;
     sheet.put(Rest, part, Memory, used, memory, LIST_SCOPED);
-    let used = sheet.through("probes.core", servers.clone())
+    let rate = servers.clone().map(probes);
+    let used = sheet.through("scope.core", servers.clone())
+        + sheet.through("probes.core", rate.clone())
         + sheet.through("stream.core", proxies.clone())
         + sheet.through("sharing.core", among.clone());
     sheet.put(Rest, part, Core, used, core, LIST_SCOPED);
-    let used = sheet.through("probes.bytes", servers)
+    let used = sheet.through("probes.bytes", rate)
         + sheet.through("stream.bytes", proxies)
         + sheet.through("sharing.bytes", among);
     sheet.put(Rest, part, Bytes, used, bytes, LIST_SCOPED);
@@ -251,9 +264,9 @@
     let whole = sheet.at("list.bytes", size.servers);
     sheet.put(Release, all, Bytes, whole.clone() / size.start_s, bytes, LIST);
     sheet.put(Release, all, Core, sheet.at("list.start_core", size.servers) / size.start_s, core, LIST);
-    let some = sheet.through("list.bytes", servers.clone()) / size.start_s;
+    let some = sheet.through("scope.bytes", servers.clone()) / size.start_s;
     sheet.put(Release, own, Bytes, some, bytes, LIST_SCOPED);
-    let some = sheet.through("list.start_core", servers) / size.start_s;
+    let some = sheet.through("scope.start_core", servers) / size.start_s;
     sheet.put(Release, own, Core, some, core, LIST_SCOPED);
     let source = whole * size.planners / sheet.open("release_s");
     sheet.put(Release, "what the list's source says to all", Bytes, source, None, LIST);
@@ -295,7 +308,7 @@
     sheet.put(Healed, "changes of its services in that hour", Bytes, missed, bytes, TIER);
     let anew = sheet.at("list.bytes", size.servers) / size.in_force_s;
     sheet.put(Healed, "list of all servers, whole again", Bytes, anew, bytes, LIST);
-    let some = sheet.through("list.bytes", scoped(sheet, size.servers)) / size.in_force_s;
+    let some = sheet.through("scope.bytes", scoped(sheet, size.servers)) / size.in_force_s;
     sheet.put(Healed, "list of its services' servers, whole again", Bytes, some, bytes, LIST_SCOPED);
 }
 
@@ -373,9 +386,12 @@
     let each = size.servers / size.planners;
     let part = "a lease for each service's probes, and three more";
     sheet.put(Rest, part, Core, sheet.at("duties.core", size.services + 3.0), core, DUTIES);
-    sheet.put(Rest, "probes of its slices", Messages, sheet.at("probes.messages", each), None, PROBES_SLICED);
-    sheet.put(Rest, "probes of its slices", Bytes, sheet.at("probes.bytes", each), bytes, PROBES_SLICED);
-    sheet.put(Rest, "probes of its slices", Core, sheet.at("probes.core", each), core, PROBES_SLICED);
+    let rate = probes(each);
+    let sliced =
+        [(Messages, "probes.messages", None), (Bytes, "probes.bytes", bytes), (Core, "probes.core", core)];
+    for (quantity, slope, budget) in sliced {
+        sheet.put(Rest, "probes of its slices", quantity, sheet.at(slope, rate), budget, PROBES_SLICED);
+    }
     for situation in [Day, Rack, Zone, Region] {
         let handed = sheet.at("duties.handed_on", size.voters);
         sheet.put(situation, "handed on after its holder's loss", Time, handed, None, DUTIES);
--- a/crates/capacity/src/slopes.rs
+++ b/crates/capacity/src/slopes.rs
@@ -15,6 +15,17 @@
     pub what: &'static str,
 }
 
+impl Spec {
+    /// What the proxy adds is a difference of two measurements, and of two that are nearly the same either may be larger.
+    fn least(&self) -> f64 {
+        if self.name.starts_with("proxy.added") {
+            -1e18
+        } else {
+            0.0
+        }
+    }
+}
+
 const fn spec(name: &'static str, x: &'static str, unit: &'static str, what: &'static str) -> Spec {
     Spec { name, x, unit, what }
 }
@@ -25,8 +36,8 @@
     spec("record.kept_p99", "voters", "s", "from order to kept, 16 operators at once"),
     spec("record.without_leader", "voters", "s", "from the leader's kill to the next kept order, worst"),
     spec("record.core", "orders/s", "core", "the leader's processor time"),
-    spec("record.bytes", "orders/s", "bytes/s", "the leader's words to and from the other voters"),
-    spec("record.messages", "orders/s", "messages/s", "the leader's words to and from the other voters"),
+    spec("record.bytes", "orders/s", "bytes/s", "words among five voters, nearly all the leader's"),
+    spec("record.messages", "orders/s", "messages/s", "words among five voters, nearly all the leader's"),
     spec("record.memory", "entries", "bytes", "the leader's memory"),
     spec("record.disk", "entries", "bytes", "a voter's disk"),
     spec("record.descriptors", "voters", "descriptors", "held by a voter at rest"),
@@ -48,13 +59,14 @@
         "core x s",
         "processor time from a planner's start to the list taken in",
     ),
-    spec("list.core", "servers", "core", "a planner with the list at rest, probes off"),
+    spec("list.core", "servers", "core", "a planner with the list at rest, between its rounds of probes"),
+    spec("list.core_unprobed", "servers", "core", "a planner with the list at rest, probes off"),
     spec("list.change_bytes", "servers a slice", "bytes", "one change as the source sends it"),
     spec("list.change_core", "servers", "core x s", "a planner's work for one change in a slice of a 51st"),
     spec("list.descriptors", "servers", "descriptors", "held by a planner with the list and no proxies"),
-    spec("probes.messages", "servers", "messages/s", "probes and their answers"),
-    spec("probes.bytes", "servers", "bytes/s", "probes and their answers"),
-    spec("probes.core", "servers", "core", "a planner's work for probes, the list's at rest included"),
+    spec("probes.messages", "probes/s", "messages/s", "probes and their answers"),
+    spec("probes.bytes", "probes/s", "bytes/s", "probes and their answers"),
+    spec("probes.core", "probes/s", "core", "a planner's work for probes"),
     spec("stream.memory", "proxies", "bytes", "a planner's memory with so many proxies joined"),
     spec("stream.messages", "proxies", "messages/s", "sums and signs of life of proxies that have no calls"),
     spec("stream.bytes", "proxies", "bytes/s", "sums and signs of life of proxies that have no calls"),
@@ -64,6 +76,15 @@
     spec("stream.joined", "proxies", "s", "until all proxies have their first table"),
     spec("routes.memory", "routes", "bytes", "a planner's memory by routes in its settings"),
     spec("routes.core", "routes", "core", "a planner at rest by routes in its settings"),
+    spec("scope.memory", "servers", "bytes", "a planner's memory with a short list and no proxies"),
+    spec("scope.bytes", "servers", "bytes", "a short list as its source sends it"),
+    spec(
+        "scope.start_core",
+        "servers",
+        "core x s",
+        "processor time from a planner's start to a short list taken in",
+    ),
+    spec("scope.core", "servers", "core", "a planner with a short list at rest, probes off"),
     spec("proxy.memory", "servers", "bytes", "a proxy's memory by servers in its tables"),
     spec("proxy.table_bytes", "servers", "bytes", "a proxy's first tables on the wire"),
     spec("proxy.idle_core", "servers", "core", "a proxy without calls by servers in its tables"),
@@ -153,7 +174,7 @@
         if !name.is_empty() && spec.is_none() {
             part.wrong("name", "there is no such slope");
         }
-        let points = part.points("points");
+        let points = part.points("points", spec.map_or(0.0, Spec::least));
         let units = [("x", spec.map(|spec| spec.x)), ("unit", spec.map(|spec| spec.unit))];
         for (field, wanted) in units {
             let came = part.text(field);
--- a/crates/capacity/src/worked.rs
+++ b/crates/capacity/src/worked.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Another amount that follows from this one.
+    pub fn map(self, to: impl FnOnce(f64) -> f64) -> Worked {
+        self.changed(to)
+    }
+
     fn changed(self, to: impl FnOnce(f64) -> f64) -> Worked {
         Worked { amount: to(self.amount), measured: None, ..self }
     }
--- a/crates/pewtergap/src/slopes.rs
+++ b/crates/pewtergap/src/slopes.rs
@@ -3,9 +3,11 @@
 
 use crate::Ended;
 use clap::Subcommand;
+use pewtergap_lab::cluster::duties::STRUCK;
 use pewtergap_lab::cluster::measure::with_cluster;
 use pewtergap_lab::slopes;
 use serde::Serialize;
+use serde_json::json;
 use std::path::Path;
 use std::time::Duration;
 
@@ -51,6 +53,9 @@
         entries: Vec<usize>,
         #[arg(long, value_delimiter = ',', default_value = "1,3,5,7")]
         voters: Vec<usize>,
+        /// Kills of the leader, for each number of voters from 3 on.
+        #[arg(long, default_value_t = 0)]
+        kills: usize,
         /// Seconds of each rate, with five voters.
         #[arg(long, default_value_t = 8)]
         seconds: u64,
@@ -59,6 +64,9 @@
     Leases {
         #[arg(long, value_delimiter = ',', default_value = "10,50,100,200,400")]
         duties: Vec<usize>,
+        /// Kills of a holder, with 3, 5 and 7 planners.
+        #[arg(long, default_value_t = 0)]
+        kills: usize,
         #[arg(long, default_value_t = 10)]
         seconds: u64,
     },
@@ -112,7 +120,7 @@
                 tell(&slopes::by_proxies(program, dir, *count, seconds(*rest))?);
             }
         }
-        Sized::Voter { rates, entries, voters, seconds: lasts } => {
+        Sized::Voter { rates, entries, voters, kills, seconds: lasts } => {
             with_cluster(program, dir, 5, None, |director| {
                 for rate in rates {
                     tell(&director.measure_voter(*rate, seconds(*lasts))?);
@@ -128,17 +136,29 @@
             for count in voters {
                 with_cluster(program, dir, *count, None, |director| {
                     tell(&director.measure_voter(0.0, seconds(*lasts))?);
+                    if *count > 2 && *kills > 0 {
+                        let without = director.measure_kills(*kills)?;
+                        tell(&json!({ "voters": count, "without_leader_ms": without }));
+                    }
                     Ok(())
                 })?;
             }
         }
-        Sized::Leases { duties, seconds: lasts } => {
+        Sized::Leases { duties, kills, seconds: lasts } => {
             for count in duties {
                 with_cluster(program, dir, 7, Some(*count), |director| {
                     tell(&director.measure_at_rest(*lasts)?);
                     Ok(())
                 })?;
             }
+            for count in [3, 5, 7].into_iter().filter(|_| *kills > 0) {
+                let took = with_cluster(program, dir, count, Some(2), |director| {
+                    director.measure_strikes(STRUCK[0], *kills)
+                })?;
+                tell(
+                    &json!({ "planners": count, "struck": format!("{:?}", STRUCK[0]), "gone_on_ms": took.0 }),
+                );
+            }
         }
         Sized::Path { rates, seconds: lasts } => {
             slopes::path(program, dir, rates, seconds(*lasts), &mut |row| tell(row))?;
