--- a/crates/scale/src/parties.rs
+++ b/crates/scale/src/parties.rs
@@ -9,7 +9,7 @@
 use crate::sample::{Role, Sampler};
 use pewtergap_lab::ask;
 use pewtergap_lab::bell::{Bell, Rung};
-use pewtergap_lab::cluster::links::{Links, Passed, Sightings};
+use pewtergap_lab::cluster::links::{Links, RowBytes, Sightings};
 use pewtergap_lab::list::List;
 use pewtergap_lab::process::Process;
 use pewtergap_lab::server::{Machine as Hardware, Server};
@@ -73,7 +73,7 @@
     relay: (Handle, Place),
     /// Between real planners and control machines, and what passed there.
     watches: Place,
-    passed: Passed,
+    passed: RowBytes,
     list: Place,
     deaf: Place,
     listens: HashMap<String, SocketAddr>,
@@ -107,7 +107,7 @@
         let relay = reactor.add(Box::new(Links::new(size.control, bell.clone(), Sightings::default())));
         let real = size.real.min(size.planners);
         let watches = Links::between(real, size.control, "watch", bell.clone(), Sightings::default());
-        let passed = watches.passed();
+        let passed = watches.row_bytes();
         let watches = reactor.add(Box::new(watches));
         let list = reactor.add(Box::new(List::new(bell.clone())));
         let hardware = Hardware {
