--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -1,6 +1,6 @@
 //! What is said of wrong settings: place, setting, what was expected.
 
-use pewtergap_settings::{proxy_file, run, service_file};
+use pewtergap_settings::{control_file, proxy_file, run, service_file};
 
 const GOOD: &str = r#"
 ZONES = ["north", "south"]
@@ -66,3 +66,74 @@
         run("proxy.star", text).and_then(|script| proxy_file(&script)).err().map(|faults| faults.to_string());
     insta::assert_snapshot!(told.unwrap_or_default());
 }
+
+const MACHINE: &str = r#"
+VOTERS = [member("c%d" % n, address = "10.0.0.%d:7102" % n) for n in range(1, 6)]
+control_machine(
+    name = "c6",
+    admin = "127.0.0.1:0",
+    cluster = cluster(listen = "127.0.0.1:0", members = VOTERS, observers = [member("c6", address = "10.0.0.6:7102")]),
+    watches = watches(listen = "127.0.0.1:0", most = 800, snapshots = 32, pace = "50ms"),
+)
+"#;
+
+fn machine(text: &str) -> String {
+    match run("machine.star", text).and_then(|script| control_file(&script)) {
+        Ok(file) => {
+            let (post, terms) = (&file.home.post, &file.home.terms);
+            format!(
+                "fine: {}, {} vote, {} observe; {} watches, {} snapshots, each {}",
+                post.name,
+                post.members.len(),
+                post.observers.len(),
+                terms.most_watches,
+                terms.most_snapshots,
+                terms.pace
+            )
+        }
+        Err(faults) => faults.to_string(),
+    }
+}
+
+#[test]
+fn a_control_machine_knows_its_place_and_its_bounds() {
+    let mut trace = format!("{}\n", machine(MACHINE));
+    let mut say = |from: &str, to: &str| {
+        assert!(MACHINE.contains(from), "{from}");
+        trace += &format!("--- {to}\n{}\n", machine(&MACHINE.replace(from, to)));
+    };
+    say("name = \"c6\"", "name = \"c9\"");
+    say("name = \"c6\"", "name = \"c/6\"");
+    say("member(\"c6\"", "member(\"c5\"");
+    let many = "observers = [member(\"c%d\" % n, address = \"10.0.1.%d:1\" % n) for n in range(6, 40)]";
+    say("observers = [member(\"c6\", address = \"10.0.0.6:7102\")]", many);
+    say("members = VOTERS, ", "");
+    say("members = VOTERS", "format = 3, members = VOTERS");
+    say("range(1, 6)", "range(1, 5)");
+    say("watches(listen = \"127.0.0.1:0\", ", "watches(");
+    say("most = 800", "most = 20000");
+    say("snapshots = 32", "snapshots = 900");
+    say("pace = \"50ms\"", "pace = \"1ms\"");
+    say("    watches = watches(", "    watch = watches(");
+    say("listen = \"127.0.0.1:0\", members", "members");
+    insta::assert_snapshot!(trace);
+}
+
+#[test]
+fn a_planner_that_watches_is_no_member_and_knows_whom_to_watch() {
+    let watch = "watch = watch(machines = [machine(\"c1\", address = \"10.0.0.1:7103\")]),\n    fleet = fleet(";
+    let with = |from: &str, to: &str| {
+        let text = GOOD.replace("fleet = fleet(", watch);
+        assert!(text.contains(from), "{from}");
+        format!("--- {to}\n{}\n", service(&text.replace(from, to)))
+    };
+    let mut trace = with("c1", "c1");
+    trace += &with("[machine(\"c1\", address = \"10.0.0.1:7103\")]", "[]");
+    trace += &with("[machine(", "[machine(\"c1\", address = \"10.0.0.2:7103\"), machine(");
+    trace += &with("machine(\"c1\"", "member(\"c1\"");
+    trace += &with("address = \"10.0.0.1:7103\"", "address = \"c1\"");
+    trace += &with("watch = watch(", "duties = duties(), watch = watch(");
+    let cluster = "cluster = cluster(listen = \"127.0.0.1:0\", members = [member(\"planner-a\", address = \"127.0.0.1:1\")]),";
+    trace += &with("watch = watch(", &format!("{cluster} watch = watch("));
+    insta::assert_snapshot!(trace);
+}
