--- a/crates/watch/src/roster.rs
+++ b/crates/watch/src/roster.rs
@@ -32,6 +32,8 @@
 const LIFE: Span = Span::millis(1_000);
 /// Words for one machine at a time; the rest is told at the next.
 const MOST_WORDS: usize = 4;
+/// Longer ago than anything is counted.
+const NOT_VOUCHED: u64 = 1 << 40;
 /// Tokens sent to a machine that it may still echo.
 const MOST_TOKENS: usize = 64;
 
@@ -56,6 +58,9 @@
     heard: Moment,
     /// When a machine told of it.
     came: Moment,
+    /// Others may take it to be here: they are told what became of it, also where that is known from elsewhere. A machine
+    /// that left it to the other one to say so vouched for it on and on (explore, seed 122).
+    mine: bool,
     /// Under which number its last change stands.
     changed: u64,
 }
@@ -200,13 +205,29 @@
                 was.heard = was.heard.max(vouched);
                 return;
             }
-            let row = Known { watch, applied, whereabouts: here, heard: vouched, came: vouched, changed: 0 };
+            let row = Known {
+                watch,
+                applied,
+                whereabouts: here,
+                heard: vouched,
+                came: vouched,
+                mine: true,
+                changed: 0,
+            };
             self.put(planner, row);
             return;
         }
         self.put(
             planner,
-            Known { watch, applied, whereabouts: here, heard: vouched, came: vouched, changed: 0 },
+            Known {
+                watch,
+                applied,
+                whereabouts: here,
+                heard: vouched,
+                came: vouched,
+                mine: true,
+                changed: 0,
+            },
         );
     }
 
@@ -227,7 +248,7 @@
         if self.since(now, was).is_ok() {
             return false;
         }
-        let row = Known { whereabouts: Whereabouts::Left, heard: now, ..was.clone() };
+        let row = Known { whereabouts: Whereabouts::Left, heard: now, mine: true, ..was.clone() };
         self.put(planner, row)
     }
 
@@ -319,7 +340,8 @@
             Some(was) if was.watch.0 == watch.0 => (row.applied.max(was.applied), heard),
             Some(_) => (row.applied, heard),
         };
-        let changed = Known { watch, applied, whereabouts, heard, came: now, changed: 0 };
+        let mine = self.known.get(&row.planner).is_some_and(|was| was.mine && !self.all_know(was));
+        let changed = Known { watch, applied, whereabouts, heard, came: now, mine, changed: 0 };
         let same = self
             .known
             .get(&row.planner)
@@ -329,6 +351,12 @@
         }
     }
 
+    /// It is not here any more, and all whose links stand were told; to the others all is told anew.
+    fn all_know(&self, was: &Known) -> bool {
+        let here = matches!(was.whereabouts, Whereabouts::Here | Whereabouts::Unheard(None));
+        !here && self.of.values().all(|machine| machine.said.is_none() || machine.told >= was.changed)
+    }
+
     /// What this machine told is not known to stand any more.
     fn aside(&mut self, now: Moment, number: u16) {
         let Some(vouched) = self.of.get(&number).map(|machine| machine.vouched) else { return };
@@ -401,9 +429,12 @@
         if anew {
             machine.anew = Some(now);
         }
+        let last = words.len();
         for (at, word) in words.iter_mut().enumerate() {
             word.token = self.rng.u64(1..);
-            (word.echo, word.heard_ms, word.anew) = (machine.echo, heard_ms, anew && at == 0);
+            (word.echo, word.anew) = (machine.echo, anew && at == 0);
+            // Before all that changed is told nothing is vouched for: one that is heard no more may be among the rest.
+            word.heard_ms = if rest || at + 1 < last { NOT_VOUCHED } else { heard_ms };
             machine.sent.push_back((word.token, now));
             (machine.said, machine.said_life) = (Some(now), now);
         }
@@ -416,12 +447,8 @@
     /// Own rows; of others those that no machine may tell of any more, where all is told.
     fn row_of(&self, now: Moment, planner: &str, known: &Known, whole: bool) -> Option<Row> {
         let heard = self.since(now, known);
-        let own = match known.whereabouts {
-            Whereabouts::Here | Whereabouts::Unheard(None) | Whereabouts::Left => true,
-            Whereabouts::At(_) => false,
-            Whereabouts::Unheard(Some(_)) => whole,
-        };
-        own.then(|| Row {
+        let nobodys = !matches!(known.whereabouts, Whereabouts::At(_));
+        (known.mine || (whole && nobodys)).then(|| Row {
             planner: planner.into(),
             start: known.watch.0,
             turn: known.watch.1,
--- a/crates/watch/tests/roster.rs
+++ b/crates/watch/tests/roster.rs
@@ -164,6 +164,27 @@
     assert_eq!(tier.count(1, 9), (1, 1, 0));
 }
 
+/// A planner moved to a machine that one of the others does not hear: the old one must not vouch for it there.
+#[test]
+fn one_that_moved_is_not_vouched_for_by_its_old_machine() {
+    let mut tier = Tier::new(3);
+    tier.heard = vec![("a", 1, 1, 9, 0), ("b", 1, 1, 9, 0)];
+    tier.pass(2_000);
+    tier.cut = vec![(1, 2), (2, 1)];
+    tier.lost(1, 2);
+    tier.heard[0] = ("a", 1, 2, 9, 1);
+    tier.pass(1_500);
+    assert_eq!((tier.count(0, 9), tier.count(2, 9)), ((2, 2, 0), (2, 1, 1)));
+    // It goes quiet here, and what another says of that comes before the others are told.
+    tier.heard.pop();
+    tier.rosters[0].gone("b", (1, 1), false);
+    let row = Row { planner: "b".into(), start: 1, turn: 1, applied: 9, ..Row::default() };
+    let word = RosterTold { token: 5, echo: 1, rows: vec![row], ..RosterTold::default() };
+    tier.rosters[0].told(ms(tier.now), "m1", word).expect("it is well formed");
+    tier.pass(500);
+    assert_eq!(tier.count(2, 9), (2, 0, 2));
+}
+
 /// The first words are lost though the link stands: all is told again, and until then nobody is unheard since long ago.
 #[test]
 fn first_words_that_are_lost() {
