--- a/crates/pewtergap/tests/tier.rs
+++ b/crates/pewtergap/tests/tier.rs
@@ -89,6 +89,14 @@
         assert!(planners.iter().all(|planner| fleet.serves(planner) != lost));
         fleet.start(lost);
         fleet.whole();
+        // Whoever led let the observer in, and whoever leads now gives it no vote.
+        let seats = fleet.machines[0].up().view("/members")["members"].clone();
+        let seats: Vec<_> = seats.as_array().into_iter().flatten().collect();
+        let votes = |seat: &serde_json::Value| (seat["votes"] == true, seat["observes"] == true);
+        assert!(
+            seats.iter().all(|seat| votes(seat) == (seat["name"] != "c4", seat["name"] == "c4")),
+            "{seats:?}"
+        );
     }
     // All planners are killed at once and start again: what they held is in force before anybody is asked.
     planners.iter_mut().for_each(|planner| planner.process = None);
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -121,7 +121,8 @@
 
 #[test]
 fn a_planner_that_watches_is_no_member_and_knows_whom_to_watch() {
-    let watch = "watch = watch(machines = [machine(\"c1\", address = \"10.0.0.1:7103\")]),\n    fleet = fleet(";
+    let watch =
+        "watch = watch(machines = [machine(\"c1\", address = \"10.0.0.1:7103\")]),\n    fleet = fleet(";
     let with = |from: &str, to: &str| {
         let text = GOOD.replace("fleet = fleet(", watch);
         assert!(text.contains(from), "{from}");
--- /dev/null
+++ b/crates/tier/tests/keys.rs
@@ -0,0 +1,103 @@
+//! The record as keys and back, and what a planner keeps of it on its disk.
+
+use pewtergap_record::{Cap, Clean, Command, Drain, Order, Record, Step, Subject, Weight, What, Wish};
+use pewtergap_tier::{keys, write_kept, Kept};
+use pewtergap_watch::{Kept as Watched, Scope};
+use std::collections::{BTreeMap, BTreeSet};
+
+fn order(id: u64, until: u64, wish: Wish) -> Command {
+    let (who, why) = ("a".into(), "test".into());
+    let order = Order { who, why, until, wish: Some(wish), steps: 0, pause: 0, by_proxies: false };
+    Command { id, given: 10, what: Some(What::Order(order)) }
+}
+
+fn commands() -> Vec<Command> {
+    let drain = Drain { server: "s1".into(), started: 3, told: 10, grace: 5_000 };
+    let wishes = [
+        Wish::Drain("s1".into()),
+        Wish::Weight(Weight { server: "s1".into(), weight: 2.5 }),
+        Wish::Cap(Cap { route: "r".into(), level: 0.25 }),
+        Wish::DrainZone("z".into()),
+        Wish::HoldReleases(Clean::default()),
+        Wish::HoldDuties(Clean::default()),
+    ];
+    let orders = (1..).zip(wishes).map(|(id, wish)| order(id, 100, wish));
+    orders.chain([Command { id: 7, given: 10, what: Some(What::Drain(drain)) }]).collect()
+}
+
+/// All that `keys::of` told after each command, put together.
+fn follow(record: &mut Record, told: &mut BTreeMap<String, Vec<u8>>, index: u64, command: &Command) {
+    let touched: BTreeSet<Subject> = record.touched(command).into_iter().collect();
+    record.apply(index, command);
+    for (key, value) in keys::of(record, &touched) {
+        match value {
+            Some(value) => drop(told.insert(key, value)),
+            None => drop(told.remove(&key)),
+        }
+    }
+}
+
+#[test]
+fn what_each_command_touches_leads_from_whole_to_whole_and_back_to_the_same_orders() {
+    let (mut record, mut told) = (Record::default(), BTreeMap::new());
+    let mut all = commands();
+    all.push(order(8, 0, Wish::TakeBack("s1".into())));
+    all.push(order(9, 0, Wish::Drain("s2".into())));
+    all.push(Command {
+        id: 10,
+        given: 10,
+        what: Some(What::Step(Step { order: 4, reached: 500, number: 0, why: String::new() })),
+    });
+    // Past all orders with an end, and long past the drain's grace.
+    all.push(Command { id: 11, given: 11, what: Some(What::Clean(Clean { now: 1 << 40, number: 0 })) });
+    for (index, command) in (1..).zip(&all) {
+        follow(&mut record, &mut told, index, command);
+        assert_eq!(told, keys::whole(&record), "after {command:?}");
+        let mut follows = Record::default();
+        for (key, value) in &told {
+            keys::put(&mut follows, key, Some(value)).expect("an entry of this build");
+        }
+        assert!(follows.orders().eq(record.orders()) && follows.drains().eq(record.drains()));
+    }
+    assert_eq!(told.keys().collect::<Vec<_>>(), ["server/s2"], "all others ran out");
+}
+
+#[test]
+fn an_entry_that_is_none_of_its_key_changes_nothing() {
+    let (mut record, mut told) = (Record::default(), BTreeMap::new());
+    for (index, command) in (1..).zip(&commands()) {
+        follow(&mut record, &mut told, index, command);
+    }
+    let before = record.clone();
+    let of = |key: &str| told[key].clone();
+    let wrong = [
+        ("server/s9", Some(of("server/s1"))),
+        ("weight/s1", Some(of("server/s1"))),
+        ("drain/s2", Some(of("drain/s1"))),
+        ("zone/z", Some(b"\xff\xff".to_vec())),
+        ("route/r", Some(Vec::new())),
+        ("tenant/t", Some(of("route/r"))),
+        ("holds", None),
+        ("drain", None),
+    ];
+    for (key, value) in wrong {
+        assert!(keys::put(&mut record, key, value.as_deref()).is_err(), "{key}");
+        assert_eq!(record, before, "{key}");
+    }
+}
+
+#[test]
+fn what_a_planner_kept_is_read_back_and_damage_to_any_byte_is_named() {
+    let scope = Some(Scope { servers: Some(["s1".to_string()].into()), routes: None });
+    let entries = BTreeMap::from([("server/s1".to_string(), vec![1, 2, 3])]);
+    let watched = Watched { record: 5, place: 77, scope, entries };
+    let bytes = write_kept(12, &watched.write());
+    assert_eq!(Kept::read(&bytes), Ok(Kept { start: 12, watched: Some(watched) }));
+    assert_eq!(Kept::read(&write_kept(12, b"")), Ok(Kept { start: 12, watched: None }));
+    for at in 0..bytes.len() {
+        let mut damaged = bytes.clone();
+        damaged[at] ^= 0x40;
+        assert!(Kept::read(&damaged).is_err(), "byte {at}");
+        assert!(Kept::read(&bytes[..at]).is_err(), "cut off at {at}");
+    }
+}
