--- a/crates/member/tests/hand.rs
+++ b/crates/member/tests/hand.rs
@@ -270,3 +270,10 @@
         assert!(hand.member.record.answered(id).is_some());
     }
 }
+
+#[test]
+fn a_seat_that_does_not_observe_is_written_as_by_builds_that_know_no_observers() {
+    // A cluster's number is a digest of these bytes: with others, a new build would be of another cluster than its disk.
+    let bytes = prost::Message::encode_to_vec(&Seat::founder(5, "m"));
+    assert_eq!(bytes, [9, 5, 0, 0, 0, 0, 0, 0, 0, 18, 1, b'm', 32, 1]);
+}
