--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -23,6 +23,7 @@
     }
     all.push(Section { name: "bounds", text: bounds(book) });
     all.push(Section { name: "parameters", text: parameters(book) });
+    all.push(Section { name: "path", text: path(book) });
     all.push(Section { name: "slopes", text: slopes(book, &runs) });
     all.push(Section { name: "runs", text: run_table(&runs) });
     all
@@ -255,6 +256,24 @@
     format!("### What the target leaves open\n\n{}", table(&head, rows))
 }
 
+/// What was measured on the data path, rate by rate.
+fn path(book: &Book) -> String {
+    let names = ["proxy.added_p50", "proxy.added_p99", "proxy.core"];
+    let points = |name: &str| book.slopes.get(name).map(|slope| slope.points.clone()).unwrap_or_default();
+    let at = |name: &str, rate: f64| {
+        let found = points(name).into_iter().find(|point| point[0] == rate);
+        let unit = book.slopes.get(name).and_then(Slope::spec).map_or("", |spec| spec.unit);
+        found.map_or("-".into(), |point| in_unit(unit, point[1]))
+    };
+    let row = |point: [f64; 2]| {
+        let rate = point[0];
+        std::iter::once(whole(rate)).chain(names.iter().map(|name| at(name, rate))).collect()
+    };
+    let rows = points(names[0]).into_iter().map(row).collect();
+    let head = ["requests a second", "added, p50", "added, p99", "the proxy's processor time"];
+    format!("### Time that one proxy adds, as measured\n\n{}", table(&head, rows))
+}
+
 fn slopes(book: &Book, runs: &[Run]) -> String {
     let mut rows = Vec::new();
     for slope in &book.slopes.0 {
--- a/crates/capacity/src/roles.rs
+++ b/crates/capacity/src/roles.rs
@@ -159,17 +159,17 @@
     let streams = sheet.each("stream.memory") * proxies.clone();
     sheet.put(Rest, "streams", Messages, sheet.through("stream.messages", proxies.clone()), None, STREAMS);
     sheet.put(Rest, "streams", Bytes, sheet.through("stream.bytes", proxies.clone()), bytes, STREAMS);
-    sheet.put(Rest, "streams", Core, sheet.through("stream.core", proxies.clone()), core, STREAMS);
+    sheet.put(Rest, "streams", Core, sheet.each("stream.core") * proxies.clone(), core, STREAMS);
     sheet.put(Rest, "streams", Memory, streams.clone(), memory, STREAMS);
     let held = sheet.at("list.descriptors", size.servers) + proxies.clone();
     sheet.put(Rest, "list and streams", Descriptors, held, open, STREAMS);
 
-    let probed =
-        [(Messages, "probes.messages", None), (Bytes, "probes.bytes", bytes), (Core, "probes.core", core)];
-    for (quantity, slope, budget) in probed {
-        let all = sheet.at(slope, probes(size.servers));
+    for (quantity, slope, budget) in
+        [(Messages, "probes.messages", None), (Bytes, "probes.bytes", bytes), (Core, "probes.core", core)]
+    {
+        let all = sheet.each(slope) * probes(size.servers);
         sheet.put(Rest, "probes of all servers, as many as it makes at most", quantity, all, budget, PROBES);
-        let own = sheet.through(slope, servers.clone().map(probes));
+        let own = servers.clone().map(probes) * sheet.each(slope);
         sheet.put(Rest, "probes of its services' servers", quantity, own, budget, PROBES);
     }
     let off = sheet.at("list.core_unprobed", size.servers);
@@ -212,19 +212,19 @@
     let used = sheet.at("list.memory", size.servers) + streams.clone() + settings.clone();
     sheet.put(Rest, whole, Memory, used, memory, LIST);
     let used = sheet.at("list.core", size.servers)
-        + sheet.at("probes.core", probes(size.servers))
-        + sheet.through("stream.core", proxies.clone());
+        + sheet.each("probes.core") * probes(size.servers)
+        + sheet.each("stream.core") * proxies.clone();
     sheet.put(Rest, whole, Core, used, core, LIST);
     let part = "all by scope, but its watch";
     let used = sheet.through("scope.memory", servers.clone()) + streams + settings;
     sheet.put(Rest, part, Memory, used, memory, LIST_SCOPED);
     let rate = servers.clone().map(probes);
     let used = sheet.through("scope.core", servers.clone())
-        + sheet.through("probes.core", rate.clone())
-        + sheet.through("stream.core", proxies.clone())
+        + sheet.each("probes.core") * rate.clone()
+        + sheet.each("stream.core") * proxies.clone()
         + sheet.through("sharing.core", among.clone());
     sheet.put(Rest, part, Core, used, core, LIST_SCOPED);
-    let used = sheet.through("probes.bytes", rate)
+    let used = sheet.each("probes.bytes") * rate
         + sheet.through("stream.bytes", proxies)
         + sheet.through("sharing.bytes", among);
     sheet.put(Rest, part, Bytes, used, bytes, LIST_SCOPED);
@@ -323,7 +323,7 @@
         Rest,
         "tables of its services",
         State,
-        sheet.through("proxy.table_bytes", servers.clone()),
+        sheet.through("scope.table_bytes", servers.clone()),
         None,
         STREAMS,
     );
@@ -331,11 +331,13 @@
         Rest,
         "tables of its services",
         Memory,
-        sheet.through("proxy.memory", servers.clone()),
+        sheet.through("scope.proxy_memory", servers.clone()),
         None,
         STREAMS,
     );
     sheet.put(Rest, "tables of all servers", Memory, sheet.at("proxy.memory", size.servers), None, STREAMS);
+    let all = "tables of all servers";
+    sheet.put(Rest, all, State, sheet.at("proxy.table_bytes", size.servers), None, STREAMS);
     sheet.put(
         Rest,
         "tables of its services, no calls",
@@ -361,8 +363,15 @@
     let cores = sheet.each("proxy.core") * size.requests_per_s;
     sheet.put(Rest, "cores for all requests, proxies as full as can be", Cores, cores, None, PATH);
     let full = sheet.slopes.up_to("proxy.added_p99", size.added_p99_s);
-    sheet.put(Rest, "fewest proxies that keep the 1.1 ms", Cores, size.requests_per_s / full, None, PATH);
-    let anew = sheet.through("proxy.table_bytes", servers.clone()) / size.start_s;
+    sheet.put(
+        Rest,
+        "fewest proxies that keep what may be added",
+        Cores,
+        size.requests_per_s / full,
+        None,
+        PATH,
+    );
+    let anew = sheet.through("scope.table_bytes", servers.clone()) / size.start_s;
     sheet.put(Release, "its planner's tables anew", Bytes, anew, None, STREAMS);
     for (situation, of) in [(Zone, size.zones), (Region, size.regions)] {
         let more = largest.clone() * (of / (of - 1.0).max(1.0));
@@ -373,7 +382,7 @@
         Healed,
         "its planner's tables anew",
         Bytes,
-        sheet.through("proxy.table_bytes", servers) / size.in_force_s,
+        sheet.through("scope.table_bytes", servers) / size.in_force_s,
         None,
         STREAMS,
     );
@@ -390,7 +399,7 @@
     let sliced =
         [(Messages, "probes.messages", None), (Bytes, "probes.bytes", bytes), (Core, "probes.core", core)];
     for (quantity, slope, budget) in sliced {
-        sheet.put(Rest, "probes of its slices", quantity, sheet.at(slope, rate), budget, PROBES_SLICED);
+        sheet.put(Rest, "probes of its slices", quantity, sheet.each(slope) * rate, budget, PROBES_SLICED);
     }
     for situation in [Day, Rack, Zone, Region] {
         let handed = sheet.at("duties.handed_on", size.voters);
--- a/crates/capacity/src/slopes.rs
+++ b/crates/capacity/src/slopes.rs
@@ -85,6 +85,8 @@
         "processor time from a planner's start to a short list taken in",
     ),
     spec("scope.core", "servers", "core", "a planner with a short list at rest, probes off"),
+    spec("scope.table_bytes", "servers", "bytes", "a proxy's first tables on the wire, short list"),
+    spec("scope.proxy_memory", "servers", "bytes", "a proxy's memory, short list"),
     spec("proxy.memory", "servers", "bytes", "a proxy's memory by servers in its tables"),
     spec("proxy.table_bytes", "servers", "bytes", "a proxy's first tables on the wire"),
     spec("proxy.idle_core", "servers", "core", "a proxy without calls by servers in its tables"),
--- a/crates/capacity/tests/files.rs
+++ b/crates/capacity/tests/files.rs
@@ -109,6 +109,17 @@
     }
 }
 
+#[test]
+fn only_a_difference_may_be_below_zero() {
+    let text = SLOPE.replace("[2, 200]", "[-2, 200]");
+    let told = Slopes::read("slopes.toml", &text).expect_err("a size below zero").to_string();
+    assert!(told.contains("slope(list.bytes).points: between 0 and "), "{told}");
+    let added = "name = \"proxy.added_p99\"\nx = \"requests/s\"\nunit = \"s\"\npoints = [";
+    assert_eq!(MEASURED.1.matches(added).count(), 1);
+    let text = MEASURED.1.replace(added, &format!("{added}[7, -0.5], "));
+    assert!(Slopes::read("slopes.toml", &text).is_ok());
+}
+
 #[test]
 fn points_without_a_run_are_refused_and_a_place_without_points_needs_none() {
     let text = SLOPE.replace("run = \"a command\"\n", "");
--- a/crates/pewtergap/src/slopes.rs
+++ b/crates/pewtergap/src/slopes.rs
@@ -62,7 +62,7 @@
     },
     /// What a planner spends by duties held, seven planners.
     Leases {
-        #[arg(long, value_delimiter = ',', default_value = "10,50,100,200,400")]
+        #[arg(long, value_delimiter = ',', default_value = "10,25,50,100,200")]
         duties: Vec<usize>,
         /// Kills of a holder, with 3, 5 and 7 planners.
         #[arg(long, default_value_t = 0)]
