--- a/crates/planner/tests/crowd.rs
+++ b/crates/planner/tests/crowd.rs
@@ -73,7 +73,8 @@
     }
 }
 
-/// Four of five planners are killed, 30 servers drain: of 240 proxies, those rid of them 2.3 s after the planner was told.
+/// Four of five planners are killed, 30 servers drain: of 240 proxies, those rid of them 2.3 s after the planner
+/// was told.
 /// `asks`: calls a second of those that come from the killed ones.
 fn rid_in_time(asks: impl Fn(usize) -> f64) -> usize {
     let terms =
