--- a/crates/lab/src/explore_watch.rs
+++ b/crates/lab/src/explore_watch.rs
@@ -330,10 +330,11 @@
                 let held = road.held_since.is_some() || !self.world.runs(place);
                 let Some((_, word)) = road.words.pop_front_if(|word| !held && word.0 <= now) else { break };
                 let own = self.world.clock(place);
-                let mut control = hold(&control);
-                control.touched = true;
-                if let Err(why) = control.serving.roster.told(own, &format!("m{from}"), word) {
-                    drop(control);
+                let told = hold(&control).serving.roster.told(own, &format!("m{from}"), word);
+                hold(&control).touched = true;
+                // After each: what a late word says is corrected by the next one at once.
+                self.check();
+                if let Err(why) = told {
                     self.breaks("words", why);
                 }
             }
@@ -475,7 +476,7 @@
         let machine = self.world.rng.usize(0..self.machines.len());
         let planner = self.world.rng.usize(0..self.planners.len());
         let (m, p) = (self.machines[machine].0, self.planners[planner].0);
-        let name = match self.world.rng.u8(0..18) {
+        let name = match self.world.rng.u8(0..20) {
             0 | 1 => {
                 self.paused.retain(|paused| *paused != m);
                 self.world.kill(m);
@@ -554,6 +555,11 @@
                 "burst"
             }
             15 => {
+                // What they are told of the old ones is on its way.
+                (0..4).for_each(|_| self.keep());
+                self.feed();
+                let moment = Span::micros(self.world.rng.u64(100..6_000));
+                self.pass(moment);
                 let word = ["* *", "s0,s1,s2 r0", "s3 r1,r2", "s0,s4 *"][self.world.rng.usize(0..4)];
                 for at in 0..self.planners.len() {
                     if self.world.rng.bool() {
@@ -568,6 +574,23 @@
                 self.kill_planner(planner);
                 "planner killed"
             }
+            17 | 18 => {
+                for at in 0..self.planners.len() {
+                    if self.world.rng.bool() {
+                        self.kill_planner(at);
+                        self.world.put(self.planners[at].0, KEPT, None);
+                        self.truths[at].lost_its_disk();
+                        self.start_planner(at);
+                    }
+                }
+                // Some are told half of a snapshot by then.
+                let moment = Span::millis(self.world.rng.u64(20..250));
+                self.pass(moment);
+                self.paused.retain(|paused| *paused != m);
+                self.world.kill(m);
+                self.road_ends(machine);
+                "disks lost, then a machine killed"
+            }
             _ => {
                 self.mend();
                 "mend"
--- a/crates/lab/tests/explore_watch.rs
+++ b/crates/lab/tests/explore_watch.rs
@@ -54,8 +54,8 @@
 }
 
 const PLANTED: &[(Planted, u64, &str)] = &[
-    (Planted::TakenBack, 0, "never back"),
+    (Planted::TakenBack, 2, "never back"),
     (Planted::LostDelete, 0, "prefix"),
-    (Planted::CountedUnheard, 2, "counted"),
+    (Planted::CountedUnheard, 1, "counted"),
     (Planted::YoungAge, 0, "age"),
 ];
--- a/crates/watch/tests/server.rs
+++ b/crates/watch/tests/server.rs
@@ -329,6 +329,30 @@
     assert_eq!((machine.server.cache().head(), machine.server.age(machine.now)), (0, None));
 }
 
+/// Bytes that a cut held back say what was so when they were sent: no earlier than what they answer.
+#[test]
+fn what_a_planner_says_is_as_old_as_what_it_echoes() {
+    let mut machine = Machine::filled(Terms::default(), 2, 1);
+    machine.comes(1, hello("a", 1));
+    let vouched = |machine: &mut Machine| {
+        let said = std::mem::take(&mut machine.acts).into_iter().rev();
+        said.filter_map(|act| match act {
+            Act::Heard { vouched, applied, .. } => Some((vouched, applied)),
+            _ => None,
+        })
+        .next()
+    };
+    machine.now = ms(500);
+    machine.say(1, took(1, 1));
+    assert_eq!(vouched(&mut machine), Some((ms(0), 1)), "the piece was sent at 0");
+    machine.now = ms(900);
+    machine.ping(1, 1, 2);
+    assert_eq!(vouched(&mut machine), Some((ms(0), 2)), "it echoes nothing");
+    machine.now = ms(3_000);
+    machine.ping(1, 2, 2);
+    assert_eq!(vouched(&mut machine), Some((ms(900), 2)), "it echoes what was answered at 900");
+}
+
 #[test]
 fn one_that_leaves_is_expected_no_more() {
     let mut machine = Machine::filled(Terms::default(), 1, 1);
