--- a/crates/scale/src/director.rs
+++ b/crates/scale/src/director.rs
@@ -74,6 +74,9 @@
     /// The same of real planners, as counted in the relay that their watches pass.
     pub real_down: f64,
     pub real_up: f64,
+    /// Bytes a second on the members' links, sent by one control machine in the mean.
+    #[serde(default)]
+    pub members: f64,
     /// Milliseconds of a processor a second: all control machines, by planner; the one planner itself.
     pub control_cpu: f64,
     pub planner_cpu: f64,
@@ -126,8 +129,9 @@
     pub aims: Vec<Aim>,
 }
 
-/// A moment of a run: what planners tell, what processes have used, what passed at real planners.
-type Mark = (Instant, Told, BTreeMap<Role, Used>, [u64; 2]);
+/// A moment of a run: what planners tell, what processes have used, what passed at real planners and
+/// between control machines.
+type Mark = (Instant, Told, BTreeMap<Role, Used>, [u64; 2], u64);
 
 /// The run while it is played.
 pub struct Director<'a> {
@@ -307,7 +311,7 @@
 
     fn mark(&mut self) -> Result<Mark, String> {
         let (told, passed) = (self.parties.crowds.state()?, self.parties.passed());
-        Ok((Instant::now(), told, self.parties.sampler.now(), passed))
+        Ok((Instant::now(), told, self.parties.sampler.now(), passed, self.parties.between()))
     }
 
     fn since(&mut self, before: &Mark) -> Result<Load, String> {
@@ -328,6 +332,7 @@
             up: bytes(after.1.went, before.1.went),
             real_down: passed(1),
             real_up: passed(0),
+            members: (after.4 - before.4) as f64 / seconds / self.run.size.control as f64,
             control_cpu: control / self.run.size.planners as f64,
             planner_cpu: cpu(Role::Hollow) / hollow,
             machine_cpu: control / self.run.size.control as f64,
--- a/crates/scale/src/parties.rs
+++ b/crates/scale/src/parties.rs
@@ -74,6 +74,8 @@
     /// Between real planners and control machines, and what passed there.
     watches: Place,
     passed: Passed,
+    /// What passed between control machines.
+    between: Passed,
     list: Place,
     deaf: Place,
     listens: HashMap<String, SocketAddr>,
@@ -104,7 +106,9 @@
         let (clock, sampler) = (Clock::default(), Sampler::new(memory));
         let (bell, rungs) = Bell::new();
         let mut reactor = Reactor::new(clock, MOST_UNWRITTEN, dir.clone()).map_err(told)?;
-        let relay = reactor.add(Box::new(Links::new(size.control, bell.clone(), Sightings::default())));
+        let relay = Links::new(size.control, bell.clone(), Sightings::default());
+        let between = relay.passed();
+        let relay = reactor.add(Box::new(relay));
         let real = size.real.min(size.planners);
         let watches = Links::between(real, size.control, "watch", bell.clone(), Sightings::default());
         let passed = watches.passed();
@@ -138,6 +142,7 @@
             relay,
             watches,
             passed,
+            between,
             list,
             deaf,
             listens: HashMap::new(),
@@ -238,8 +243,12 @@
 
     /// Bytes of the real planners' watches so far: to control machines, and from them.
     pub fn passed(&self) -> [u64; 2] {
-        let passed = self.passed.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        passed.iter().fold([0; 2], |sum, one| [sum[0] + one[0], sum[1] + one[1]])
+        sum(&self.passed)
+    }
+
+    /// Bytes between control machines so far, all links and both ways.
+    pub fn between(&self) -> u64 {
+        sum(&self.between).iter().sum()
     }
 
     /// Until a machine gives a fresh read.
@@ -407,6 +416,11 @@
     }
 }
 
+fn sum(passed: &Passed) -> [u64; 2] {
+    let passed = passed.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    passed.iter().fold([0; 2], |sum, one| [sum[0] + one[0], sum[1] + one[1]])
+}
+
 fn routes_text() -> String {
     let route = |nth: usize| {
         format!("route(\"r{nth}\", slo_time = \"500ms\", time_limit = \"2s\", repeats = \"repeatable\")")
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -45,6 +45,16 @@
         unit: "bytes a planner for 100 changes",
         of: |came| hollow(came, came.burst.load.whole(came.burst.load.up)),
     },
+    Figure {
+        name: "rest_members",
+        unit: "bytes/s on the members' links, sent by a control machine",
+        of: |came| Some(came.rest.members).filter(|members| *members > 0.0),
+    },
+    Figure {
+        name: "burst_members",
+        unit: "bytes on the members' links for 100 changes, sent by a control machine",
+        of: |came| Some(came.burst.load.whole(came.burst.load.members)).filter(|members| *members > 0.0),
+    },
     Figure {
         name: "real_rest_down",
         unit: "bytes/s a real planner",
