--- a/crates/capacity/src/model.rs
+++ b/crates/capacity/src/model.rs
@@ -112,6 +112,8 @@
     /// `None` while a slope that it needs has no points.
     pub at: Option<Pair>,
     pub kind: Kind,
+    /// How far beyond the largest measured size a line was followed for it, in such sizes; 1 within.
+    pub beyond: f64,
     /// Slopes that it waits for.
     pub waits_for: Vec<String>,
     pub budget: Option<Pair>,
@@ -286,6 +288,7 @@
         quantity: first.quantity,
         at,
         kind: first.came.kind(),
+        beyond: first.came.beyond().max(second.came.beyond()),
         waits_for,
         budget: first.budget.zip(second.budget).map(|(first, second)| Pair([first, second])),
         carried_by: first.carried_by,
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -91,6 +91,15 @@
 }
 
 fn kind(book: &Book, figure: &Figure, runs: &[Run]) -> String {
+    let kind = kind_alone(book, figure, runs);
+    if figure.beyond > 1.05 {
+        format!("{kind} (at {} x its largest size)", number(figure.beyond))
+    } else {
+        kind
+    }
+}
+
+fn kind_alone(book: &Book, figure: &Figure, runs: &[Run]) -> String {
     match &figure.kind {
         Kind::Measured { slope, .. } => {
             let run = book.slopes.get(slope).map_or("-".into(), |slope| run_of(slope, runs));
--- a/crates/capacity/src/slopes.rs
+++ b/crates/capacity/src/slopes.rs
@@ -242,7 +242,8 @@
             let mean = there.iter().sum::<f64>() / there.len() as f64;
             return Worked::measured(mean, name, &slope.run.command);
         }
-        slope.fit().map_or(Worked::missing(name), |fit| Worked::reckoned(fit.at(x), name))
+        let largest = slope.points.iter().map(|point| point[0]).fold(0.0, f64::max);
+        slope.fit().map_or(Worked::missing(name), |fit| Worked::reckoned(fit.at(x), name, x / largest))
     }
 
     /// Its value at a size that was itself worked out.
@@ -256,7 +257,7 @@
     /// What one more costs, without what is there at none.
     pub(crate) fn each(&self, name: &str) -> Worked {
         let fit = self.get(name).and_then(Slope::fit);
-        fit.map_or(Worked::missing(name), |fit| Worked::reckoned(fit.rise.max(0.0), name))
+        fit.map_or(Worked::missing(name), |fit| Worked::reckoned(fit.rise.max(0.0), name, 1.0))
     }
 
     /// The largest measured size up to which no measured value passes `most`.
--- a/crates/capacity/src/worked.rs
+++ b/crates/capacity/src/worked.rs
@@ -25,13 +25,15 @@
     parameters: BTreeSet<String>,
     /// Slopes without enough points: there is no amount then.
     missing: BTreeSet<String>,
+    /// The farthest that a line was followed, in largest measured sizes; 1 within them.
+    beyond: f64,
 }
 
 impl Worked {
     /// Not to be had outside: an amount has to come from somewhere.
     fn bare(amount: f64) -> Worked {
         let (slopes, parameters, missing) = Default::default();
-        Worked { amount, measured: None, slopes, parameters, missing }
+        Worked { amount, measured: None, slopes, parameters, missing, beyond: 1.0 }
     }
 
     pub fn measured(amount: f64, slope: &str, run: &str) -> Worked {
@@ -39,8 +41,14 @@
         Worked { measured, slopes: [slope.to_string()].into(), ..Worked::bare(amount) }
     }
 
-    pub fn reckoned(amount: f64, slope: &str) -> Worked {
-        Worked { slopes: [slope.to_string()].into(), ..Worked::bare(amount) }
+    /// `beyond`: the size over the largest measured one.
+    pub fn reckoned(amount: f64, slope: &str, beyond: f64) -> Worked {
+        let beyond = beyond.max(1.0);
+        Worked { slopes: [slope.to_string()].into(), beyond, ..Worked::bare(amount) }
+    }
+
+    pub fn beyond(&self) -> f64 {
+        self.beyond
     }
 
     pub fn missing(slope: &str) -> Worked {
@@ -84,6 +92,7 @@
             slopes: self.slopes.into_iter().chain(other.slopes).collect(),
             parameters: self.parameters.into_iter().chain(other.parameters).collect(),
             missing: self.missing.into_iter().chain(other.missing).collect(),
+            beyond: self.beyond.max(other.beyond),
         }
     }
 
--- a/crates/capacity/tests/page.rs
+++ b/crates/capacity/tests/page.rs
@@ -91,6 +91,9 @@
     let (at, by) = found.expect("sharing is over its budget");
     assert_eq!(at.map(|at| at.0), Some([3_799.0 * 34_000.0 * 100.0; 2]));
     assert_eq!(by, [3_799.0 * 34_000.0 * 100.0 / 5_000.0; 2]);
+    // And says how far it followed its line.
+    let sharing = book.figures.iter().find(|figure| figure.part == "sharing with all planners");
+    assert_eq!(sharing.map(|figure| figure.beyond), Some(3_799.0 * 34_000.0 / 1_000.0));
 }
 
 #[test]
