--- a/crates/lab/src/cluster/duties.rs
+++ b/crates/lab/src/cluster/duties.rs
@@ -431,7 +431,7 @@
         let index = |view: Value| view["index"].as_u64().unwrap_or(0);
         let (before, periods) = (index(view("/record?stale")), self.sent().len());
         let used = |director: &Self| -> f64 {
-            director.running.iter().flatten().map(|running| crate::measure::used(running.child.id()).0).sum()
+            director.running.iter().flatten().map(|running| crate::process::used(running.child.id()).0).sum()
         };
         let cpu = used(self);
         std::thread::sleep(Duration::from_secs(seconds));
--- a/crates/lab/src/cluster/links.rs
+++ b/crates/lab/src/cluster/links.rs
@@ -29,13 +29,6 @@
 
 pub type Sightings = Arc<Mutex<Vec<(Moment, Seen)>>>;
 
-/// What came from members on all links, each word once.
-#[derive(Default)]
-pub struct Passed {
-    pub bytes: AtomicU64,
-    pub words: AtomicU64,
-}
-
 #[derive(Default)]
 struct Half {
     queue: VecDeque<(Moment, Vec<u8>)>,
@@ -52,6 +45,7 @@
     /// Who dialled, once it has said so; and who answered.
     who: [u64; 2],
     start: u64,
+    words: Arc<AtomicU64>,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -60,8 +54,18 @@
     delay: Span,
 }
 
+/// Bytes that passed from whom a row of doors is for, and back to it.
+pub type Passed = Arc<Mutex<Vec<[u64; 2]>>>;
+
 pub struct Links {
+    /// Whose doors they are, and to how many each.
+    rows: usize,
     count: usize,
+    /// Of the doors' names.
+    what: &'static str,
+    /// Members' words pass, and are read for the audit.
+    reads: bool,
+    passed: Passed,
     bell: Bell,
     targets: Vec<Option<SocketAddr>>,
     doors: Vec<State>,
@@ -71,7 +75,8 @@
     sightings: Sightings,
     /// A door is cut when a piece of a snapshot from this byte on comes to it.
     hold_from: Option<u64>,
-    pub passed: Arc<Passed>,
+    /// Members' words that passed, on all doors.
+    pub words: Arc<AtomicU64>,
 }
 
 /// So much is held for one direction; beyond it the sender is not read any more.
@@ -79,17 +84,27 @@
 
 impl Links {
     pub fn new(count: usize, bell: Bell, sightings: Sightings) -> Links {
+        Links { reads: true, ..Links::between(count, count, "link", bell, sightings) }
+    }
+
+    /// A door from each of `rows` parties to each of `count` others, of whose words nothing is read. Each row's bytes are
+    /// counted in `passed`.
+    pub fn between(rows: usize, count: usize, what: &'static str, bell: Bell, sightings: Sightings) -> Links {
         Links {
+            rows,
             count,
+            what,
+            reads: false,
+            passed: Arc::new(Mutex::new(vec![[0; 2]; rows])),
             bell,
             targets: vec![None; count],
-            doors: vec![State::default(); count * count],
+            doors: vec![State::default(); rows * count],
             pairs: BTreeMap::new(),
             by_link: BTreeMap::new(),
             next: 0,
             sightings,
             hold_from: None,
-            passed: Arc::default(),
+            words: Arc::default(),
         }
     }
 
@@ -97,6 +112,10 @@
         format!("link {from} {to}")
     }
 
+    pub fn passed(&self) -> Passed {
+        self.passed.clone()
+    }
+
     /// What a member's settings say of the others, each reached by its own door of this relay.
     pub fn settings(
         listens: &HashMap<String, SocketAddr>,
@@ -177,12 +196,11 @@
 }
 
 /// What passes, as the audit needs it; bytes that cannot be read still pass.
-fn read(pair: &mut Pair, way: usize, bytes: &[u8], passed: &Passed) -> Vec<Seen> {
+fn read(pair: &mut Pair, way: usize, bytes: &[u8]) -> Vec<Seen> {
     let mut seen = Vec::new();
-    passed.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
     pair.halves[way].frames.push(bytes);
     while let Ok(Some(word)) = pair.halves[way].frames.take() {
-        passed.words.fetch_add(1, Ordering::Relaxed);
+        pair.words.fetch_add(1, Ordering::Relaxed);
         match word.kind {
             Some(word::Kind::Hello(hello)) => {
                 pair.who[0] = hello.id;
@@ -211,14 +229,15 @@
     fn handle(&mut self, now: Moment, input: Input<'_>, out: &mut Outbox) {
         match input {
             Input::Start => {
-                for door in 0..self.count * self.count {
+                for door in 0..self.rows * self.count {
                     let at = SocketAddr::from(([127, 0, 0, 1], 0));
                     out.push(Effect::Listen { door: door as u32, at });
                 }
             }
             Input::Listening { door, at } => {
                 let door = door as usize;
-                self.bell.listens(&Links::door_name(door / self.count, door % self.count), at);
+                let name = format!("{} {} {}", self.what, door / self.count, door % self.count);
+                self.bell.listens(&name, at);
             }
             Input::NotListening { why, .. } => self.bell.ring(Rung::Failed(why)),
             Input::Accepted { link, door, .. } => {
@@ -235,6 +254,7 @@
                     halves: Default::default(),
                     who: [0, 0],
                     start: 0,
+                    words: self.words.clone(),
                 };
                 self.pairs.insert(self.next, pair);
             }
@@ -246,8 +266,11 @@
             Input::Bytes { link, bytes } => {
                 let Some((at, way)) = self.by_link.get(&link).copied() else { return };
                 let Some(pair) = self.pairs.get_mut(&at) else { return };
+                if let Ok(mut passed) = self.passed.lock() {
+                    passed[pair.door / self.count][way] += bytes.len() as u64;
+                }
                 // As it was said, not as it passes: what a dead member said may pass long after.
-                let seen = read(pair, way, bytes, &self.passed);
+                let seen = if self.reads { read(pair, way, bytes) } else { Vec::new() };
                 let late = |seen: &Seen| match seen {
                     Seen::Piece { at, .. } => self.hold_from.is_some_and(|from| *at >= from),
                     _ => false,
--- a/crates/lab/src/cluster/measure.rs
+++ b/crates/lab/src/cluster/measure.rs
@@ -162,10 +162,14 @@
         let ids: Vec<u32> = self.running.iter().flatten().map(|running| running.child.id()).collect();
         let id =
             self.running[leader].as_ref().map(|running| running.child.id()).ok_or("the leader is gone")?;
-        let spent = || ids.iter().map(|id| crate::measure::used(*id).0 / 1e3).sum::<f64>();
-        let own = || crate::measure::used(id).0 / 1e3;
+        let spent = || ids.iter().map(|id| crate::process::used(*id).0 / 1e3).sum::<f64>();
+        let own = || crate::process::used(id).0 / 1e3;
         let (all_before, own_before) = (spent(), own());
-        let (bytes, words) = (self.passed.bytes.load(Relaxed), self.passed.words.load(Relaxed));
+        let bytes = || {
+            let passed = self.passed.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+            passed.iter().flatten().sum::<u64>()
+        };
+        let (bytes_before, words) = (bytes(), self.passed.1.load(Relaxed));
         let (mut client, begun, mut kept) = (Client::new(admin), Instant::now(), 0u32);
         let mut given = 0u32;
         while rate > 0.0 && begun.elapsed() < lasts {
@@ -187,10 +191,10 @@
             kept_per_s: f64::from(kept) / lasted,
             leader_core,
             other_core: (all - leader_core) / (ids.len().max(2) - 1) as f64,
-            bytes_per_s: per_s(bytes, self.passed.bytes.load(Relaxed)),
-            words_per_s: per_s(words, self.passed.words.load(Relaxed)),
+            bytes_per_s: per_s(bytes_before, bytes()),
+            words_per_s: per_s(words, self.passed.1.load(Relaxed)),
             entries: view["index"].as_u64().unwrap_or(0),
-            leader_memory: crate::measure::used(id).1 * 1024.0,
+            leader_memory: crate::process::used(id).1 * 1024.0,
             leader_disk: disk as f64,
             leader_descriptors: crate::process::descriptors(id),
         })
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -164,7 +164,8 @@
     most_blocks: Vec<Option<u64>>,
     leases: Vec<u64>,
     sightings: Sightings,
-    passed: Arc<links::Passed>,
+    /// Bytes on members' links by who dialled, and words.
+    passed: (links::Passed, Arc<AtomicU64>),
     said: shares::Sayings,
     shares_nothing: Option<usize>,
     receiver: Option<Place>,
@@ -201,7 +202,7 @@
         let sightings: Sightings = Arc::default();
         let mut reactor = Reactor::new(clock, 16 * 1024 * 1024, day.dir.clone()).map_err(told)?;
         let links = Links::new(day.members, bell.clone(), sightings.clone());
-        let passed = links.passed.clone();
+        let passed = (links.passed(), links.words.clone());
         let relay = reactor.add(Box::new(links));
         let ledger = Ledger::default();
         let receiver = receiver::Receiver::new(bell.clone(), ledger.clone());
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -4,7 +4,6 @@
 use crate::bell::{Bell, Rung};
 use crate::cluster::links::{Links, Sightings};
 use crate::list::List;
-pub use crate::process::used;
 use crate::process::Process;
 use hdrhistogram::Histogram;
 use pewtergap_node::{Effect, Input, Node, Outbox};
@@ -101,8 +100,13 @@
     )
 }
 
-/// Starts a planner, until it listens for proxies.
-fn start(program: &Path, dir: &Path, name: &str, text: &str) -> Result<Process, String> {
+/// Starts a planner, until it listens for proxies; its doors by name.
+fn start(
+    program: &Path,
+    dir: &Path,
+    name: &str,
+    text: &str,
+) -> Result<(Process, HashMap<String, SocketAddr>), String> {
     let told = |e: std::io::Error| format!("{name}: {e}");
     let home = dir.join(name);
     if name != "measured" {
@@ -113,7 +117,7 @@
     // The last door that opens; with others it waits for its number, so they all have to be started first.
     let last = if text.contains("admin =") { "admin" } else { "proxies" };
     let last = if name == "measured" { last } else { "members" };
-    Process::start(program, dir, name, "run", text, last)
+    Process::start(program, dir, "run", name, text, &[last])
 }
 
 /// Until the planner at this admin door and the others agree.
@@ -200,16 +204,16 @@
         cluster = Links::settings(&listens, 0, &names, "") + "    admin = \"127.0.0.1:0\",";
         for at in 1..=OTHERS {
             let cluster = Links::settings(&listens, at, &names, "");
-            let other = start(program, dir, &names[at], &other_text(&names[at], dir, &cluster))?;
-            tell(format!("target {at} {}", other.doors["members"]));
+            let (other, doors) = start(program, dir, &names[at], &other_text(&names[at], dir, &cluster))?;
+            tell(format!("target {at} {}", doors["members"]));
             beside.push(other);
         }
     }
-    let planner = start(program, dir, "measured", &planner_text(list_at, proxies, dir, &cluster))?;
-    let planner_at = planner.doors["proxies"];
-    if let Some(members) = planner.doors.get("members") {
+    let (planner, doors) = start(program, dir, "measured", &planner_text(list_at, proxies, dir, &cluster))?;
+    let planner_at = doors["proxies"];
+    if let Some(members) = doors.get("members") {
         tell(format!("target 0 {members}"));
-        whole(planner.doors["admin"])?;
+        whole(doors["admin"])?;
     }
     let (_, empty_kib) = planner.used();
 
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -1,6 +1,6 @@
-//! A party of a measurement as a process of the program: started from settings, looked at from outside, ended with whoever
-//! holds it.
+//! Processes of the program that a run starts: where they listen, what they use, signals.
 
+use rustix::process::{kill_process, Pid, Signal};
 use std::collections::HashMap;
 use std::fs::File;
 use std::io::{BufRead, BufReader};
@@ -8,10 +8,9 @@
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
+/// Ended with its owner.
 pub struct Process {
     child: Child,
-    /// Where it listens, by the names of its doors.
-    pub doors: HashMap<String, SocketAddr>,
 }
 
 impl Drop for Process {
@@ -22,19 +21,23 @@
 }
 
 impl Process {
-    /// `pewtergap VERB` with these settings, until the door named `last` is open; what it logs is in `dir`.
+    /// Starts `program VERB FILE --announce` on these settings, until all of these doors are open; its doors by name. Settings and log lie in `dir`.
+    ///
+    /// # Errors
+    /// What could not be written or started, or that it ended before it listened.
     pub fn start(
         program: &Path,
         dir: &Path,
-        name: &str,
         verb: &str,
+        name: &str,
         text: &str,
-        last: &str,
-    ) -> Result<Process, String> {
+        wanted: &[&str],
+    ) -> Result<(Process, HashMap<String, SocketAddr>), String> {
         let told = |e: std::io::Error| format!("{name}: {e}");
         let file = dir.join(format!("{name}.star"));
         std::fs::write(&file, text).map_err(told)?;
-        let log = File::create(dir.join(format!("{name}.log"))).map_err(told)?;
+        let log = dir.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(log).map_err(told)?;
         let mut child = Command::new(program)
             .args(["--log", "warn", verb, "--announce"])
             .arg(&file)
@@ -44,47 +47,42 @@
             .spawn()
             .map_err(told)?;
         let out = child.stdout.take();
-        let mut process = Process { child, doors: HashMap::new() };
+        let process = Process { child };
+        let mut doors = HashMap::new();
         let mut lines = BufReader::new(out.ok_or("no output")?).lines().map_while(Result::ok);
         for line in lines.by_ref() {
             if let ["listening", door, at] = line.split_whitespace().collect::<Vec<_>>()[..] {
                 let at = at.parse().map_err(|_| format!("{name} listens at '{at}'"))?;
-                process.doors.insert(door.to_string(), at);
+                doors.insert(door.to_string(), at);
             }
-            if process.doors.contains_key(last) {
+            if wanted.iter().all(|door| doors.contains_key(*door)) {
                 // What else it says is read as well: it would wait for a reader, or end without one.
                 std::thread::spawn(move || lines.for_each(drop));
-                return Ok(process);
+                return Ok((process, doors));
             }
         }
         Err(format!("{name} did not start, see its log"))
     }
 
-    /// Milliseconds of a processor so far, and memory in use in KiB.
-    pub fn used(&self) -> (f64, f64) {
-        used(self.child.id())
+    /// One that is started already.
+    pub fn of(child: Child) -> Process {
+        Process { child }
     }
 
-    /// Seconds of a processor so far.
-    pub fn processor_s(&self) -> f64 {
-        self.used().0 / 1e3
+    pub fn id(&self) -> u32 {
+        self.child.id()
     }
 
-    /// Bytes of memory in use.
-    pub fn memory(&self) -> f64 {
-        self.used().1 * 1024.0
+    pub fn signal(&self, signal: Signal) {
+        let _ = kill_process(Pid::from_child(&self.child), signal);
     }
 
-    pub fn descriptors(&self) -> usize {
-        descriptors(self.child.id())
+    /// Time of a processor so far, in milliseconds, and memory in use, in KiB.
+    pub fn used(&self) -> (f64, f64) {
+        used(self.id())
     }
 }
 
-/// Descriptors that a process holds.
-pub fn descriptors(process: u32) -> usize {
-    std::fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count)
-}
-
 /// Milliseconds of a processor so far, and memory in use in KiB, as the system counts them for a process.
 pub fn used(process: u32) -> (f64, f64) {
     let read = |name: &str| std::fs::read_to_string(format!("/proc/{}/{name}", process)).unwrap_or_default();
@@ -97,3 +95,8 @@
     // Clock ticks are hundredths of a second on Linux.
     ((ticks(11) + ticks(12)) * 10.0, kib)
 }
+
+/// Descriptors that a process has open; 0 if it is gone.
+pub fn descriptors(process: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count)
+}
--- a/crates/lab/src/slopes/mod.rs
+++ b/crates/lab/src/slopes/mod.rs
@@ -10,8 +10,11 @@
 pub use path::{path, Path as AddedTime, Played};
 pub use planner::{by_probes, by_proxies, by_routes, by_servers, Probed, Routed, Served, Streamed};
 
+use crate::process::{descriptors, Process};
 use pewtergap_node::Node;
 use pewtergap_reactor::{Clock, Handle, Place, Reactor};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -49,6 +52,42 @@
     }
 }
 
+/// A process that is looked at.
+struct Party {
+    process: Process,
+    /// Where it listens, by the names of its doors.
+    doors: HashMap<String, SocketAddr>,
+}
+
+impl Party {
+    /// Until its door named `last` is open.
+    fn start(
+        program: &Path,
+        dir: &Path,
+        name: &str,
+        verb: &str,
+        text: &str,
+        last: &str,
+    ) -> Result<Party, String> {
+        let (process, doors) = Process::start(program, dir, verb, name, text, &[last])?;
+        Ok(Party { process, doors })
+    }
+
+    /// Seconds of a processor so far.
+    fn processor_s(&self) -> f64 {
+        self.process.used().0 / 1e3
+    }
+
+    /// Bytes of memory in use.
+    fn memory(&self) -> f64 {
+        self.process.used().1 * 1024.0
+    }
+
+    fn descriptors(&self) -> usize {
+        descriptors(self.process.id())
+    }
+}
+
 /// Waits for what somebody else does.
 fn until(what: &str, mut done: impl FnMut() -> bool) -> Result<(), String> {
     let end = Instant::now() + CEILING;
--- a/crates/lab/src/slopes/path.rs
+++ b/crates/lab/src/slopes/path.rs
@@ -7,7 +7,7 @@
 use super::planner::{catalog, planner, server, Told};
 use super::{until, Hall};
 use crate::ask::call;
-use crate::process::Process;
+use crate::slopes::Party;
 use hdrhistogram::Histogram;
 use pewtergap_http::{Bounds, Part, Reader, Side};
 use serde::Serialize;
@@ -215,7 +215,7 @@
          routes = [route(\"r0\", slo_time = \"500ms\", time_limit = \"2s\", repeats = \"repeatable\")])\n",
         dir.display()
     );
-    let proxy = Process::start(program, dir, "measured-proxy", "proxy", &text, "clients")?;
+    let proxy = Party::start(program, dir, "measured-proxy", "proxy", &text, "clients")?;
     let front = [proxy.doors["clients"]];
     until("a first answer", || call(front[0], "GET", "/r0/x", None).is_ok_and(|answer| answer.0 == 200))?;
     let straight: Vec<SocketAddr> = servers.iter().map(|server| SocketAddr::new(*server, port)).collect();
--- a/crates/lab/src/slopes/planner.rs
+++ b/crates/lab/src/slopes/planner.rs
@@ -4,7 +4,7 @@
 use super::catalog::{Catalog, Seen};
 use super::origin::{Heard, Origin};
 use super::{until, Hall};
-use crate::process::Process;
+use crate::slopes::Party;
 use pewtergap_node::{Effect, Input, Node, Outbox};
 use pewtergap_protocol::{up, Down, Frames, Up};
 use pewtergap_proxy::{Front, Home, Proxy, Route, Shunning};
@@ -157,7 +157,7 @@
     pub probes: bool,
 }
 
-pub(super) fn planner(program: &Path, dir: &Path, told: &Told) -> Result<Process, String> {
+pub(super) fn planner(program: &Path, dir: &Path, told: &Told) -> Result<Party, String> {
     let kept = dir.join("measured.list.json");
     for kept in [kept, dir.join("measured.record")].iter().filter(|kept| kept.exists()) {
         std::fs::remove_file(kept).map_err(|e| e.to_string())?;
@@ -176,7 +176,7 @@
         told.proxies,
         if told.probes { "True" } else { "False" },
     );
-    Process::start(program, dir, "measured", "run", &text, "admin")
+    Party::start(program, dir, "measured", "run", &text, "admin")
 }
 
 /// A catalog of servers on a thread of its own, and where it is asked.
@@ -238,7 +238,7 @@
 }
 
 /// Part of a core that a process uses over a time.
-fn core_over(process: &Process, lasts: Duration) -> f64 {
+fn core_over(process: &Party, lasts: Duration) -> f64 {
     let (before, begun) = (process.processor_s(), Instant::now());
     std::thread::sleep(lasts);
     (process.processor_s() - before) / begun.elapsed().as_secs_f64()
@@ -286,7 +286,7 @@
         dir.display(),
         routes(1)
     );
-    let proxy = Process::start(program, dir, "measured-proxy", "proxy", &text, "clients")?;
+    let proxy = Party::start(program, dir, "measured-proxy", "proxy", &text, "clients")?;
     let (followers, passed) = follow(dir, at, 1, ZONES, 1)?;
     std::thread::sleep(SETTLES);
     let (table_bytes, table_messages) = (passed.down_bytes.load(SeqCst), passed.down_messages.load(SeqCst));
--- a/crates/pewtergap/src/capacity.rs
+++ b/crates/pewtergap/src/capacity.rs
@@ -1,5 +1,7 @@
 //! `pewtergap capacity`: what each role needs at the target, from the slopes that were measured.
 
+pub mod slopes;
+
 use crate::Ended;
 use clap::Args;
 use pewtergap_capacity::{page, work_out, Book, Size, Slopes, Wrongs, MEASURED, TARGET};
--- a/crates/pewtergap/src/fronts.rs
+++ b/crates/pewtergap/src/fronts.rs
@@ -1,6 +1,6 @@
 //! The fronts by scripts and the rehearsal kit.
 
-use crate::{capacity, cluster, drive, explore, operator, rehearse, slopes, Ended};
+use crate::{cluster, drive, explore, operator, rehearse, Ended};
 use clap::Subcommand;
 use pewtergap_lab::measure::Others;
 use pewtergap_reactor::Clock;
@@ -52,7 +52,7 @@
         what: Measured,
     },
     /// What each role needs at the target, and what is over its budget.
-    Capacity(capacity::CapacityLine),
+    Capacity(crate::capacity::CapacityLine),
     /// Judge the five rules from a recording.
     Audit {
         recording: PathBuf,
@@ -64,7 +64,7 @@
 #[derive(Subcommand)]
 pub enum Measured {
     #[command(flatten)]
-    Sized(slopes::Sized),
+    Sized(crate::capacity::slopes::Sized),
     /// From a list change to the last proxy's ACK, by number of proxies; streams only, no calls.
     Order {
         #[arg(long, value_delimiter = ',', default_value = "10,100,1000")]
@@ -132,7 +132,7 @@
         Front::Rehearse(wanted) => rehearse::rehearse(wanted),
         Front::Explore(line) => explore::run(&line),
         Front::Replay(line) => explore::replay(&line),
-        Front::Measure { what: Measured::Sized(what) } => slopes::measure(&what),
+        Front::Measure { what: Measured::Sized(what) } => crate::capacity::slopes::measure(&what),
         Front::Measure { what: Measured::Order { proxies, rounds, others, json } } => {
             order(&proxies, rounds, others, json)
         }
@@ -145,7 +145,7 @@
         Front::Measure { what: Measured::Record { members, orders, kills, entries } } => {
             cluster::measure(&members, orders, kills, &entries)
         }
-        Front::Capacity(line) => capacity::capacity(&line),
+        Front::Capacity(line) => crate::capacity::capacity(&line),
         Front::Audit { recording, json } => rehearse::audit(&recording, json),
     }
 }
--- a/crates/pewtergap/src/main.rs
+++ b/crates/pewtergap/src/main.rs
@@ -17,8 +17,6 @@
 mod platform;
 #[cfg(feature = "fronts")]
 mod rehearse;
-#[cfg(feature = "fronts")]
-mod slopes;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use pewtergap_node::Node;
