--- a/crates/capacity/src/roles.rs
+++ b/crates/capacity/src/roles.rs
@@ -348,16 +348,18 @@
     );
     sheet.put(Rest, "sums to its planner, no calls", Bytes, sheet.each("stream.bytes"), None, STREAMS);
     sheet.put(Rest, "sums to its planner, no calls", Messages, sheet.each("stream.messages"), None, STREAMS);
-    sheet.put(Rest, peak, Core, sheet.through("proxy.core", rate.clone()), Some(1.0), PATH);
+    sheet.put(Rest, peak, Core, sheet.through("proxy.core_low", rate.clone()), Some(1.0), PATH);
     sheet.put(Rest, peak, Descriptors, sheet.through("proxy.descriptors", rate.clone()), open, PATH);
-    let times =
-        [("added to a request, p50", "proxy.added_p50"), ("added to a request, p99", "proxy.added_p99")];
-    for (part, slope) in times {
-        sheet.put(Rest, part, Time, sheet.through(slope, rate.clone()), added, PATH);
+    let times = [
+        ("added to a request, p50", "proxy.added_p50", None),
+        ("added to a request, p99", "proxy.added_p99", added),
+    ];
+    for (part, slope, budget) in times {
+        sheet.put(Rest, part, Time, sheet.through(slope, rate.clone()), budget, PATH);
     }
     let largest = rate * sheet.open("largest_planner");
     let part = "the peak's requests, at a service's largest planner";
-    sheet.put(Rest, part, Core, sheet.through("proxy.core", largest.clone()), Some(1.0), PATH);
+    sheet.put(Rest, part, Core, sheet.through("proxy.core_low", largest.clone()), Some(1.0), PATH);
     let part = "added to a request, p99, at a service's largest planner";
     sheet.put(Rest, part, Time, sheet.through("proxy.added_p99", largest.clone()), added, PATH);
     let cores = sheet.each("proxy.core") * size.requests_per_s;
@@ -376,7 +378,7 @@
     for (situation, of) in [(Zone, size.zones), (Region, size.regions)] {
         let more = largest.clone() * (of / (of - 1.0).max(1.0));
         let part = "the peak's requests on those left, largest planner";
-        sheet.put(situation, part, Core, sheet.through("proxy.core", more), Some(1.0), PATH);
+        sheet.put(situation, part, Core, sheet.through("proxy.core_low", more), Some(1.0), PATH);
     }
     sheet.put(
         Healed,
--- a/crates/capacity/src/slopes.rs
+++ b/crates/capacity/src/slopes.rs
@@ -91,6 +91,7 @@
     spec("proxy.table_bytes", "servers", "bytes", "a proxy's first tables on the wire"),
     spec("proxy.idle_core", "servers", "core", "a proxy without calls by servers in its tables"),
     spec("proxy.core", "requests/s", "core", "a proxy's processor time, 19 servers"),
+    spec("proxy.core_low", "requests/s", "core", "the same, the run's rates up to 2,000 alone"),
     spec("proxy.added_p50", "requests/s", "s", "median with the proxy less median without"),
     spec("proxy.added_p99", "requests/s", "s", "99th percentile with the proxy less that without"),
     spec("proxy.descriptors", "requests/s", "descriptors", "held by a proxy, 19 servers and 32 clients"),
