--- a/crates/capacity/src/slopes.rs
+++ b/crates/capacity/src/slopes.rs
@@ -91,6 +91,7 @@
     spec("proxy.table_bytes", "servers", "bytes", "a proxy's first tables on the wire"),
     spec("proxy.idle_core", "servers", "core", "a proxy without calls by servers in its tables"),
     spec("proxy.core", "requests/s", "core", "a proxy's processor time, 19 servers"),
+    spec("proxy.core_low", "requests/s", "core", "the same, the run's rates up to 2,000 alone"),
     spec("proxy.added_p50", "requests/s", "s", "median with the proxy less median without"),
     spec("proxy.added_p99", "requests/s", "s", "99th percentile with the proxy less that without"),
     spec("proxy.descriptors", "requests/s", "descriptors", "held by a proxy, 19 servers and 32 clients"),
@@ -242,7 +243,8 @@
             let mean = there.iter().sum::<f64>() / there.len() as f64;
             return Worked::measured(mean, name, &slope.run.command);
         }
-        slope.fit().map_or(Worked::missing(name), |fit| Worked::reckoned(fit.at(x), name))
+        let largest = slope.points.iter().map(|point| point[0]).fold(0.0, f64::max);
+        slope.fit().map_or(Worked::missing(name), |fit| Worked::reckoned(fit.at(x), name, x / largest))
     }
 
     /// Its value at a size that was itself worked out.
@@ -256,7 +258,7 @@
     /// What one more costs, without what is there at none.
     pub(crate) fn each(&self, name: &str) -> Worked {
         let fit = self.get(name).and_then(Slope::fit);
-        fit.map_or(Worked::missing(name), |fit| Worked::reckoned(fit.rise.max(0.0), name))
+        fit.map_or(Worked::missing(name), |fit| Worked::reckoned(fit.rise.max(0.0), name, 1.0))
     }
 
     /// The largest measured size up to which no measured value passes `most`.
--- a/crates/lab/src/cluster/links.rs
+++ b/crates/lab/src/cluster/links.rs
@@ -29,13 +29,6 @@
 
 pub type Sightings = Arc<Mutex<Vec<(Moment, Seen)>>>;
 
-/// What came from members on all links, each word once.
-#[derive(Default)]
-pub struct Passed {
-    pub bytes: AtomicU64,
-    pub words: AtomicU64,
-}
-
 #[derive(Default)]
 struct Half {
     queue: VecDeque<(Moment, Vec<u8>)>,
@@ -52,6 +45,7 @@
     /// Who dialled, once it has said so; and who answered.
     who: [u64; 2],
     start: u64,
+    words: Arc<AtomicU64>,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -61,7 +55,7 @@
 }
 
 /// Bytes that passed from whom a row of doors is for, and back to it.
-pub type RowBytes = Arc<Mutex<Vec<[u64; 2]>>>;
+pub type Passed = Arc<Mutex<Vec<[u64; 2]>>>;
 
 pub struct Links {
     /// Whose doors they are, and to how many each.
@@ -71,7 +65,7 @@
     what: &'static str,
     /// Members' words pass, and are read for the audit.
     reads: bool,
-    row_bytes: RowBytes,
+    passed: Passed,
     bell: Bell,
     targets: Vec<Option<SocketAddr>>,
     doors: Vec<State>,
@@ -81,7 +75,8 @@
     sightings: Sightings,
     /// A door is cut when a piece of a snapshot from this byte on comes to it.
     hold_from: Option<u64>,
-    pub passed: Arc<Passed>,
+    /// Members' words that passed, on all doors.
+    pub words: Arc<AtomicU64>,
 }
 
 /// So much is held for one direction; beyond it the sender is not read any more.
@@ -93,14 +88,14 @@
     }
 
     /// A door from each of `rows` parties to each of `count` others, of whose words nothing is read. Each row's bytes are
-    /// counted in `row_bytes`.
+    /// counted in `passed`.
     pub fn between(rows: usize, count: usize, what: &'static str, bell: Bell, sightings: Sightings) -> Links {
         Links {
             rows,
             count,
             what,
             reads: false,
-            row_bytes: Arc::new(Mutex::new(vec![[0; 2]; rows])),
+            passed: Arc::new(Mutex::new(vec![[0; 2]; rows])),
             bell,
             targets: vec![None; count],
             doors: vec![State::default(); rows * count],
@@ -109,7 +104,7 @@
             next: 0,
             sightings,
             hold_from: None,
-            passed: Arc::default(),
+            words: Arc::default(),
         }
     }
 
@@ -117,8 +112,8 @@
         format!("link {from} {to}")
     }
 
-    pub fn row_bytes(&self) -> RowBytes {
-        self.row_bytes.clone()
+    pub fn passed(&self) -> Passed {
+        self.passed.clone()
     }
 
     /// What a member's settings say of the others, each reached by its own door of this relay.
@@ -201,12 +196,11 @@
 }
 
 /// What passes, as the audit needs it; bytes that cannot be read still pass.
-fn read(pair: &mut Pair, way: usize, bytes: &[u8], passed: &Passed) -> Vec<Seen> {
+fn read(pair: &mut Pair, way: usize, bytes: &[u8]) -> Vec<Seen> {
     let mut seen = Vec::new();
-    passed.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
     pair.halves[way].frames.push(bytes);
     while let Ok(Some(word)) = pair.halves[way].frames.take() {
-        passed.words.fetch_add(1, Ordering::Relaxed);
+        pair.words.fetch_add(1, Ordering::Relaxed);
         match word.kind {
             Some(word::Kind::Hello(hello)) => {
                 pair.who[0] = hello.id;
@@ -260,6 +254,7 @@
                     halves: Default::default(),
                     who: [0, 0],
                     start: 0,
+                    words: self.words.clone(),
                 };
                 self.pairs.insert(self.next, pair);
             }
@@ -271,11 +266,11 @@
             Input::Bytes { link, bytes } => {
                 let Some((at, way)) = self.by_link.get(&link).copied() else { return };
                 let Some(pair) = self.pairs.get_mut(&at) else { return };
-                if let Ok(mut row_bytes) = self.row_bytes.lock() {
-                    row_bytes[pair.door / self.count][way] += bytes.len() as u64;
+                if let Ok(mut passed) = self.passed.lock() {
+                    passed[pair.door / self.count][way] += bytes.len() as u64;
                 }
                 // As it was said, not as it passes: what a dead member said may pass long after.
-                let seen = if self.reads { read(pair, way, bytes, &self.passed) } else { Vec::new() };
+                let seen = if self.reads { read(pair, way, bytes) } else { Vec::new() };
                 let late = |seen: &Seen| match seen {
                     Seen::Piece { at, .. } => self.hold_from.is_some_and(|from| *at >= from),
                     _ => false,
--- a/crates/pewtergap/src/main.rs
+++ b/crates/pewtergap/src/main.rs
@@ -19,8 +19,6 @@
 mod rehearse;
 #[cfg(feature = "fronts")]
 mod scale;
-#[cfg(feature = "fronts")]
-mod slopes;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use pewtergap_node::Node;
--- a/crates/scale/src/parties.rs
+++ b/crates/scale/src/parties.rs
@@ -9,7 +9,7 @@
 use crate::sample::{Role, Sampler};
 use pewtergap_lab::ask;
 use pewtergap_lab::bell::{Bell, Rung};
-use pewtergap_lab::cluster::links::{Links, RowBytes, Sightings};
+use pewtergap_lab::cluster::links::{Links, Passed, Sightings};
 use pewtergap_lab::list::List;
 use pewtergap_lab::process::Process;
 use pewtergap_lab::server::{Machine as Hardware, Server};
@@ -73,9 +73,9 @@
     relay: (Handle, Place),
     /// Between real planners and control machines, and what passed there.
     watches: Place,
-    passed: RowBytes,
+    passed: Passed,
     /// What passed between control machines.
-    between: RowBytes,
+    between: Passed,
     list: Place,
     deaf: Place,
     listens: HashMap<String, SocketAddr>,
@@ -108,11 +108,11 @@
         let mut reactor = Reactor::new(clock, MOST_UNWRITTEN, dir.clone()).map_err(told)?;
         // Nobody audits votes here: to read a burst's rosters, some 200,000 rows a second, held the members' words up.
         let relay = Links::between(size.control, size.control, "link", bell.clone(), Sightings::default());
-        let between = relay.row_bytes();
+        let between = relay.passed();
         let relay = reactor.add(Box::new(relay));
         let real = size.real.min(size.planners);
         let watches = Links::between(real, size.control, "watch", bell.clone(), Sightings::default());
-        let passed = watches.row_bytes();
+        let passed = watches.passed();
         let watches = reactor.add(Box::new(watches));
         let list = reactor.add(Box::new(List::new(bell.clone())));
         let hardware = Hardware {
@@ -216,8 +216,7 @@
         std::fs::create_dir_all(&home).map_err(|e| format!("{}: {e}", home.display()))?;
         let text = self.machine_text(at);
         let (name, doors) = (machine_name(at), ["admin", "watches", "members"]);
-        let process = Process::start(self.program, &self.dir, "control", &name, &text, &doors)?;
-        let doors = process.doors.clone();
+        let (process, doors) = Process::start(self.program, &self.dir, "control", &name, &text, &doors)?;
         self.sampler.add(process.id(), Role::Control);
         self.say(format!("target {at} {}", doors["members"]));
         self.say_watches(format!("target {at} {}", doors["watches"]));
@@ -363,7 +362,7 @@
             for of in 0..self.size.proxies {
                 let name = format!("x{nth}-{of}");
                 let text = self.proxy_text(&name, self.reals[nth].proxies);
-                let process = Process::start(self.program, &self.dir, "proxy", &name, &text, &[])?;
+                let (process, _) = Process::start(self.program, &self.dir, "proxy", &name, &text, &[])?;
                 self.sampler.add(process.id(), Role::Proxy);
                 self.proxies.push(process);
             }
@@ -378,11 +377,11 @@
     pub fn start_one_real(&mut self, nth: usize) -> Result<(), String> {
         let real = &self.reals[nth];
         let text = self.real_text(nth, real.admin, real.proxies);
-        let process =
+        let (process, doors) =
             Process::start(self.program, &self.dir, "run", &real.name, &text, &["admin", "proxies"])?;
         self.sampler.add(process.id(), Role::Planner);
         let real = &mut self.reals[nth];
-        (real.admin, real.proxies) = (process.doors["admin"], process.doors["proxies"]);
+        (real.admin, real.proxies) = (doors["admin"], doors["proxies"]);
         real.process = Some(process);
         Ok(())
     }
