--- a/crates/capacity/src/roles.rs
+++ b/crates/capacity/src/roles.rs
@@ -117,6 +117,15 @@
     for (quantity, slope, budget) in burst {
         sheet.put(Burst, "watches", quantity, sheet.through(slope, held.clone()), budget, TIER);
     }
+    // Each tells each other whom it serves and what they have in force: one account with the watches.
+    let links = [
+        (Rest, "tier.machine.bytes", "tier.machine.members_bytes"),
+        (Burst, "tier.machine.burst_bytes", "tier.machine.members_burst"),
+    ];
+    for (situation, watches, members) in links {
+        let both = sheet.through(watches, held.clone()) + sheet.through(members, held.clone());
+        sheet.put(situation, "watches and words to the other machines", Bytes, both, bytes, TIER);
+    }
     let snapshot = sheet.through("tier.snapshot", scope * size.changes_per_day);
     let anew = held.clone() / sheet.open("release_s");
     sheet.put(Release, "watches anew", Messages, anew.clone(), None, TIER);
@@ -273,7 +282,7 @@
     let joined = sheet.through("stream.joined", sheet.open("proxies_a_planner"));
     sheet.put(Release, "all its proxies bound again", Time, joined, start, STREAMS);
     let restarted = sheet.at("tier.restarted", size.planners);
-    sheet.put(Release, "nine in ten serve, all restarted at once", Time, restarted, start, TIER);
+    sheet.put(Release, "nine in ten watch again, all restarted at once", Time, restarted, start, TIER);
 }
 
 fn lost(sheet: &mut Sheet<'_>) {
--- a/crates/capacity/src/slopes.rs
+++ b/crates/capacity/src/slopes.rs
@@ -117,6 +117,18 @@
         "core",
         "a control machine at 100 changes in a second",
     ),
+    spec(
+        "tier.machine.members_bytes",
+        "planners watching it",
+        "bytes/s",
+        "what a control machine says to the others at rest",
+    ),
+    spec(
+        "tier.machine.members_burst",
+        "planners watching it",
+        "bytes/s",
+        "what a control machine says to the others at 100 changes in a second",
+    ),
     spec("tier.planner.bytes", "planners in all", "bytes/s", "a watching planner at rest, both ways"),
     spec("tier.planner.core", "planners in all", "core", "a watching planner at rest"),
     spec("tier.planner.memory", "planners in all", "bytes", "a watching planner's state of the tier"),
@@ -141,7 +153,12 @@
         "after a killed control machine until all its planners watch again",
     ),
     spec("tier.healed", "planners in a region", "s", "after a cut of a region until all is in force there"),
-    spec("tier.restarted", "planners in all", "s", "all restarted within 10 s: until nine in ten serve"),
+    spec(
+        "tier.restarted",
+        "planners in all",
+        "s",
+        "all restarted within 10 s: until nine in ten watch again",
+    ),
 ];
 
 /// The run that gave points.
