--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -4,6 +4,7 @@
 //! returned [`Action`]s in order. All decisions are in `decide.rs`.
 #![forbid(unsafe_code)]
 
+mod channel;
 mod decide;
 mod histogram;
 pub mod interner;
