planner: a silent stream no longer counts as a full channel

Cause: once a message was unacknowledged for longer than a full channel takes to drain, queued_lines counted everything sent since as queued, whoever had acknowledged it. One silent stream of hundreds so closed the channel to all of them, for removals and for tables of proxies that come back, until its proxy counted as left. Evidence: account printed on a scratch copy: 21477 lines queued where 20900 are allowed, 40 of them unacknowledged, all of one proxy; nothing ordered for 3.9 s, a list with drains in between. Now messages that a later turn has overtaken, and of which nothing arrives for longer than the channel needs for them, no longer count: a channel that still held them would have delivered one.

--- a/crates/planner/src/channel.rs
+++ b/crates/planner/src/channel.rs
@@ -2,6 +2,16 @@
 
 use crate::time::{Moment, Span};
 use crate::types::{Action, ProxyIndex, State};
+use std::collections::BTreeMap;
+
+/// The messages of one turn.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SentTurn {
+    pub at: Moment,
+    pub lines: f64,
+    /// When one of its messages was last acknowledged.
+    pub acknowledged_at: Option<Moment>,
+}
 
 /// Lower bound of the measured throughput, as a fraction of the configured one. A lower estimate could
 /// never be seen to recover.
@@ -13,7 +23,7 @@
     pub fn record_messages(&mut self, now: Moment, costs: &[f64], window: Span) -> Option<Action> {
         let mark = (self.last_mark + 1) % 65_536;
         let lines: f64 = costs.iter().sum();
-        self.sent.extend((lines > 0.0).then_some((now, lines)));
+        self.sent.extend((lines > 0.0).then_some(SentTurn { at: now, lines, acknowledged_at: None }));
         for (proxy, cost) in self.proxies.iter_mut().zip(costs).filter(|(_, cost)| **cost > 0.0) {
             self.last_mark = mark;
             proxy.unacknowledged.push((mark, *cost, now));
@@ -23,27 +33,60 @@
         (self.last_mark == mark).then_some(Action::Mark { mark })
     }
 
-    /// Upper bound on the lines still on their way to proxies. While acknowledgements arrive within the
-    /// time a full channel takes to drain, only unacknowledged messages count. After that, everything sent
-    /// since the oldest of them counts: once streams have broken, later messages overtake earlier ones that
-    /// remain queued.
-    pub fn queued_lines(&mut self, now: Moment, drain_time: Span) -> f64 {
+    /// Upper bound on the lines still in the channel, which carried `throughput` lines per second lately. While
+    /// acknowledgements arrive within the time a full channel takes to drain, only unacknowledged messages
+    /// count. After that, everything sent since the oldest of them counts: once streams have broken, later
+    /// messages overtake earlier ones that remain queued. Messages that only their proxies hold up do not
+    /// count.
+    pub fn queued_lines(&mut self, now: Moment, drain_time: Span, round_trip: Span, throughput: f64) -> f64 {
         self.abandoned.retain(|abandoned| abandoned.0 > now);
-        let queued = self.proxies.iter().flat_map(|p| &p.unacknowledged);
-        let unacknowledged =
-            queued.clone().map(|sent| sent.1).chain(self.abandoned.iter().map(|abandoned| abandoned.1)).sum();
-        let oldest = queued.map(|sent| sent.2).min().unwrap_or(now);
-        self.sent.retain(|turn| turn.0 >= oldest);
-        let sent_since = self.sent.iter().map(|turn| turn.1).sum();
-        if now.since(oldest) > drain_time {
-            f64::max(unacknowledged, sent_since)
-        } else {
-            unacknowledged
+        let abandoned: f64 = self.abandoned.iter().map(|abandoned| abandoned.1).sum();
+        let mut outstanding: BTreeMap<Moment, f64> = BTreeMap::new();
+        for (_, lines, sent_at) in self.proxies.iter().flat_map(|proxy| &proxy.unacknowledged) {
+            *outstanding.entry(*sent_at).or_default() += lines;
+        }
+        self.sent.retain(|turn| outstanding.keys().next().is_some_and(|oldest| turn.at >= *oldest));
+        if let Some(front) = self.departed_front(now, &outstanding, abandoned, round_trip, throughput) {
+            outstanding.retain(|sent_at, _| *sent_at > front);
+        }
+        let unacknowledged = outstanding.values().sum::<f64>() + abandoned;
+        let Some(oldest) = outstanding.keys().next().copied() else { return unacknowledged };
+        if now.since(oldest) <= drain_time {
+            return unacknowledged;
         }
+        let sent_since = self.sent.iter().filter(|turn| turn.at >= oldest).map(|turn| turn.lines).sum();
+        unacknowledged.max(sent_since)
+    }
+
+    /// The latest turn whose unacknowledged messages have all left the channel, so that their proxies hold up
+    /// the acknowledgements: a later message was acknowledged, and for longer than the channel would need for
+    /// all that is outstanding up to that turn, and the way there and back, none of that was acknowledged.
+    /// One silent stream used to count as a full channel, and no removal was sent to any proxy for seconds.
+    fn departed_front(
+        &self,
+        now: Moment,
+        outstanding: &BTreeMap<Moment, f64>,
+        abandoned: f64,
+        round_trip: Span,
+        throughput: f64,
+    ) -> Option<Moment> {
+        let last_acknowledged = self.sent.iter().rev().find(|turn| turn.acknowledged_at.is_some())?.at;
+        let (mut lines, mut progress, mut front) = (abandoned, Moment::default(), None);
+        for turn in self.sent.iter().take_while(|turn| turn.at < last_acknowledged) {
+            lines += outstanding.get(&turn.at).copied().unwrap_or(0.0);
+            progress = progress.max(turn.acknowledged_at.unwrap_or(turn.at));
+            let expected = round_trip + Span::of_seconds(lines / throughput);
+            front = if now.since(progress) > expected { Some(turn.at) } else { front };
+        }
+        front
     }
 
     pub fn acknowledge(&mut self, now: Moment, proxy: ProxyIndex, mark: u64) {
         let acknowledged: Vec<(u64, f64, Moment)> = self.proxy(proxy).take_acknowledged(mark).collect();
+        for (_, _, sent_at) in &acknowledged {
+            let turn = self.sent.iter_mut().rev().find(|turn| turn.at == *sent_at);
+            turn.into_iter().for_each(|turn| turn.acknowledged_at = Some(now));
+        }
         self.delivered.extend(acknowledged.into_iter().map(|sent| (now, sent.2, sent.1)));
     }
 
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -861,7 +861,7 @@
         let limits = self.queue_limits(throughput);
         self.state.pushed_at = now;
         // Acknowledgements tell what has arrived, so this limit holds however slow the channel has become.
-        let mut queued = self.state.queued_lines(now, self.drain_time());
+        let mut queued = self.state.queued_lines(now, self.drain_time(), round_trip, throughput);
         let mut message_cost = vec![0.0; self.state.proxies.len()];
         let overhead = self.channel.message_overhead + 1.0;
         let mut followers = self.state.followers();
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -1,5 +1,6 @@
 //! Inputs, outputs and state of the planner. The decisions are in `decide.rs`.
 
+use crate::channel::SentTurn;
 use crate::histogram::Histogram;
 use crate::time::{Moment, Span};
 use std::collections::BTreeSet;
@@ -477,8 +478,8 @@
     /// Server weight that one call per second occupies, measured while the fleet was not overloaded.
     pub weight_per_call: Option<f64>,
     pub last_mark: u64,
-    /// Recently sent lines by turn, back to the oldest unacknowledged message.
-    pub sent: Vec<(Moment, f64)>,
+    /// Recent turns that sent messages, back to the oldest unacknowledged message.
+    pub sent: Vec<SentTurn>,
     /// Recently delivered messages (when delivered, when sent, lines), and the latest send time up to which
     /// messages have certainly left the channel.
     pub delivered: Vec<(Moment, Moment, f64)>,
