--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -379,6 +379,7 @@
         let (mark, messages) = self.tables.apply(&actions, &self.servers, &self.routes);
         if !messages.is_empty() {
             let lines: usize = messages.iter().map(|message| message.lines).sum();
+            let removals: usize = messages.iter().map(|message| message.removals).sum();
             self.tally.messages += messages.len() as u64;
             self.tally.lines += lines as u64;
             let binds = actions.iter().filter(|action| matches!(action, Action::Bind { .. })).count();
@@ -386,6 +387,7 @@
                 ("events", events.len().to_string()),
                 ("messages", messages.len().to_string()),
                 ("lines", lines.to_string()),
+                ("removals", removals.to_string()),
                 ("binds", binds.to_string()),
                 ("mark", mark.map_or(String::new(), |mark| mark.to_string())),
             ];
--- a/crates/platform/src/tables.rs
+++ b/crates/platform/src/tables.rs
@@ -31,6 +31,16 @@
     pub bytes: Rc<[u8]>,
     /// Lines as the channel counts them, without the overhead per message.
     pub lines: usize,
+    /// Those of them that remove a server.
+    pub removals: usize,
+}
+
+/// An encoded message and its counts, shared by all proxies that receive it.
+#[derive(Clone)]
+struct Encoded {
+    bytes: Rc<[u8]>,
+    lines: usize,
+    removals: usize,
 }
 
 #[derive(Debug, Default)]
@@ -89,7 +99,7 @@
                 _ => {}
             }
         }
-        let mut written: BTreeMap<Vec<TableUpdate>, (Rc<[u8]>, usize)> = BTreeMap::new();
+        let mut written: BTreeMap<Vec<TableUpdate>, Encoded> = BTreeMap::new();
         let mut messages = Vec::new();
         for (proxy, bindings) in &self.bindings {
             let whole = |routes: &u64| bound.get(proxy).is_some_and(|bound| bound.contains(routes));
@@ -104,7 +114,7 @@
             if updates.is_empty() {
                 continue;
             }
-            let (bytes, lines) = written.entry(updates.clone()).or_insert_with(|| {
+            let Encoded { bytes, lines, removals } = written.entry(updates.clone()).or_insert_with(|| {
                 let mut parts: Vec<ConfigPart> = Vec::new();
                 for (mask, table, whole) in updates {
                     if let Some(state) = self.tables.get(&table) {
@@ -113,7 +123,8 @@
                 }
                 encode(parts, mark)
             });
-            messages.push(Message { proxy: *proxy, bytes: bytes.clone(), lines: *lines });
+            let (proxy, bytes) = (*proxy, bytes.clone());
+            messages.push(Message { proxy, bytes, lines: *lines, removals: *removals });
         }
         for state in self.tables.values_mut() {
             state.changed_lines.clear();
@@ -124,19 +135,20 @@
 }
 
 /// Encodes a message. The mark is in its last part, so that acknowledging it acknowledges the whole message.
-fn encode(mut parts: Vec<ConfigPart>, mark: Option<u64>) -> (Rc<[u8]>, usize) {
+fn encode(mut parts: Vec<ConfigPart>, mark: Option<u64>) -> Encoded {
     let mut bytes = Vec::new();
     if let Some(last) = parts.last_mut() {
         last.mark = mark;
     }
     let count = parts.len();
-    let mut lines = 0;
+    let (mut lines, mut removals) = (0, 0);
     for (at, part) in parts.iter().enumerate() {
         part.write(at + 1 < count, &mut bytes);
         let extras = [part.whole, part.gate.is_some(), part.mark.is_some()];
         lines += part.lines.len() + extras.iter().filter(|present| **present).count();
+        removals += part.lines.iter().filter(|line| line.1 <= 0.0).count();
     }
-    (bytes.into(), lines)
+    Encoded { bytes: bytes.into(), lines, removals }
 }
 
 impl Table {
