platform: a start announced by a stepped clock is no warm or forever cold server

What callers would see: the wall clock of a machine steps back by an hour, a server there restarts, and the planner takes it for one that has long been warm and gives it its full share; announced an hour ahead, it got no line at all until that hour had passed. Cause: boot_ms was taken for a moment of the planner's own clock, which is the wall clock at its start and monotonic from there. Now an announced start is believed as far as it agrees with what the process has seen: not in the future, and not before what an earlier list would have contained; otherwise the server counts as started when the list tells it. Not covered: a planner that itself starts on a clock that is ahead cannot tell a cold server from a warm one in its first list.

--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -5,6 +5,7 @@
 use crate::peers::{kind, transition, Effect as MessageEffect, Kind, Peer, PeerRole, Peers, Stream};
 use crate::peers::{JOINED, MAX_MARKS, UNIDENTIFIED};
 use crate::server_list::{Answer, ListUpdate, ServerList, Target};
+use crate::start_times::StartTimes;
 use crate::tables::Tables;
 use pewtergap_control::probes::Probes;
 use pewtergap_control::ProbeConfig;
@@ -103,6 +104,7 @@
     /// Address and start time of each server, by index.
     endpoints: Vec<Option<(SocketAddr, Option<Moment>)>>,
     server_list: ServerList,
+    start_times: StartTimes,
     discovery: Discovery,
     peers: Peers,
     tables: Tables,
@@ -160,6 +162,7 @@
             proxies: Interner::default(),
             endpoints: Vec::new(),
             server_list: ServerList::from_saved(now, known.0, known.1, drain_grace),
+            start_times: StartTimes::default(),
             discovery: Discovery::new(discovery),
             peers: Peers::default(),
             tables: Tables::default(),
@@ -266,6 +269,7 @@
             ListUpdate::Changes(changes) => self.apply_list(now, ListKind::Changes, &changes, out),
             ListUpdate::Complete(all) => self.apply_list(now, ListKind::Complete, &all, out),
         }
+        self.start_times.received_list(now);
         // A watch from a version that discovery has not reached would return nothing.
         if self.server_list.awaits_confirmation() {
             return self.discovery_failed(now, "a whole list of a lower version", out);
@@ -300,7 +304,8 @@
             let exists = target.state != ListedState::Deleted;
             self.endpoints[server] = exists.then_some((target.address, target.started));
             let (cell, state, weight) = (target.cell, target.state, target.weight);
-            entries.push(ListEntry { server, zone, cell, state, weight, last_start: target.started });
+            let last_start = self.start_times.to_local(now, server, target.started);
+            entries.push(ListEntry { server, zone, cell, state, weight, last_start });
             if kind == ListKind::Changes && logged_changes.len() < MAX_NAMED {
                 let started = target.started.map_or(String::new(), |at| format!("@{}", at.0 / 1_000_000));
                 logged_changes.push(format!("{}={state:?}{started}", target.name));
@@ -366,6 +371,7 @@
                         out.cut(link);
                     }
                     self.tally.tries.remove(server);
+                    self.start_times.release(*server);
                     self.servers.release(*server);
                 }
                 // Discovery is followed at all times, there is nothing to request.
--- a/crates/platform/tests/node.rs
+++ b/crates/platform/tests/node.rs
@@ -37,6 +37,55 @@
     insta::assert_snapshot!(seen.join("\n--\n"));
 }
 
+/// What is ordered when a server restarts and its start is announced `skew_ms` off the planner's clock.
+fn orders_after_restart(skew_ms: i64) -> String {
+    let mut harness = Harness::new(&settings(10, 256));
+    harness.join(7);
+    harness.advance(10);
+    let list = harness.latest_connection(85);
+    harness.input(Input::Opened { link: list });
+    let rows = [row("s-1", "a", "Ready"), row("s-2", "a", "Ready")].join(",");
+    harness.answer_list(list, &format!(r#"{{"rev":5,"all":true,"targets":[{rows}]}}"#));
+    harness.advance(1_000);
+    harness.answer_list(list, r#"{"rev":5,"all":false,"targets":[]}"#);
+    harness.take_output();
+    let boot_ms = (START.0 / 1_000_000) as i64 + 1_000 + skew_ms;
+    let restarted = row("s-2", "a", "Ready").replace(r#""boot_ms":0"#, &format!(r#""boot_ms":{boot_ms}"#));
+    harness.answer_list(list, &format!(r#"{{"rev":6,"all":false,"targets":[{restarted}]}}"#));
+    let mut orders = String::new();
+    for _ in 0..80 {
+        harness.advance(100);
+        let sent = harness.take_output();
+        orders.extend(sent.lines().filter(|line| line.contains("CONFIG")).map(|line| format!("{line}\n")));
+    }
+    orders
+}
+
+#[test]
+fn a_restart_announced_by_a_clock_that_was_stepped_is_a_cold_server_all_the_same() {
+    let expected = orders_after_restart(0);
+    assert!(expected.contains("s-2"), "the restarted server is ordered a smaller share:\n{expected}");
+    for skew_ms in [-3_600_000, -30_000, 500, 30_000, 3_600_000] {
+        assert_eq!(orders_after_restart(skew_ms), expected, "announced {skew_ms} ms off");
+    }
+}
+
+#[test]
+fn a_server_listed_at_the_start_as_started_in_the_future_warms_up_from_the_start() {
+    let boot_ms = START.0 / 1_000_000 + 3_600_000;
+    let text = settings(10, 256).replacen(r#""boot_ms":0"#, &format!(r#""boot_ms":{boot_ms}"#), 1);
+    let mut harness = Harness::new(&text);
+    harness.join(7);
+    harness.advance(8_000);
+    let orders = harness.take_output();
+    let last = orders.lines().rfind(|line| line.contains("s-1:")).expect("a line for the server");
+    let weight = |name: &str| -> Option<f64> {
+        let (_, rest) = last.split_once(&format!("{name}:"))?;
+        rest.split([',', ' ']).next()?.parse().ok()
+    };
+    assert!(weight("s-1") >= weight("s-2"), "still cold after its warm-up of 5 s: {last}");
+}
+
 #[test]
 fn an_unchanged_list_with_an_invalid_entry_is_not_applied_again() {
     let mut harness = Harness::new(&settings(10, 256));
