A log that cannot be written ends no process

What callers saw: with its log on a full disk (ENOSPC on standard error) the planner ended with code 101 at its first line, before it served anybody; the same holds for `run` and `proxy`. Cause: tracing-subscriber reports a failed write with eprintln, which panics when standard error is what failed; the builder of its default subscriber switches that on. Now such a line is lost and nothing is reported. Measured: a_log_on_a_full_disk_ends_no_planner failed before (ended, 101) and passes; the other tests of the file pass.

--- a/crates/pewtergap/src/main.rs
+++ b/crates/pewtergap/src/main.rs
@@ -72,8 +72,12 @@
 
 fn init_logging(cli: &Cli) {
     let filter = tracing_subscriber::EnvFilter::new(&cli.log);
-    let builder =
-        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_target(false);
+    // A log line that cannot be written is lost. Reporting that on standard error would panic if it is the log itself.
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_target(false)
+        .log_internal_errors(false);
     match cli.log_form {
         LogFormat::Compact => builder.with_ansi(false).compact().init(),
         LogFormat::Json => builder.json().init(),
--- a/crates/pewtergap/tests/node.rs
+++ b/crates/pewtergap/tests/node.rs
@@ -54,6 +54,35 @@
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
 
+#[test]
+fn a_log_on_a_full_disk_ends_no_planner() {
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("full-log.json");
+    let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    std::fs::write(&file, GOOD.replace("127.0.0.1:0", &address.to_string())).unwrap();
+    // Each write to this device fails with ENOSPC.
+    let full = std::fs::OpenOptions::new().write(true).open("/dev/full").unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pewtergap"));
+    let mut child =
+        command.arg("node").env("NODE_CONFIG", file).stderr(full).stdout(Stdio::null()).spawn().unwrap();
+    let start = std::time::Instant::now();
+    let mut answer = [0; 14];
+    loop {
+        assert_eq!(child.try_wait().unwrap(), None, "the planner has ended");
+        assert!(start.elapsed() < Duration::from_secs(30), "the planner does not answer");
+        let Ok(mut peer) = TcpStream::connect(address) else {
+            std::thread::sleep(Duration::from_millis(2));
+            continue;
+        };
+        peer.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+        if peer.write_all(b"*1\r\n$4\r\nPING\r\n").and_then(|()| peer.read_exact(&mut answer)).is_ok() {
+            break;
+        }
+    }
+    assert_eq!(&answer, b"*1\r\n$4\r\nPONG\r\n");
+    signal(&child, "-TERM");
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
+
 #[test]
 fn a_bad_start_ends_with_a_reason() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
