reactor: a failing call is repeated in the next round, not in a loop of its own

What callers saw: while epoll_wait was interrupted again and again, no timer fired: a silent connection stayed for 3.8 s instead of one, as would every probe, deadline and turn. While accept failed with ECONNABORTED, all joined streams stood still (1.9 s of the 2 s that it lasted). Cause: EINTR went back to the wait ahead of timers and accepts; accept, read and write repeated an aborted or interrupted call until it succeeded. Now each is repeated in the next round, behind all other links and timers. A write that was interrupted is remembered, since the kernel tells no new readiness for it.

--- a/crates/pewtergap/tests/peer/mod.rs
+++ b/crates/pewtergap/tests/peer/mod.rs
@@ -98,14 +98,39 @@
         Process::start_with_limit(test, config, text, None)
     }
 
+    /// Starts a planner whose system calls fail as `faults` says (see the crate `faults`).
+    pub fn start_with_faults(test: &str, config: &Config, faults: &str) -> Process {
+        let program = std::path::Path::new(env!("CARGO_BIN_EXE_pewtergap"));
+        let library = program.with_file_name("deps").join("libpewtergap_faults.so");
+        assert!(library.exists(), "no library at {}", library.display());
+        let variables = [("LD_PRELOAD", library.as_os_str()), ("SYSCALL_FAULTS", faults.as_ref())];
+        let mut process = Process::spawn(test, config, &config.to_json(), "", &variables);
+        process.wait_for_line("event=\"listening\"");
+        process
+    }
+
     /// Starts a planner with a system limit on its descriptors.
     pub fn start_with_limit(test: &str, config: &Config, text: &str, descriptors: Option<usize>) -> Process {
+        let limit = descriptors.map_or(String::new(), |max| format!("ulimit -n {max}; "));
+        Process::spawn(test, config, text, &limit, &[])
+    }
+
+    fn spawn(
+        test: &str,
+        config: &Config,
+        text: &str,
+        shell: &str,
+        variables: &[(&str, &std::ffi::OsStr)],
+    ) -> Process {
         let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("crossing-{test}.json"));
         std::fs::write(&file, text).expect("the file");
-        let limit = descriptors.map_or(String::new(), |max| format!("ulimit -n {max}; "));
         let mut command = Command::new("/bin/sh");
-        command.arg("-c").arg(format!("{limit}exec \"$0\" node")).arg(env!("CARGO_BIN_EXE_pewtergap"));
-        command.env("NODE_CONFIG", &file).stderr(Stdio::piped()).stdout(Stdio::null());
+        command.arg("-c").arg(format!("{shell}exec \"$0\" node")).arg(env!("CARGO_BIN_EXE_pewtergap"));
+        command
+            .envs(variables.iter().copied())
+            .env("NODE_CONFIG", &file)
+            .stderr(Stdio::piped())
+            .stdout(Stdio::null());
         let mut child = command.spawn().expect("a process");
         let errors = BufReader::new(child.stderr.take().expect("its log"));
         let (sender, log) = channel();
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -304,7 +304,7 @@
             let exists = target.state != ListedState::Deleted;
             self.endpoints[server] = exists.then_some((target.address, target.started));
             let (cell, state, weight) = (target.cell, target.state, target.weight);
-            let last_start = self.start_times.to_local(now, server, target.started);
+            let last_start = self.start_times.local_time(now, server, target.started);
             entries.push(ListEntry { server, zone, cell, state, weight, last_start });
             if kind == ListKind::Changes && logged_changes.len() < MAX_NAMED {
                 let started = target.started.map_or(String::new(), |at| format!("@{}", at.0 / 1_000_000));
--- a/crates/platform/src/start_times.rs
+++ b/crates/platform/src/start_times.rs
@@ -27,7 +27,7 @@
 impl StartTimes {
     /// Converts an announced start time. The same announcement always gives the same time. A start in the future is
     /// taken for one at this moment, and so is one that an earlier list should have contained.
-    pub fn to_local(&mut self, now: Moment, server: usize, announced: Option<Moment>) -> Option<Moment> {
+    pub fn local_time(&mut self, now: Moment, server: usize, announced: Option<Moment>) -> Option<Moment> {
         let announced = announced?;
         if self.starts.len() <= server {
             self.starts.resize(server + 1, None);
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -168,6 +168,8 @@
     pending: VecDeque<(usize, Pending)>,
     /// Links that may have more to read.
     readable: VecDeque<(usize, Link)>,
+    /// Links whose last write was interrupted.
+    interrupted_writes: Vec<(usize, Link)>,
     /// Listeners that may have more connections to accept, and when to try again.
     accept_queue: Vec<(usize, u32, Moment)>,
     max_unwritten: usize,
@@ -200,6 +202,7 @@
             timers_set: 0,
             pending: VecDeque::new(),
             readable: VecDeque::new(),
+            interrupted_writes: Vec::new(),
             accept_queue: Vec::new(),
             max_unwritten,
             dir,
@@ -249,13 +252,14 @@
         let mut events = Events::with_capacity(1024);
         self.deliver_pending();
         while self.exit.is_none() {
-            let poll_timeout =
-                if self.readable.is_empty() { self.poll_timeout() } else { Some(Duration::ZERO) };
+            let idle = self.readable.is_empty() && self.interrupted_writes.is_empty();
+            let poll_timeout = if idle { self.poll_timeout() } else { Some(Duration::ZERO) };
             let now = self.clock.now();
             let listeners = self.accept_queue.iter().map(|listener| duration(listener.2.since(now)));
             let poll_timeout = listeners.chain(poll_timeout).min();
             match self.poll.poll(&mut events, poll_timeout) {
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                // Without events, but timers and accepts may be due: signals can interrupt one wait after another.
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => events.clear(),
                 other => other?,
             }
             for event in &events {
@@ -272,6 +276,12 @@
                 }
                 self.deliver_pending();
             }
+            for (node, link) in std::mem::take(&mut self.interrupted_writes) {
+                if self.exit.is_none() {
+                    self.writable(node, link);
+                    self.deliver_pending();
+                }
+            }
             for (node, link) in std::mem::take(&mut self.readable) {
                 if self.exit.is_none() {
                     self.read(node, link);
@@ -416,10 +426,12 @@
                 let Some((_, conn)) = self.slots[node].links.get_mut(&link) else { return };
                 conn.queue(bytes);
                 let result = conn.write();
+                let interrupted = conn.write_interrupted;
                 let over = conn.unwritten() > max;
                 match result {
                     Err(why) => self.write_failed(node, link, why),
                     Ok(()) if over => self.drop_link(node, link, Ended::Overflow),
+                    Ok(()) if interrupted => self.interrupted_writes.push((node, link)),
                     Ok(()) => self.close_if_written(node, link),
                 }
             }
@@ -615,6 +627,7 @@
                     self.deliver_pending();
                 }
                 Ok(None) => return,
+                Err(e) if sockets::accept_may_be_repeated(&e) => {}
                 Err(e) => {
                     tracing::warn!(error = %e, "not_accepted");
                     return self.accept_queue.push((node, listener, self.clock.now() + ACCEPT_RETRY_DELAY));
@@ -638,6 +651,7 @@
         }
         let Some((_, conn)) = self.slots[node].links.get_mut(&link) else { return };
         match conn.write() {
+            Ok(()) if conn.write_interrupted => self.interrupted_writes.push((node, link)),
             Ok(()) => self.close_if_written(node, link),
             Err(why) => self.write_failed(node, link, why),
         }
@@ -656,6 +670,7 @@
                 self.deliver(node, Input::Bytes { link, bytes: &buffer[..count] });
                 self.readable.push_back((node, link));
             }
+            ReadOutcome::Interrupted => self.readable.push_back((node, link)),
             ReadOutcome::Nothing => {}
             ReadOutcome::Ended(why) => self.drop_link(node, link, why),
         }
--- a/crates/reactor/src/sockets.rs
+++ b/crates/reactor/src/sockets.rs
@@ -28,22 +28,27 @@
         Ok(Listener { listener: TcpListener::from_std(socket.into()) })
     }
 
+    /// Accepts the next connection. An error concerns this call alone: the next one may succeed.
     pub fn accept(&mut self) -> io::Result<Option<(Conn, SocketAddr)>> {
-        loop {
-            match self.listener.accept() {
-                Ok((stream, from)) => return Ok(Some((Conn::new(stream, true), from))),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(None),
-                // The peer closed the connection before it was accepted.
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
-                Err(e) => return Err(e),
-            }
+        match self.listener.accept() {
+            Ok((stream, from)) => Ok(Some((Conn::new(stream, true), from))),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(None),
+            Err(e) => Err(e),
         }
     }
 }
 
+/// Whether a failed accept is to be repeated at once: the peer closed the connection before it was accepted, or the call
+/// was interrupted.
+pub fn accept_may_be_repeated(e: &io::Error) -> bool {
+    matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted)
+}
+
 pub enum ReadOutcome {
     Bytes(usize),
     Nothing,
+    /// The call was interrupted; there may be more to read.
+    Interrupted,
     Ended(Ended),
 }
 
@@ -56,6 +61,8 @@
     /// Bytes of the first buffer that are already written.
     first_written: usize,
     unwritten_len: usize,
+    /// The last write was interrupted and has to be repeated: the kernel reports no readiness for it.
+    pub write_interrupted: bool,
     /// Set once writing has failed, with the reason; bytes already received are still read.
     write_error: Option<Ended>,
 }
@@ -72,6 +79,7 @@
             unwritten,
             first_written: 0,
             unwritten_len: 0,
+            write_interrupted: false,
             write_error: None,
         }
     }
@@ -94,6 +102,8 @@
         match socket.connect(&SockAddr::from(to)) {
             Ok(()) => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock || e.raw_os_error() == Some(libc::EINPROGRESS) => {}
+            // An interrupted connect goes on by itself.
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) => return Err(e),
         }
         Ok(Conn::new(TcpStream::from_std(socket.into()), false))
@@ -135,6 +145,7 @@
     }
 
     pub fn write(&mut self) -> Result<(), Ended> {
+        self.write_interrupted = false;
         while self.open && !self.unwritten.is_empty() {
             let first = IoSlice::new(&self.unwritten[0][self.first_written..]);
             let rest = self.unwritten.iter().skip(1).take(MAX_IO_SLICES - 1).map(|bytes| IoSlice::new(bytes));
@@ -155,7 +166,10 @@
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::Interrupted => {
+                    self.write_interrupted = true;
+                    return Ok(());
+                }
                 Err(_) => return Err(Ended::Reset),
             }
         }
@@ -163,16 +177,14 @@
     }
 
     pub fn read(&mut self, buffer: &mut [u8]) -> ReadOutcome {
-        loop {
-            return match self.stream.read(buffer) {
-                Ok(0) => ReadOutcome::Ended(self.write_error.unwrap_or(Ended::Done)),
-                Ok(count) => ReadOutcome::Bytes(count),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.write_error.map_or(ReadOutcome::Nothing, ReadOutcome::Ended)
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                Err(_) => ReadOutcome::Ended(Ended::Reset),
-            };
+        match self.stream.read(buffer) {
+            Ok(0) => ReadOutcome::Ended(self.write_error.unwrap_or(Ended::Done)),
+            Ok(count) => ReadOutcome::Bytes(count),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                self.write_error.map_or(ReadOutcome::Nothing, ReadOutcome::Ended)
+            }
+            Err(e) if e.kind() == ErrorKind::Interrupted => ReadOutcome::Interrupted,
+            Err(_) => ReadOutcome::Ended(Ended::Reset),
         }
     }
 
