reactor: a network that cannot be reached from here says nothing of a server

What callers would see: connect fails with ENETUNREACH or ENETDOWN for a moment, every probe is told as a dead server, all servers lose three quarters of their weight and cold ones are withheld. Cause: both errors were taken for a refusal; and errors that a connect ends with later were never told apart. Now they count as a lack of local resources, as EADDRNOTAVAIL does: nothing is told, the server is probed again in its turn.

--- a/crates/pewtergap/tests/syscalls.rs
+++ b/crates/pewtergap/tests/syscalls.rs
@@ -87,6 +87,21 @@
     }
 }
 
+#[test]
+fn connections_that_fail_here_tell_nothing_of_a_server() {
+    for (name, errno) in [("enetunreach", libc::ENETUNREACH), ("eaddrnotavail", libc::EADDRNOTAVAIL)] {
+        let server = Listener::bind();
+        let rows = vec![row("s-1", server.at, "Ready")];
+        let config = Config { probes: true, rows, ..Config::new(closed_address()) };
+        let mut planner = Process::start_with_faults(name, &config, &format!("connect={errno}@0-2000"));
+        planner.wait_for_line("probe_without_room");
+        // Probed again, and reached, once connections can be opened.
+        assert_eq!(server.accept().request_target(), "/metrics/load");
+        let dead: Vec<&String> = planner.seen.iter().filter(|line| line.contains("end=dead")).collect();
+        assert!(dead.is_empty(), "{name}: {dead:?}");
+    }
+}
+
 #[test]
 fn an_unknown_fault_is_refused_before_anything_starts() {
     let config = Config::new(closed_address());
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -415,11 +415,7 @@
             }
             Effect::Connect { link, to, from } => match Conn::connect(to, from) {
                 Ok(conn) => self.register(node, link, conn),
-                Err(e) => {
-                    // A lack of local resources must not be reported as a refusal: the server would be taken for dead.
-                    let why = if lacks_resources(&e) { Ended::Overflow } else { Ended::Refused };
-                    self.pending.push_back((node, Pending::Closed(link, why)));
-                }
+                Err(e) => self.pending.push_back((node, Pending::Closed(link, connect_failure(&e)))),
             },
             Effect::Send { link, bytes } => {
                 let max = self.max_unwritten;
@@ -646,7 +642,7 @@
                     self.pending.push_back((node, Pending::Opened(link)));
                 }
                 Ok(false) => return,
-                Err(_) => return self.drop_link(node, link, Ended::Refused),
+                Err(e) => return self.drop_link(node, link, connect_failure(&e)),
             }
         }
         let Some((_, conn)) = self.slots[node].links.get_mut(&link) else { return };
@@ -678,10 +674,14 @@
     }
 }
 
-/// Whether a connection could not be opened for lack of local resources.
-fn lacks_resources(e: &io::Error) -> bool {
-    use libc::{EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS, ENOMEM};
-    matches!(e.raw_os_error(), Some(EMFILE | ENFILE | ENOBUFS | ENOMEM | EADDRNOTAVAIL))
+/// Why a connection could not be opened. A lack of local resources, of which the network interface is one, is no
+/// refusal: the server would be taken for dead.
+fn connect_failure(e: &io::Error) -> Ended {
+    use libc::{EADDRNOTAVAIL, EMFILE, ENETDOWN, ENETUNREACH, ENFILE, ENOBUFS, ENOMEM};
+    match e.raw_os_error() {
+        Some(EMFILE | ENFILE | ENOBUFS | ENOMEM | EADDRNOTAVAIL | ENETDOWN | ENETUNREACH) => Ended::Overflow,
+        _ => Ended::Refused,
+    }
 }
 
 fn log(record: &LogRecord) {
