A connection that could not be opened for want of resources was never sent

What callers would see: a plain proxy short of ports or descriptors, or without a way to the server's network, does not retry a call that may run only once, though not a byte of it left; it is answered as a failure. Cause: one reason, Overflow, stood for a peer that does not read and for a connection that was never opened, and the proxy took both for a call that may have run. Now the second is told as Unavailable; probes still take it for nothing. Measured: a_call_that_was_never_sent_is_retried_whatever_kept_it_here; the tests of reactor, platform, proxy, lab and control pass. Two tests expect the new name in place of Overflow.

--- a/crates/control/src/probes.rs
+++ b/crates/control/src/probes.rs
@@ -145,7 +145,7 @@
             Ended::Refused | Ended::Reset | Ended::Done => self.end(link, ProbeOutcome::Unreachable),
             Ended::Ours | Ended::Handed => self.end(link, ProbeOutcome::TimedOut),
             // This process had no resources for the request, which says nothing about the server; it is probed again later.
-            Ended::Overflow => self.open.remove(&link).and(None),
+            Ended::Unavailable | Ended::Overflow => self.open.remove(&link).and(None),
         }
     }
 
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -330,7 +330,7 @@
         pair.held[1 - way as usize].queue.clear();
         self.tell_joined(now, id);
         let hidden = self.pairs.get(&id).is_some_and(|pair| self.cut(pair));
-        if matches!(why, Ended::Reset | Ended::Refused | Ended::Overflow) && !hidden {
+        if matches!(why, Ended::Reset | Ended::Refused | Ended::Unavailable | Ended::Overflow) && !hidden {
             // A reset overtakes what waits.
             if let Some(other) = self.pairs.get_mut(&id).and_then(|pair| pair.ends[1 - way as usize].take()) {
                 self.by_link.remove(&other);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -38,7 +38,9 @@
     Refused,
     /// The peer or the network reset the connection.
     Reset,
-    /// The unwritten bytes exceeded the driver's limit, or this process lacks resources for another connection.
+    /// This process lacks the resources for the connection, or a way to the peer's network: nothing was sent.
+    Unavailable,
+    /// The unwritten bytes exceeded the driver's limit.
     Overflow,
     /// The node closed the connection.
     Ours,
--- a/crates/platform/tests/crossings.rs
+++ b/crates/platform/tests/crossings.rs
@@ -75,7 +75,7 @@
     let (mut harness, _) = planner_with_server(&server_row("s-9", 901, 0));
     for _ in 0..4 {
         let probe = harness.latest_connection(901);
-        harness.input(Input::Closed { link: probe, why: Ended::Overflow });
+        harness.input(Input::Closed { link: probe, why: Ended::Unavailable });
         while harness.latest_connection(901) == probe {
             harness.advance(100);
         }
--- a/crates/proxy/src/worker.rs
+++ b/crates/proxy/src/worker.rs
@@ -471,7 +471,10 @@
                 return self.receive_part(now, id, Part::End, out);
             }
         }
-        let failure = if why == Ended::Refused { TryFailure::NeverRan } else { TryFailure::MayHaveRun };
+        let failure = match why {
+            Ended::Refused | Ended::Unavailable => TryFailure::NeverRan,
+            _ => TryFailure::MayHaveRun,
+        };
         self.try_failed(now, id, failure, out);
     }
 }
--- a/crates/proxy/tests/parts.rs
+++ b/crates/proxy/tests/parts.rs
@@ -271,6 +271,20 @@
     insta::assert_snapshot!(setup.trace);
 }
 
+#[test]
+fn a_call_that_was_never_sent_is_retried_whatever_kept_it_here() {
+    let trace_after = |why: Ended| {
+        let mut setup = Setup::new(0, &["8001", "8002"], 2);
+        setup.call("order");
+        let link = setup.server();
+        setup.close(link, why);
+        setup.trace
+    };
+    let refused = trace_after(Ended::Refused);
+    assert_eq!(trace_after(Ended::Unavailable), refused);
+    assert_ne!(trace_after(Ended::Reset), refused, "a call that may have run is not retried");
+}
+
 #[test]
 fn tables_stay_in_force_until_the_next_planner_replaces_them() {
     let mut setup = Setup::new(0, &["8001"], 0);
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -549,7 +549,7 @@
         let token = self.token();
         let both = Interest::READABLE | Interest::WRITABLE;
         if self.poll.registry().register(&mut conn.stream, token, both).is_err() {
-            self.pending.push_back((node, Pending::Closed(link, Ended::Overflow)));
+            self.pending.push_back((node, Pending::Closed(link, Ended::Unavailable)));
             return;
         }
         self.sources.insert(token, Source::Link { node, link });
@@ -679,7 +679,9 @@
 fn connect_failure(e: &io::Error) -> Ended {
     use libc::{EADDRNOTAVAIL, EMFILE, ENETDOWN, ENETUNREACH, ENFILE, ENOBUFS, ENOMEM};
     match e.raw_os_error() {
-        Some(EMFILE | ENFILE | ENOBUFS | ENOMEM | EADDRNOTAVAIL | ENETDOWN | ENETUNREACH) => Ended::Overflow,
+        Some(EMFILE | ENFILE | ENOBUFS | ENOMEM | EADDRNOTAVAIL | ENETDOWN | ENETUNREACH) => {
+            Ended::Unavailable
+        }
         _ => Ended::Refused,
     }
 }
--- a/crates/reactor/tests/sockets.rs
+++ b/crates/reactor/tests/sockets.rs
@@ -232,7 +232,7 @@
 fn a_lack_of_local_resources_is_not_reported_as_refused() {
     let setup = setup();
     setup.command("unavailable source");
-    assert_eq!(setup.next_report(), format!("closed {:?}", Ended::Overflow));
+    assert_eq!(setup.next_report(), format!("closed {:?}", Ended::Unavailable));
 }
 
 #[test]
--- a/crates/watch/src/watch_client.rs
+++ b/crates/watch/src/watch_client.rs
@@ -55,6 +55,7 @@
                     let why = match why {
                         Ended::Refused => "connection refused",
                         Ended::Done => "closed by the machine",
+                        Ended::Unavailable => "no resources for the connection",
                         Ended::Overflow => "write buffer overflow",
                         Ended::Reset | Ended::Ours | Ended::Handed => "connection lost",
                     };
