--- a/crates/platform/tests/harness/mod.rs
+++ b/crates/platform/tests/harness/mod.rs
@@ -1,5 +1,10 @@
 //! Test harness that feeds inputs to the platform's planner and records its effects.
 
+// Each test file uses only some of the items.
+#![allow(dead_code)]
+
+pub mod fleet;
+
 use pewtergap_node::{Effect, Input, Link, Node, Outbox};
 use pewtergap_platform::{Config, Platform};
 use pewtergap_resp::{write_array, Bounds, Reader};
