--- a/crates/pewtergap/tests/syscalls.rs
+++ b/crates/pewtergap/tests/syscalls.rs
@@ -102,6 +102,32 @@
     }
 }
 
+#[test]
+fn a_lack_of_descriptors_at_the_start_is_no_refusal_to_start() {
+    let planner = start("start-enfile", &format!("socket={}@0-3000", libc::ENFILE));
+    planner.check_alive();
+}
+
+#[test]
+fn a_step_of_the_wall_clock_moves_no_deadline() {
+    for (name, seconds) in [("back", -3_600), ("forward", 3_600)] {
+        let planner = start(&format!("clock-{name}"), &format!("wall_clock={seconds}@500-60000"));
+        let mut stranger = Peer::connect(planner.at);
+        let connected = Instant::now();
+        stranger.read_to_end();
+        let closed = connected.elapsed();
+        assert!(
+            closed >= Duration::from_millis(950),
+            "{name}: a silent connection was closed after {closed:?}"
+        );
+        assert!(
+            closed < Duration::from_millis(2_500),
+            "{name}: a silent connection was closed after {closed:?}"
+        );
+        planner.check_alive();
+    }
+}
+
 #[test]
 fn an_unknown_fault_is_refused_before_anything_starts() {
     let config = Config::new(closed_address());
