--- a/crates/planner/tests/reconnect.rs
+++ b/crates/planner/tests/reconnect.rs
@@ -74,10 +74,14 @@
     }
 }
 
-/// Kills four of five planners and drains 30 servers. Returns how many of the 240 proxies use no drained
-/// server 2.3 s after the planner received the drain. `rate` gives the calls per second of the proxies that
-/// come from the killed planners.
-fn count_updated(rate: impl Fn(usize) -> f64) -> usize {
+/// Servers that drain together, and every how many they are among the 200.
+const BATCH: usize = 30;
+const BATCH_STRIDE: usize = 5;
+
+/// Kills four of five planners and drains batches of servers at the given times. Returns for each batch how many of the
+/// 240 proxies use none of its servers 2.3 s after the planner received its drain. `rate` gives the calls per second of
+/// the proxies that come from the killed planners.
+fn count_updated(rate: impl Fn(usize) -> f64, drained_at: &[u64]) -> Vec<usize> {
     let setup = Setup {
         zones: 3,
         proxies: 240,
@@ -88,10 +92,17 @@
     };
     let mut harness = Harness::new(setup);
     let mut channel = SimulatedChannel::default();
-    let drained: BTreeSet<usize> = (0..30).map(|server| server * 5).collect();
+    let batch = |index: usize| (0..BATCH).map(move |server| server * BATCH_STRIDE + index);
     let zones: Vec<usize> = (0..200).map(|server| server % 3).collect();
-    for at in (0..8_300).step_by(STEP_MS as usize) {
+    let mut updated = Vec::new();
+    let end = drained_at.iter().max().map_or(0, |last| last + 2_300);
+    for at in (0..=end).step_by(STEP_MS as usize) {
         let mut events = channel.step();
+        for index in (0..drained_at.len()).filter(|index| drained_at[*index] + 2_300 == at) {
+            let drained: BTreeSet<usize> = batch(index).collect();
+            let free = |servers: &&BTreeSet<usize>| servers.is_disjoint(&drained);
+            updated.push(channel.applied_servers.values().filter(free).count());
+        }
         match at {
             0 => {
                 events.push(stored_list(&zones));
@@ -102,29 +113,47 @@
                 let first = 48 + (at - 5_000) as usize / STEP_MS as usize * 16;
                 events.extend((first..first + 16).map(|proxy| joined(proxy, proxy % 3, rate(proxy))));
             }
-            6_000 => {
-                let entries = drained.iter().map(|at| entry(*at, at % 3, ListedState::Stopping, 1.0, None));
-                events.push(Event::List { kind: ListKind::Changes, entries: entries.collect() });
-            }
             _ => {}
         }
+        for index in (0..drained_at.len()).filter(|index| drained_at[*index] == at) {
+            let entries = batch(index).map(|at| entry(at, at % 3, ListedState::Stopping, 1.0, None));
+            events.push(Event::List { kind: ListKind::Changes, entries: entries.collect() });
+        }
+        // As in a deployment, as many cold servers follow each batch, in three lists.
+        for (index, drained) in drained_at.iter().enumerate() {
+            for part in (0..3).filter(|part| at == drained + 400 * (part + 1)) {
+                let first = 200 + index * BATCH + part as usize * 10;
+                let new = |server| entry(server, server % 3, ListedState::Running, 1.0, Some(at));
+                let entries = (first..first + 10).map(new).collect();
+                events.push(Event::List { kind: ListKind::Changes, entries });
+            }
+        }
         events.push(Event::Tick);
         let actions = harness.planner.turn(START + ms(at), &events);
         channel.write(&actions);
     }
-    channel.applied_servers.values().filter(|servers| servers.is_disjoint(&drained)).count()
+    updated
 }
 
 #[test]
 fn all_proxies_of_one_planner_receive_a_drain_within_its_grace() {
-    let updated = count_updated(|_| 6.0);
-    assert_eq!(updated, 240, "proxies without a drained server 2.3 s after the planner received the drain");
+    let updated = count_updated(|_| 6.0, &[6_000]);
+    assert_eq!(updated, [240], "proxies without a drained server 2.3 s after the planner received the drain");
 }
 
 #[test]
 fn a_mass_reconnect_with_heavy_proxies_is_updated_in_time_too() {
     // Guards against wide tables for heavy proxies: sixteen tables with all servers took the channel for as
     // long as the other 176 tables together.
-    let updated = count_updated(|proxy| if proxy % 12 == 0 { 40.0 } else { 6.0 });
-    assert_eq!(updated, 240, "proxies without a drained server 2.3 s after the planner received the drain");
+    let updated = count_updated(|proxy| if proxy % 12 == 0 { 40.0 } else { 6.0 }, &[6_000]);
+    assert_eq!(updated, [240], "proxies without a drained server 2.3 s after the planner received the drain");
+}
+
+#[test]
+fn drains_that_follow_one_another_during_a_mass_reconnect_are_all_received_in_time() {
+    let updated = count_updated(|proxy| if proxy % 12 == 0 { 40.0 } else { 6.0 }, &[5_600, 7_000]);
+    assert_eq!(
+        updated, [240; 3],
+        "proxies without the drained servers 2.3 s after the planner received each drain"
+    );
 }
