planner: late acknowledgements of a few proxies keep no channel closed

Cause: any late acknowledgement of an old message counted as the progress of a channel that still holds the rest, and there is always one. Now old messages that were overtaken long enough ago have left the channel unless at least a tenth of its pace arrives of them, as from a slow channel.

--- a/crates/planner/src/channel.rs
+++ b/crates/planner/src/channel.rs
@@ -9,10 +9,24 @@
 pub struct SentTurn {
     pub at: Moment,
     pub lines: f64,
-    /// When one of its messages was last acknowledged.
+    /// When the first of its messages was acknowledged.
     pub acknowledged_at: Option<Moment>,
 }
 
+/// How fast a channel carries messages, in lines per second.
+#[derive(Clone, Copy, Debug)]
+pub struct ChannelPace {
+    pub configured: f64,
+    /// As measured lately.
+    pub measured: f64,
+    /// Longest time to a proxy and back.
+    pub round_trip: Span,
+}
+
+/// Fraction of its configured pace that a slow channel keeps. A channel that still holds overtaken messages
+/// delivers them at least that fast.
+const MIN_SLOW_FRACTION: f64 = 0.1;
+
 /// Lower bound of the measured throughput, as a fraction of the configured one. A lower estimate could
 /// never be seen to recover.
 const MIN_THROUGHPUT_FRACTION: f64 = 0.02;
@@ -33,12 +47,11 @@
         (self.last_mark == mark).then_some(Action::Mark { mark })
     }
 
-    /// Upper bound on the lines still in the channel, which carried `throughput` lines per second lately. While
-    /// acknowledgements arrive within the time a full channel takes to drain, only unacknowledged messages
-    /// count. After that, everything sent since the oldest of them counts: once streams have broken, later
-    /// messages overtake earlier ones that remain queued. Messages that only their proxies hold up do not
-    /// count.
-    pub fn queued_lines(&mut self, now: Moment, drain_time: Span, round_trip: Span, throughput: f64) -> f64 {
+    /// Upper bound on the lines still in the channel. While acknowledgements arrive within the time a full
+    /// channel takes to drain, only unacknowledged messages count. After that, everything sent since the oldest
+    /// of them counts: once streams have broken, later messages overtake earlier ones that remain queued.
+    /// Messages that only their proxies hold up do not count.
+    pub fn queued_lines(&mut self, now: Moment, drain_time: Span, pace: ChannelPace) -> f64 {
         self.abandoned.retain(|abandoned| abandoned.0 > now);
         let abandoned: f64 = self.abandoned.iter().map(|abandoned| abandoned.1).sum();
         let mut outstanding: BTreeMap<Moment, f64> = BTreeMap::new();
@@ -46,7 +59,7 @@
             *outstanding.entry(*sent_at).or_default() += lines;
         }
         self.sent.retain(|turn| outstanding.keys().next().is_some_and(|oldest| turn.at >= *oldest));
-        if let Some(front) = self.departed_front(now, &outstanding, abandoned, round_trip, throughput) {
+        if let Some(front) = self.departed_front(now, &outstanding, abandoned, pace) {
             outstanding.retain(|sent_at, _| *sent_at > front);
         }
         let unacknowledged = outstanding.values().sum::<f64>() + abandoned;
@@ -58,34 +71,51 @@
         unacknowledged.max(sent_since)
     }
 
-    /// The latest turn whose unacknowledged messages have all left the channel, so that their proxies hold up
-    /// the acknowledgements: a later message was acknowledged, and for longer than the channel would need for
-    /// all that is outstanding up to that turn, and the way there and back, none of that was acknowledged.
-    /// One silent stream used to count as a full channel, and no removal was sent to any proxy for seconds.
+    /// The latest turn whose unacknowledged messages have all left the channel, so that only their proxies hold
+    /// them up. It was overtaken by a later message long enough ago for the channel to carry all that is
+    /// outstanding up to it, and what was acknowledged of that since is less than a slow channel would have
+    /// delivered. One silent stream used to count as a full channel, and no removal was sent to any proxy.
     fn departed_front(
         &self,
         now: Moment,
         outstanding: &BTreeMap<Moment, f64>,
         abandoned: f64,
-        round_trip: Span,
-        throughput: f64,
+        pace: ChannelPace,
     ) -> Option<Moment> {
-        let last_acknowledged = self.sent.iter().rev().find(|turn| turn.acknowledged_at.is_some())?.at;
-        let (mut lines, mut progress, mut front) = (abandoned, Moment::default(), None);
-        for turn in self.sent.iter().take_while(|turn| turn.at < last_acknowledged) {
+        let mut delivered: BTreeMap<Moment, f64> = BTreeMap::new();
+        for (_, sent_at, lines) in self.delivered.iter().filter(|d| now.since(d.0) <= pace.round_trip) {
+            *delivered.entry(*sent_at).or_default() += lines;
+        }
+        let min_delivered = MIN_SLOW_FRACTION * pace.configured * pace.round_trip.seconds();
+        let overtaken = self.overtaken_at();
+        let (mut lines, mut arrived, mut front) = (abandoned, 0.0, None);
+        for (turn, overtaken_at) in self.sent.iter().zip(overtaken) {
             lines += outstanding.get(&turn.at).copied().unwrap_or(0.0);
-            progress = progress.max(turn.acknowledged_at.unwrap_or(turn.at));
-            let expected = round_trip + Span::of_seconds(lines / throughput);
-            front = if now.since(progress) > expected { Some(turn.at) } else { front };
+            arrived += delivered.get(&turn.at).copied().unwrap_or(0.0);
+            let needed = pace.round_trip + Span::of_seconds(lines / pace.measured);
+            let departed = overtaken_at.is_some_and(|at| now.since(at) > needed) && arrived < min_delivered;
+            front = if departed { Some(turn.at) } else { front };
         }
         front
     }
 
+    /// For each recent turn, when a message of a later one was first acknowledged.
+    fn overtaken_at(&self) -> Vec<Option<Moment>> {
+        let mut earliest: Option<Moment> = None;
+        let mut overtaken = Vec::with_capacity(self.sent.len());
+        for turn in self.sent.iter().rev() {
+            overtaken.push(earliest);
+            earliest = earliest.into_iter().chain(turn.acknowledged_at).min();
+        }
+        overtaken.reverse();
+        overtaken
+    }
+
     pub fn acknowledge(&mut self, now: Moment, proxy: ProxyIndex, mark: u64) {
         let acknowledged: Vec<(u64, f64, Moment)> = self.proxy(proxy).take_acknowledged(mark).collect();
         for (_, _, sent_at) in &acknowledged {
             let turn = self.sent.iter_mut().rev().find(|turn| turn.at == *sent_at);
-            turn.into_iter().for_each(|turn| turn.acknowledged_at = Some(now));
+            turn.into_iter().for_each(|turn| turn.acknowledged_at = turn.acknowledged_at.or(Some(now)));
         }
         self.delivered.extend(acknowledged.into_iter().map(|sent| (now, sent.2, sent.1)));
     }
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -5,6 +5,7 @@
 //! Table assignment follows Niagara (docs/design.md). Health, warm-up, admission levels and the limits that
 //! the rules demand are additions.
 
+use crate::channel::ChannelPace;
 use crate::time::{Moment, Span};
 use crate::types::*;
 use crate::weights::{balance_subsets, centroid, excess, imbalance, normalize};
@@ -861,7 +862,8 @@
         let limits = self.queue_limits(throughput);
         self.state.pushed_at = now;
         // Acknowledgements tell what has arrived, so this limit holds however slow the channel has become.
-        let mut queued = self.state.queued_lines(now, self.drain_time(), round_trip, throughput);
+        let pace = ChannelPace { configured: self.channel.lines_per_s, measured: throughput, round_trip };
+        let mut queued = self.state.queued_lines(now, self.drain_time(), pace);
         let mut message_cost = vec![0.0; self.state.proxies.len()];
         let overhead = self.channel.message_overhead + 1.0;
         let mut followers = self.state.followers();
