--- a/crates/planner/src/channel.rs
+++ b/crates/planner/src/channel.rs
@@ -23,6 +23,15 @@
     pub round_trip: Span,
 }
 
+/// Lines that wait in the channel.
+#[derive(Clone, Copy, Debug)]
+pub struct QueuedLines {
+    /// Without messages that only their proxies hold up. For what is urgent.
+    pub expected: f64,
+    /// As if every message that is not acknowledged still waited. For what can wait itself.
+    pub upper_bound: f64,
+}
+
 /// Fraction of its configured pace that a slow channel keeps. A channel that still holds overtaken messages
 /// delivers them at least that fast.
 const MIN_SLOW_FRACTION: f64 = 0.1;
@@ -47,11 +56,10 @@
         (self.last_mark == mark).then_some(Action::Mark { mark })
     }
 
-    /// Upper bound on the lines still in the channel. While acknowledgements arrive within the time a full
-    /// channel takes to drain, only unacknowledged messages count. After that, everything sent since the oldest
-    /// of them counts: once streams have broken, later messages overtake earlier ones that remain queued.
-    /// Messages that only their proxies hold up do not count.
-    pub fn queued_lines(&mut self, now: Moment, drain_time: Span, pace: ChannelPace) -> f64 {
+    /// Estimates the lines still in the channel. While acknowledgements arrive within the time a full channel
+    /// takes to drain, only unacknowledged messages count. After that, everything sent since the oldest of them
+    /// counts: once streams have broken, later messages overtake earlier ones that remain queued.
+    pub fn queued_lines(&mut self, now: Moment, drain_time: Span, pace: ChannelPace) -> QueuedLines {
         self.abandoned.retain(|abandoned| abandoned.0 > now);
         let abandoned: f64 = self.abandoned.iter().map(|abandoned| abandoned.1).sum();
         let mut outstanding: BTreeMap<Moment, f64> = BTreeMap::new();
@@ -59,16 +67,28 @@
             *outstanding.entry(*sent_at).or_default() += lines;
         }
         self.sent.retain(|turn| outstanding.keys().next().is_some_and(|oldest| turn.at >= *oldest));
+        let upper_bound = abandoned + self.queued_since_oldest(now, drain_time, abandoned, &outstanding);
         if let Some(front) = self.departed_front(now, &outstanding, abandoned, pace) {
             outstanding.retain(|sent_at, _| *sent_at > front);
         }
-        let unacknowledged = outstanding.values().sum::<f64>() + abandoned;
-        let Some(oldest) = outstanding.keys().next().copied() else { return unacknowledged };
-        if now.since(oldest) <= drain_time {
-            return unacknowledged;
-        }
-        let sent_since = self.sent.iter().filter(|turn| turn.at >= oldest).map(|turn| turn.lines).sum();
-        unacknowledged.max(sent_since)
+        let expected = abandoned + self.queued_since_oldest(now, drain_time, abandoned, &outstanding);
+        QueuedLines { expected, upper_bound: upper_bound.max(expected) }
+    }
+
+    /// Lines of outstanding messages, or of all that was sent since the oldest of them if it is overdue; without
+    /// those of abandoned messages, which are among the latter.
+    fn queued_since_oldest(
+        &self,
+        now: Moment,
+        drain_time: Span,
+        abandoned: f64,
+        outstanding: &BTreeMap<Moment, f64>,
+    ) -> f64 {
+        let unacknowledged: f64 = outstanding.values().sum();
+        let overdue = outstanding.keys().next().filter(|oldest| now.since(**oldest) > drain_time);
+        let Some(oldest) = overdue else { return unacknowledged };
+        let sent_since: f64 = self.sent.iter().filter(|turn| turn.at >= *oldest).map(|turn| turn.lines).sum();
+        unacknowledged.max(sent_since - abandoned)
     }
 
     /// The latest turn whose unacknowledged messages have all left the channel, so that only their proxies hold
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -863,7 +863,10 @@
         self.state.pushed_at = now;
         // Acknowledgements tell what has arrived, so this limit holds however slow the channel has become.
         let pace = ChannelPace { configured: self.channel.lines_per_s, measured: throughput, round_trip };
-        let mut queued = self.state.queued_lines(now, self.drain_time(), pace);
+        let estimate = self.state.queued_lines(now, self.drain_time(), pace);
+        let mut queued = estimate.expected;
+        // Lines that may be queued in addition. They count for whatever is not urgent.
+        let doubtful = estimate.upper_bound - estimate.expected;
         let mut message_cost = vec![0.0; self.state.proxies.len()];
         let overhead = self.channel.message_overhead + 1.0;
         let mut followers = self.state.followers();
@@ -900,7 +903,8 @@
         }
         let (mut binds, mut delayed) = (None, 0.0);
         for (priority, _, table, mut changes) in pending {
-            if priority < 2 && binds.is_none() && queued > limits[0] {
+            let beyond_ordinary = queued + doubtful > limits[0];
+            if priority < 2 && binds.is_none() && beyond_ordinary {
                 let bound = self.pending_binds(now, limits[3], &mut queued, &mut message_cost);
                 // Later changes to their tables go to these proxies too. Without counting them, the queue
                 // exceeded its limit.
@@ -911,12 +915,16 @@
             let stale =
                 |at: usize| at != self.state.level_step && self.capabilities.throttle == Throttle::Fraction;
             let sent_step = self.state.tables[table].level_step;
-            let queue_filled = congested || queued > limits[0];
+            let queue_filled = congested || beyond_ordinary;
             let send_levels = sent_step.is_none_or(|step| stale(step) && !queue_filled);
             let overhead = overhead + if send_levels { self.routes.len() as f64 } else { 0.0 };
             // Lines of an unused table are sent to nobody. Holding them back kept the first proxies of a
             // zone from getting their table.
-            let room = if followers.is_empty() { f64::INFINITY } else { limits[priority] - queued };
+            let room = match priority {
+                _ if followers.is_empty() => f64::INFINITY,
+                2 => limits[2] - queued,
+                _ => limits[priority] - queued - doubtful,
+            };
             let fits = (room / followers.len().max(1) as f64 - overhead).max(0.0) as usize;
             let removed = |at: ServerIndex| changes.iter().any(|change| change.0 == at && is_removal(change));
             let is_warm = |line: &WeightedServer| self.warmup_step(now, line.0) == WARMUP_SHARES.len() - 1;
@@ -925,7 +933,7 @@
             // During an operator's hold, removals continue, and so do the lines that a table without a warm
             // server needs (rule 1).
             let on_hold = self.state.changes_held && keeps_warm;
-            let limited = fits < changes.len() || queued > limits[0] || on_hold;
+            let limited = fits < changes.len() || beyond_ordinary || on_hold;
             if priority == 2 && limited {
                 // Removals are sent alone, because they have waited for seconds behind lines of cold
                 // servers. If they would leave only cold servers, a few additions are sent with them:
