--- a/crates/pewtergap/tests/drains.rs
+++ b/crates/pewtergap/tests/drains.rs
@@ -11,17 +11,22 @@
 const SERVERS: usize = 40;
 /// Servers that drain together.
 const BATCH: usize = 4;
+/// Servers that drain and come back, in turn.
+const RETURNING_SERVERS: usize = 20;
+/// Time after which the other servers drain: longer than a full channel takes to empty, shorter than after which a silent
+/// proxy counts as left.
+const SILENCE: Duration = Duration::from_millis(4_500);
 /// The configured grace period, and what the platform's rules allow on top of it.
 const GRACE_AND_SLACK: Duration = Duration::from_millis(2_300);
 /// Time between two changes of the server list.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// A line of weight zero, received by a proxy.
-type Removal = (usize, String);
+/// A server that a proxy may pick.
+type Held = (usize, String);
 
 enum Received {
     Table { proxy: usize },
-    Removal(Removal),
+    Line { held: Held, removed: bool },
 }
 
 /// Acknowledges each message to a proxy and reports what it received.
@@ -33,8 +38,9 @@
             return;
         }
         let lines = field("lines").into_iter().flat_map(|lines| lines.split(','));
-        for removed in lines.filter_map(|line| line.strip_suffix(":0")) {
-            if received.send(Received::Removal((proxy, removed.to_string()))).is_err() {
+        for (server, weight) in lines.filter_map(|line| line.split_once(':')) {
+            let held = (proxy, server.to_string());
+            if received.send(Received::Line { held, removed: weight == "0" }).is_err() {
                 return;
             }
         }
@@ -44,40 +50,49 @@
     }
 }
 
-fn rows(draining: &[usize]) -> Vec<String> {
-    let state = |at: usize| if draining.contains(&at) { "Terminating" } else { "Ready" };
-    (0..SERVERS).map(|at| row(&format!("s-{at:08x}"), closed_address(), state(at))).collect()
+/// What the proxies may pick, as far as their messages were received.
+struct Fleet {
+    received: Receiver<Received>,
+    held: BTreeSet<Held>,
+    tables: BTreeSet<usize>,
 }
 
-/// Waits until this many proxies have their table.
-fn wait_for_tables(received: &Receiver<Received>, count: usize) {
-    let mut tables = BTreeSet::new();
-    while tables.len() < count {
-        if let Received::Table { proxy } = received.recv_timeout(MAX_WAIT).expect("a table for each proxy") {
-            tables.insert(proxy);
+impl Fleet {
+    /// Takes in the next message within the time; returns whether there was one.
+    fn receive(&mut self, timeout: Duration) -> bool {
+        match self.received.recv_timeout(timeout) {
+            Ok(Received::Table { proxy }) => {
+                self.tables.insert(proxy);
+                self.held.retain(|held| held.0 != proxy);
+            }
+            Ok(Received::Line { held, removed: true }) => drop(self.held.remove(&held)),
+            Ok(Received::Line { held, removed: false }) => drop(self.held.insert(held)),
+            Err(_) => return false,
         }
+        true
     }
-}
 
-/// Waits until all these proxies were told to remove all these servers. Returns the pairs that are missing when the
-/// grace period ends.
-fn missing_removals(
-    received: &Receiver<Received>,
-    proxies: std::ops::Range<usize>,
-    servers: &[usize],
-) -> BTreeSet<Removal> {
-    let names: Vec<String> = servers.iter().map(|at| format!("s-{at:08x}")).collect();
-    let pairs = proxies.flat_map(|proxy| names.iter().map(move |name| (proxy, name.clone())));
-    let mut missing: BTreeSet<Removal> = pairs.collect();
-    let told = Instant::now();
-    while !missing.is_empty() {
-        match received.recv_timeout(GRACE_AND_SLACK.saturating_sub(told.elapsed())) {
-            Ok(Received::Removal(removal)) => drop(missing.remove(&removal)),
-            Ok(Received::Table { .. }) => {}
-            Err(_) => break,
-        }
+    /// Number of pairs of a proxy and one of these servers that it may pick.
+    fn count_held(&self, servers: &[usize]) -> usize {
+        let names: Vec<String> = servers.iter().map(|at| server_name(*at)).collect();
+        self.held.iter().filter(|held| names.contains(&held.1)).count()
     }
-    missing
+
+    /// Waits until no proxy holds these servers. Returns how many pairs are left when the grace period ends.
+    fn left_after_grace(&mut self, servers: &[usize]) -> usize {
+        let told = Instant::now();
+        while self.count_held(servers) > 0 && self.receive(GRACE_AND_SLACK.saturating_sub(told.elapsed())) {}
+        self.count_held(servers)
+    }
+}
+
+fn server_name(at: usize) -> String {
+    format!("s-{at:08x}")
+}
+
+fn rows(draining: &[usize]) -> Vec<String> {
+    let state = |at: usize| if draining.contains(&at) { "Terminating" } else { "Ready" };
+    (0..SERVERS).map(|at| row(&server_name(at), closed_address(), state(at))).collect()
 }
 
 #[test]
@@ -101,21 +116,36 @@
         let sender = sender.clone();
         std::thread::spawn(move || follow(peer, number, sender));
     }
-    wait_for_tables(&received, PROXIES - 1);
+    let mut fleet = Fleet { received, held: BTreeSet::new(), tables: BTreeSet::new() };
+    while fleet.count_held(&(0..SERVERS).collect::<Vec<usize>>()) < (PROXIES - 1) * SERVERS {
+        assert!(fleet.receive(MAX_WAIT), "each proxy gets its table");
+    }
+    // Some servers drain and come back all the time, so that a channel's worth of lines is sent. Once the silence has
+    // lasted longer than the channel takes to empty, the others drain, which all proxies hold.
     let start = Instant::now();
-    for step in 0.. {
-        if start.elapsed() > Duration::from_secs(6) {
-            break;
-        }
-        let draining: Vec<usize> = (0..BATCH).map(|at| (step * BATCH + at) % SERVERS).collect();
+    let mut step = 0;
+    while start.elapsed() < SILENCE {
+        let draining: Vec<usize> = (0..BATCH).map(|at| (step * BATCH + at) % RETURNING_SERVERS).collect();
         discovery.set_rows(&rows(&draining));
-        let missing = missing_removals(&received, 1..PROXIES, &draining);
         let elapsed = start.elapsed();
         assert_eq!(
-            missing.len(),
+            fleet.left_after_grace(&draining),
             0,
-            "removals not ordered {GRACE_AND_SLACK:?} after the drain, {elapsed:?} into the silence"
+            "proxies still hold a server {elapsed:?} into the silence"
         );
         std::thread::sleep(CHANGE_INTERVAL);
+        step += 1;
+    }
+    for first in (RETURNING_SERVERS..SERVERS).step_by(BATCH) {
+        let draining: Vec<usize> = (RETURNING_SERVERS..first + BATCH).collect();
+        let last: Vec<usize> = (first..first + BATCH).collect();
+        assert_eq!(fleet.count_held(&last), (PROXIES - 1) * BATCH, "all proxies hold what drains next");
+        discovery.set_rows(&rows(&draining));
+        let elapsed = start.elapsed();
+        assert_eq!(
+            fleet.left_after_grace(&last),
+            0,
+            "proxies still hold a server {elapsed:?} into the silence"
+        );
     }
 }
