--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd)
 [ -x "$root/target/release/pewtergap" ] && [ -x ../bin/standin ] || { echo "not built"; exit 2; }
-../bin/standin zone "$root" "$PWD/record.txt" &
+../bin/standin cut "$root" "$PWD/record.txt" &
 standin=$!
 # Whatever ends this script ends the stand-in and the planners that it started.
 trap 'kill -KILL -- -$standin 2>/dev/null' EXIT
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -214,6 +214,7 @@
         "zone" => zone(case),
         "messages" => messages(case),
         "answers" => answers(case),
+        "cut" => cut(case),
         "search" => search::run(case),
         _ => Err(format!("no case {name}")),
     }
@@ -314,6 +315,61 @@
     Ok(())
 }
 
+/// The planner's zone is cut off from the others for 6.5 s in a rolling deploy, with all proxies at this planner.
+fn cut(case: &mut Case) -> Result<(), String> {
+    let (count, proxies) = (number("SERVERS", 30.0) as usize, number("PROXIES", 150.0) as usize);
+    for _ in 0..number("SEED", 1.0) as usize * 7 {
+        case.engine.chance();
+    }
+    let servers = case.servers(count);
+    case.engine.start_planner(0, 0)?;
+    for at in 0..proxies {
+        let standing = case.standing(at % 3, 5);
+        // A few carry far more than the rest; 270 calls a second in all.
+        let rate = 270.0 / proxies as f64 * (0.2 + 3.2 * case.engine.chance().powi(3));
+        case.engine.add_proxy(at % 3, rate, 0, &standing);
+    }
+    let start = case.engine.now();
+    // The whole fleet is replaced within 24 s, 18% at a time.
+    let batch = (count as f64 * 0.18) as usize;
+    let batches = count.div_ceil(batch) as f64;
+    let mut events: Vec<(f64, usize, &str)> = Vec::new();
+    for k in 0..count {
+        let at = 12.0 + 24.0 * (k / batch) as f64 / batches + case.engine.chance();
+        events.extend([
+            (at, k, "drain"),
+            (at + 0.5 + 1.6 * case.engine.chance(), k, "next"),
+            (at + 4.0, k, "gone"),
+        ]);
+    }
+    let begin = number("WHEN", 18.0);
+    if case.trouble {
+        events.extend([(begin, 0, "cut"), (begin + number("CUT", 6.5), 0, "heal")]);
+    }
+    events.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for (at, k, what) in events {
+        case.engine.run_until(start + at);
+        match what {
+            "drain" => case.world.set_state(&[servers[k]], "Terminating"),
+            "gone" => case.world.set_state(&[servers[k]], "Gone"),
+            "cut" => case.engine.cut_zone(0, number("CUT", 6.5), 0),
+            "heal" => case.engine.heal(),
+            _ => {
+                let next =
+                    case.world.boot(&format!("s-{:08x}", 0x1000 + k), case.engine.day.zones[k % 3], true);
+                case.world.set_state(&[next], "Ready");
+            }
+        }
+    }
+    case.engine.run_until(start + 46.0);
+    Ok(())
+}
+
+/// A figure from the environment, for trying others than the case's own.
+fn number(name: &str, or: f64) -> f64 {
+    std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(or)
+}
+
 /// The run command of the deploy file.
 fn run_command(root: &str) -> Result<String, String> {
     let text = std::fs::read_to_string(format!("{root}/deploy/balancer.toml")).map_err(|e| e.to_string())?;
@@ -342,6 +398,12 @@
             (kigali(9, [false, false, std::env::var("OWN_ZONE").map_or(true, |value| value != "0")]), 2)
         }
         "messages" => (regina(6, 9), 1),
+        "cut" => {
+            let proxies = number("PROXIES", 150.0) as usize;
+            let lines_per_s = number("LINES", 2000.0);
+            let pending = number("PENDING", 2.0 * lines_per_s);
+            (Figures { late: number("LATE", 0.32), lines_per_s, pending, ..kigali(proxies, [false; 3]) }, 1)
+        }
         "search" => search::figures(),
         _ => (kigali(9, [false; 3]), 2),
     };
