planner: log when proxies wait for their tables, with what the account counts

Nothing in the log told which part of the account held the tables back: lines in the channel, lines not acknowledged, or lines for proxies that have left. Change: once a review, while proxies wait for a table, a log line with their number, the lines counted as queued, the limit, and how many of these lines are for departed proxies.

--- a/crates/planner/src/channel.rs
+++ b/crates/planner/src/channel.rs
@@ -30,6 +30,8 @@
     pub expected: f64,
     /// As if every message that is not acknowledged still waited. For what can wait itself.
     pub upper_bound: f64,
+    /// Lines among both for proxies that have left.
+    pub abandoned: f64,
 }
 
 /// Fraction of its configured pace that a slow channel keeps. A channel that still holds overtaken messages
@@ -72,7 +74,7 @@
             outstanding.retain(|sent_at, _| *sent_at > front);
         }
         let expected = abandoned + self.queued_since_oldest(now, drain_time, abandoned, &outstanding);
-        QueuedLines { expected, upper_bound: upper_bound.max(expected) }
+        QueuedLines { expected, upper_bound: upper_bound.max(expected), abandoned }
     }
 
     /// Lines of outstanding messages, or of all that was sent since the oldest of them if it is overdue; without
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -984,6 +984,14 @@
         }
         let binds =
             binds.unwrap_or_else(|| self.pending_binds(now, limits[3], &mut queued, &mut message_cost));
+        let unbound = self.state.proxies.iter().filter(|proxy| proxy.joined && proxy.bound_at.is_none());
+        let waiting = unbound.count() - binds.len();
+        if waiting > 0 && self.state.reviewed_at == now {
+            let lines = format!("{queued:.0} lines of {:.0} queued", limits[3]);
+            let abandoned = estimate.abandoned;
+            let text = format!("tables wait: {waiting} proxies, {lines}, {abandoned:.0} for departed proxies");
+            actions.push(Action::Log { text });
+        }
         for (proxy, table) in binds {
             let record = &mut self.state.proxies[proxy];
             (record.bound_at, record.current_table) = (Some(now), Some(table));
