planner: lines for departed proxies leave the account as the channel carries them

Cause: a message to a proxy that leaves counted as queued for twice the time of a full channel from the moment of leaving on, however long before it had been sent. Class: the account restarts a clock at an event that tells nothing of the channel. Two more places of it: the throughput took the silence of a cut-off proxy for a slow channel, so that this could not serve as the measure; and lines of abandoned messages came back into "all that was sent since the oldest" once their time was over. Change: each turn notes the lines in the channel at its sending. A message to a departed proxy counts for twice the time that the channel needs for these at the throughput seen, never longer than before. The throughput that says so leaves out messages to proxies of which nothing was heard a round trip later; what can wait still goes by the lower figure. Tuples of the account are types now. Why it works: the time until a message has left depends on what was ahead of it, and a throughput seen at other proxies says how fast.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -51,9 +51,6 @@
 /// bindings may fill. Except for removals, the limit is also what can leave the channel within the grace
 /// period of a removal queued behind them.
 const QUEUE_FILL_LIMITS: [f64; 4] = [0.3, 0.6, 0.95, 0.85];
-/// Lines for a proxy that has left count as queued for this multiple of the time that a full channel takes
-/// to drain.
-const ABANDONED_DRAIN_TIMES: f64 = 2.0;
 /// Limits on the number of lines in a table: the time in which the channel can send all tables again, the
 /// fraction of a server's connections that all proxies together may hold, and the calls on a line within
 /// the lifetime of an idle connection.
@@ -227,7 +224,12 @@
             Event::ProxyLeft { proxy } | Event::ProxyJoined { proxy, .. } => {
                 // Messages that a mass reconnect leaves in the channel have to count: without them the
                 // channel exceeded its limit.
-                self.state.abandon_messages(*proxy, now + self.drain_time().times(ABANDONED_DRAIN_TIMES));
+                let (drain_time, lines_per_s) = (self.drain_time(), self.channel.lines_per_s);
+                self.state.abandon_messages(now, *proxy, drain_time, lines_per_s);
+                self.state.apply_event(event);
+            }
+            Event::Arrivals { proxy, .. } => {
+                self.state.proxy(*proxy).last_heard = now;
                 self.state.apply_event(event);
             }
             _ => self.state.apply_event(event),
@@ -859,10 +861,11 @@
     fn send_changes(&mut self, now: Moment, actions: &mut Vec<Action>) {
         let round_trip = self.channel.max_transit.times(2.0);
         let throughput = self.state.measure_throughput(now, round_trip, self.channel.lines_per_s);
-        let limits = self.queue_limits(throughput);
+        let limits = self.queue_limits(throughput.lower_bound);
         self.state.pushed_at = now;
         // Acknowledgements tell what has arrived, so this limit holds however slow the channel has become.
-        let pace = ChannelPace { configured: self.channel.lines_per_s, measured: throughput, round_trip };
+        let pace =
+            ChannelPace { configured: self.channel.lines_per_s, measured: throughput.expected, round_trip };
         let estimate = self.state.queued_lines(now, self.drain_time(), pace);
         let mut queued = estimate.expected;
         // Lines that may be queued in addition. They count for whatever is not urgent.
@@ -977,8 +980,10 @@
             followers.iter().for_each(|p| message_cost[*p] += cost);
         }
         if delayed > 0.0 && self.state.reviewed_at == now {
-            let (beyond, wait) =
-                (format!("{delayed:.0} lines beyond {queued:.0}"), (queued + delayed) / throughput);
+            let (beyond, wait) = (
+                format!("{delayed:.0} lines beyond {queued:.0}"),
+                (queued + delayed) / throughput.lower_bound,
+            );
             let text = format!("removals wait: {beyond} in the channel, {wait:.1} s at its pace");
             actions.push(Action::Log { text });
         }
@@ -989,7 +994,8 @@
         if waiting > 0 && self.state.reviewed_at == now {
             let lines = format!("{queued:.0} lines of {:.0} queued", limits[3]);
             let abandoned = estimate.abandoned;
-            let text = format!("tables wait: {waiting} proxies, {lines}, {abandoned:.0} for departed proxies");
+            let text =
+                format!("tables wait: {waiting} proxies, {lines}, {abandoned:.0} for departed proxies");
             actions.push(Action::Log { text });
         }
         for (proxy, table) in binds {
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -1,6 +1,6 @@
 //! Inputs, outputs and state of the planner. The decisions are in `decide.rs`.
 
-use crate::channel::SentTurn;
+use crate::channel::{AbandonedMessage, DeliveredMessage, SentMessage, SentTurn, Throughput};
 use crate::histogram::Histogram;
 use crate::time::{Moment, Span};
 use std::collections::BTreeSet;
@@ -391,8 +391,10 @@
     pub bound_at: Option<Moment>,
     /// The table it uses until it receives another.
     pub current_table: Option<TableIndex>,
-    /// Messages not yet acknowledged: mark, lines, time sent.
-    pub unacknowledged: Vec<(u64, f64, Moment)>,
+    /// Messages not yet acknowledged, oldest first.
+    pub unacknowledged: Vec<SentMessage>,
+    /// When it last acknowledged a message or was named in a report.
+    pub last_heard: Moment,
     pub sent_at: Vec<Moment>,
 }
 
@@ -409,8 +411,9 @@
     }
 
     /// Removes and returns the message with this mark and all earlier ones.
-    pub fn take_acknowledged(&mut self, mark: u64) -> impl Iterator<Item = (u64, f64, Moment)> + '_ {
-        let acknowledged = self.unacknowledged.iter().position(|sent| sent.0 == mark).map_or(0, |at| at + 1);
+    pub fn take_acknowledged(&mut self, mark: u64) -> impl Iterator<Item = SentMessage> + '_ {
+        let acknowledged =
+            self.unacknowledged.iter().position(|sent| sent.mark == mark).map_or(0, |at| at + 1);
         self.unacknowledged.drain(..acknowledged)
     }
 }
@@ -480,15 +483,16 @@
     pub last_mark: u64,
     /// Recent turns that sent messages, back to the oldest unacknowledged message.
     pub sent: Vec<SentTurn>,
-    /// Recently delivered messages (when delivered, when sent, lines), and the latest send time up to which
-    /// messages have certainly left the channel.
-    pub delivered: Vec<(Moment, Moment, f64)>,
+    /// Recently delivered messages, and the latest send time up to which messages have certainly left the
+    /// channel.
+    pub delivered: Vec<DeliveredMessage>,
     pub delivered_front: Moment,
-    /// Last measured throughput of the channel, in lines per second.
-    pub throughput: Option<f64>,
-    /// Lines sent to proxies that have since left, and until when they count as queued. They will never be
-    /// acknowledged.
-    pub abandoned: Vec<(Moment, f64)>,
+    /// Last measured throughput of the channel.
+    pub throughput: Option<Throughput>,
+    /// Lines in the channel by the measured throughput alone, whatever is acknowledged.
+    pub backlog: f64,
+    /// Messages to proxies that have since left and that may still be queued.
+    pub abandoned: Vec<AbandonedMessage>,
     /// Operators' limits on the admitted fraction of each route, and whether they suspended table changes.
     pub route_caps: Vec<f64>,
     pub changes_held: bool,
@@ -532,7 +536,7 @@
         let lines = lines.chain(self.slices.iter().map(|slice| &slice.lines)).flatten().map(|line| line.0);
         let subset_servers = self.subsets.iter().flat_map(|subset| subset.servers.iter().copied());
         lines.chain(subset_servers).chain(self.to_probe.iter().copied()).for_each(|at| referenced[at] = true);
-        let oldest_sent = self.proxies.iter().flat_map(|p| &p.unacknowledged).map(|sent| sent.2).min();
+        let oldest_sent = self.proxies.iter().flat_map(|p| &p.unacknowledged).map(|sent| sent.sent_at).min();
         let mut unreferenced = Vec::new();
         for (at, server) in self.servers.iter_mut().enumerate() {
             if referenced[at] || server.state != ServerState::Absent || !server.in_use {
--- a/crates/platform/tests/harness/fleet.rs
+++ b/crates/platform/tests/harness/fleet.rs
@@ -107,10 +107,15 @@
     links: BTreeMap<Link, usize>,
     probes: BTreeMap<Link, usize>,
     queue: VecDeque<Queued>,
+    queued_lines: f64,
+    /// Most lines that waited in the channel at a time.
+    pub peak_queued_lines: f64,
     credit: f64,
     arriving: VecDeque<(Moment, Queued)>,
     acks: VecDeque<(Moment, usize, Link, u64)>,
     pub pace: f64,
+    /// Zones whose servers no probe of the planner reaches.
+    pub unreachable_zones: BTreeSet<usize>,
     started: Moment,
     pub late: Vec<LateWork>,
     late_seen: BTreeSet<(usize, String)>,
@@ -208,10 +213,13 @@
             links: BTreeMap::new(),
             probes: BTreeMap::new(),
             queue: VecDeque::new(),
+            queued_lines: 0.0,
+            peak_queued_lines: 0.0,
             credit: 0.0,
             arriving: VecDeque::new(),
             acks: VecDeque::new(),
             pace,
+            unreachable_zones: BTreeSet::new(),
             started: START,
             late: Vec::new(),
             late_seen: BTreeSet::new(),
@@ -313,6 +321,8 @@
                 message.lines += message.changes.len() as f64
                     + f64::from(u8::from(message.whole))
                     + f64::from(u8::from(message.mark.is_some()));
+                self.queued_lines += message.lines;
+                self.peak_queued_lines = self.peak_queued_lines.max(self.queued_lines);
                 self.queue.push_back(message);
                 message = Queued {
                     proxy,
@@ -402,6 +412,7 @@
         self.links.clear();
         self.probes.clear();
         self.queue.clear();
+        self.queued_lines = 0.0;
         self.arriving.clear();
         self.acks.clear();
         self.timers.clear();
@@ -458,7 +469,9 @@
 
     fn answer_probes(&mut self) {
         for (link, server) in std::mem::take(&mut self.probes) {
-            if self.servers[server].state == State::Gone {
+            if self.unreachable_zones.contains(&self.servers[server].zone) {
+                self.probes.insert(link, server);
+            } else if self.servers[server].state == State::Gone {
                 self.input(Input::Closed { link, why: Ended::Refused });
             } else {
                 self.input(Input::Opened { link });
@@ -477,6 +490,7 @@
             }
             self.credit -= message.lines;
             let Some(message) = self.queue.pop_front() else { break };
+            self.queued_lines -= message.lines;
             let transit = self.config.max_transit.times(0.2 + 0.6 * self.rng.f64());
             // Messages of one stream arrive in order.
             let proxy = message.proxy;
--- a/crates/platform/tests/harness/mod.rs
+++ b/crates/platform/tests/harness/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod fleet;
+pub mod seeds;
 
 use pewtergap_node::{Effect, Input, Link, Node, Outbox};
 use pewtergap_platform::{Config, Platform};
--- a/crates/platform/tests/soak.rs
+++ b/crates/platform/tests/soak.rs
@@ -7,6 +7,7 @@
 mod harness;
 
 use harness::fleet::*;
+use harness::seeds::{parse_seeds, seeds_from};
 use pewtergap_time::Span;
 use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -155,22 +156,9 @@
     (fleet.late, played)
 }
 
-/// The seeds to play, or why the range that was asked for cannot be.
-fn parse_seeds(text: &str) -> Result<Range<u64>, String> {
-    let range = text.split_once("..").and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?));
-    range
-        .filter(|range| !range.is_empty())
-        .ok_or(format!("SOAK_SEEDS: '{text}' is no range of seeds such as 1..50"))
-}
-
-fn seeds() -> Range<u64> {
-    let asked = std::env::var("SOAK_SEEDS").map(|text| parse_seeds(&text));
-    asked.unwrap_or(Ok(DEFAULT_SEEDS)).unwrap_or_else(|why| panic!("{why}"))
-}
-
 #[test]
 fn no_proxy_holds_a_drained_server_beyond_the_grace_whatever_its_streams_do() {
-    let seeds = seeds();
+    let seeds = seeds_from("SOAK_SEEDS", DEFAULT_SEEDS);
     let next = AtomicU64::new(seeds.start);
     std::thread::scope(|scope| {
         let worker = || loop {
@@ -189,8 +177,11 @@
 
 #[test]
 fn a_range_of_seeds_that_cannot_be_played_is_refused() {
-    assert_eq!(parse_seeds("3..5"), Ok(3..5));
+    assert_eq!(parse_seeds("SOAK_SEEDS", "3..5"), Ok(3..5));
     for text in ["", "5", "5..3", "1..many", "-1..4"] {
-        assert!(parse_seeds(text).is_err_and(|why| why.contains("no range of seeds")), "{text}");
+        assert!(
+            parse_seeds("SOAK_SEEDS", text).is_err_and(|why| why.contains("no range of seeds")),
+            "{text}"
+        );
     }
 }
