planner: cold servers' lines go along with removals within their own limit

Cause: while more than the ordinary part of the channel is filled, removals go alone but for lines of cold servers that the plan drops. These took the removals' limit (0.95 of the channel) in place of their own (0.6 of what leaves within the grace). Change: beyond their own limit such lines wait, unless the removals take more than a quarter of the table's weight, which would raise the share of the cold servers that stay, or leave no warm one.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -33,6 +33,8 @@
 /// Lines below this fraction of the average share may be trimmed.
 const THIN_LINE_SHARE: f64 = 0.1;
 const TRIM_CANDIDATES: usize = 4;
+/// Fraction of a table's weight up to which removals leave cold servers that the plan drops in the table.
+const MAX_REMOVED_WEIGHT_SHARE: f64 = 0.25;
 /// Additions sent with removals that would otherwise leave only cold servers in a table.
 const MAX_LINES_WITH_REMOVALS: usize = 12;
 /// Share of its weight that a cold server gets in each quarter of the longest warm-up. `limit_cold_servers`
@@ -873,10 +875,7 @@
         let mut message_cost = vec![0.0; self.state.proxies.len()];
         let overhead = self.channel.message_overhead + 1.0;
         let mut followers = self.state.followers();
-        let is_leaving = |at: ServerIndex| {
-            matches!(self.state.servers[at].state, ServerState::Absent | Draining | Ejected)
-        };
-        let leaving: Vec<bool> = (0..self.state.servers.len()).map(is_leaving).collect();
+        let leaving: Vec<bool> = (0..self.state.servers.len()).map(|at| self.is_leaving(at)).collect();
         let is_removal = |line: &WeightedServer| line.1 <= 0.0 && leaving[line.0];
         let pending_changes = |table: TableIndex| {
             let current = &self.state.tables[table];
@@ -940,14 +939,22 @@
             if priority == 2 && limited {
                 // Removals are sent alone, because they have waited for seconds behind lines of cold
                 // servers. If they would leave only cold servers, a few additions are sent with them:
-                // otherwise a single cold server got all calls and was overloaded.
+                // otherwise a single cold server got all calls and was overloaded. Cold servers that the
+                // plan drops are sent along within their own limit, and beyond it where the removals would
+                // raise their shares: after a partition they filled the channel, and proxies that had
+                // joined again waited for their tables.
                 let additions = changes.iter().filter(|change| change.1 > 0.0).take(if keeps_warm {
                     0
                 } else {
                     MAX_LINES_WITH_REMOVALS
                 });
                 let sent_along: BTreeSet<ServerIndex> = additions.map(|change| change.0).collect();
-                let allowed = |line: &WeightedServer| is_removal(line) || line.1 <= 0.0 && !is_warm(line);
+                let raises_cold_share = self.removed_weight_share(table, &changes) > MAX_REMOVED_WEIGHT_SHARE;
+                let within_cold_limit = queued + doubtful <= limits[1];
+                let drops_sent_along = within_cold_limit || raises_cold_share || !keeps_warm;
+                let is_cold_drop = |line: &WeightedServer| line.1 <= 0.0 && !is_warm(line);
+                let allowed =
+                    |line: &WeightedServer| is_removal(line) || drops_sent_along && is_cold_drop(line);
                 changes.retain(|change| allowed(change) || sent_along.contains(&change.0));
             }
             if priority < 2 && on_hold {
@@ -1006,6 +1013,19 @@
         actions.extend(self.state.record_messages(now, &message_cost, self.channel.message_window));
     }
 
+    /// Fraction of a table's weight on lines of leaving servers that the changes remove.
+    fn removed_weight_share(&self, table: TableIndex, changes: &[WeightedServer]) -> f64 {
+        let current = &self.state.tables[table];
+        let total: f64 = current.lines.iter().map(|line| line.1).sum();
+        let leaving = changes.iter().filter(|change| change.1 <= 0.0 && self.is_leaving(change.0));
+        leaving.map(|change| current.weight(change.0)).sum::<f64>() / total.max(1e-9)
+    }
+
+    /// Whether a server drains, is gone or has been ejected.
+    fn is_leaving(&self, at: ServerIndex) -> bool {
+        matches!(self.state.servers[at].state, ServerState::Absent | Draining | Ejected)
+    }
+
     /// Proxies to give a table, those that joined first at the front. After a partition, proxies still hold
     /// servers that drained in the meantime, and they have waited behind lines of cold servers. In a filled
     /// channel their room is reserved first.
--- a/crates/platform/tests/partition.rs
+++ b/crates/platform/tests/partition.rs
@@ -156,20 +156,36 @@
     fleet
 }
 
+/// Plays each deployment with each kind of cut.
+fn assert_no_late_work(seed: u64) {
+    for deployment in &DEPLOYMENTS {
+        for crossing in [Crossing::OneZone, Crossing::OtherZones, Crossing::All] {
+            let fleet = play(deployment, crossing, seed);
+            let (late, peak) = (&fleet.late, fleet.peak_queued_lines);
+            let case = format!("seed {seed}, {}, {crossing:?}: {} late", deployment.name, late.len());
+            println!("{case}, at most {peak} lines queued");
+            assert_eq!(late.first(), None, "{case}");
+            assert!(peak <= fleet.config.max_queued_lines, "{case}, {peak} lines queued");
+        }
+    }
+}
+
 #[test]
 fn proxies_that_join_again_after_a_cut_hold_no_drained_server_beyond_the_grace() {
     // Guards against lines for departed proxies that count as queued long after they have left the channel: tables
     // for the proxies that joined again waited for seconds beside an empty channel.
-    for seed in seeds_from("PARTITION_SEEDS", DEFAULT_SEEDS) {
-        for deployment in &DEPLOYMENTS {
-            for crossing in [Crossing::OneZone, Crossing::OtherZones, Crossing::All] {
-                let fleet = play(deployment, crossing, seed);
-                let (late, peak) = (&fleet.late, fleet.peak_queued_lines);
-                let case = format!("seed {seed}, {}, {crossing:?}: {} late", deployment.name, late.len());
-                println!("{case}, at most {peak} lines queued");
-                assert_eq!(late.first(), None, "{case}");
-                assert!(peak <= fleet.config.max_queued_lines, "{case}, {peak} lines queued");
-            }
-        }
-    }
+    seeds_from("PARTITION_SEEDS", DEFAULT_SEEDS).for_each(assert_no_late_work);
+}
+
+#[test]
+fn tables_after_a_cut_do_not_wait_behind_lines_of_cold_servers() {
+    // Guards against cold servers' lines that go along with removals while the channel is filled beyond what such lines
+    // may use: they took the room of tables for proxies that joined again.
+    [12, 46].into_iter().for_each(assert_no_late_work);
+}
+
+#[test]
+fn tables_after_a_cut_are_in_time_beside_the_drains_that_follow() {
+    // Guards against tables that wait behind the removals of a batch of servers that drain one by one.
+    [10, 44, 57].into_iter().for_each(assert_no_late_work);
 }
