platform: an acknowledgement of a mark that was never sent may be a spoilt one

Cause: such an answer is well formed, so that it did not count as a possible acknowledgement, and the table was not sent again. After two open marks and 5.6 s without a byte the proxy counted as silent, and nothing is written to a silent stream. Change: a refused acknowledgement counts like a message that cannot be read. Tables are sent again before silent streams are looked for. Marks that are given up are remembered, 256 a stream, so that a late acknowledgement of one is not taken for a spoilt one and sends nothing again. Related paths: one spoilt answer alone and answers that cannot be read were made good before; a silent stream that says anything is told its table whole as before; a slow channel's late answers name marks that were sent.

--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -3,7 +3,7 @@
 use crate::config::{Config, Limits};
 use crate::discovery::Discovery;
 use crate::peers::{kind, transition, Effect as MessageEffect, Kind, Peer, PeerRole, Peers, Stream};
-use crate::peers::{JOINED, MAX_MARKS, UNIDENTIFIED};
+use crate::peers::{UnknownMark, JOINED, UNIDENTIFIED};
 use crate::server_list::{Answer, ListUpdate, ServerList, Target};
 use crate::start_times::StartTimes;
 use crate::tables::Tables;
@@ -402,10 +402,7 @@
         for message in messages {
             let Some(stream) = self.peers.streams.get_mut(&message.proxy) else { continue };
             if let Some(mark) = mark {
-                if stream.marks.len() == MAX_MARKS {
-                    stream.marks.pop_front();
-                }
-                stream.marks.push_back((mark, now));
+                stream.expect_mark(mark, now);
             }
             out.send(stream.link, message.bytes.to_vec());
         }
@@ -470,8 +467,8 @@
         for link in overdue {
             self.reject(now, link, "no joining in time", out);
         }
-        self.drop_unresponsive(now, out);
         self.resend_unacknowledged(now, out);
+        self.drop_unresponsive(now, out);
         // An answer in pieces may have extended the deadline.
         if now >= self.discovery.deadline() {
             self.check_discovery(now, out);
--- a/crates/platform/src/node/streams.rs
+++ b/crates/platform/src/node/streams.rs
@@ -128,7 +128,7 @@
         for proxy in unresponsive {
             if let Some(stream) = self.peers.streams.get_mut(&proxy) {
                 stream.silent = true;
-                stream.marks.clear();
+                stream.dismiss_marks();
             }
             self.tables.unbind(proxy);
             self.tally.leaves += 1;
@@ -137,9 +137,11 @@
         }
     }
 
-    /// Sends the whole table again to proxies whose acknowledgement may have been lost. An invalid message may have been
-    /// the acknowledgement of a mark, which would count as waiting until the next acknowledgement on the stream, and it
-    /// is unknown whether the proxy has what it was sent.
+    /// Sends the whole table again to proxies whose acknowledgement may have been lost. A message that cannot be read, or
+    /// that acknowledges a mark that was never sent, may have been the acknowledgement of another, which would count as
+    /// waiting until the next acknowledgement on the stream, and it is unknown whether the proxy has what it was sent.
+    /// This comes before unresponsive streams are dropped: a proxy with nothing else to send would count as silent, and
+    /// nothing would be sent to it any more.
     pub(super) fn resend_unacknowledged(&mut self, now: Moment, out: &mut Outbox) {
         let unresponsive_after = self.unresponsive_after;
         let affected = |stream: &Stream| !stream.silent && stream.may_have_lost_ack(now, unresponsive_after);
@@ -148,8 +150,8 @@
             affected.map(|(proxy, stream)| (*proxy, stream.zone, stream.calls_per_s)).collect();
         for (proxy, zone, calls_per_s) in affected {
             if let Some(stream) = self.peers.streams.get_mut(&proxy) {
-                stream.marks.clear();
-                stream.invalid_at = None;
+                stream.dismiss_marks();
+                stream.spoilt_at = None;
             }
             self.tables.unbind(proxy);
             self.log(
@@ -208,8 +210,9 @@
             };
             if let Some(why) = ignored {
                 let own = self.peers.streams.get_mut(proxy).filter(|stream| stream.link == link);
-                if let Some(stream) = own.filter(|_| message_kind == Kind::Invalid) {
-                    stream.invalid_at = Some(now);
+                let maybe_acknowledgement = matches!(message_kind, Kind::Invalid | Kind::Applied);
+                if let Some(stream) = own.filter(|_| maybe_acknowledgement) {
+                    stream.spoilt_at = Some(now);
                 }
                 *self.tally.omitted.entry(why).or_default() += 1;
             }
@@ -240,11 +243,12 @@
             Stream {
                 link,
                 marks: VecDeque::new(),
+                dismissed_marks: VecDeque::new(),
                 last_contact: now,
                 zone,
                 calls_per_s,
                 silent: false,
-                invalid_at: None,
+                spoilt_at: None,
             },
         );
         self.tally.joins += 1;
@@ -304,10 +308,12 @@
                     return Err("the proxy is another");
                 }
                 let stream = self.peers.streams.get_mut(&own).ok_or("the proxy has not joined")?;
-                let sent = stream.marks.iter().position(|sent| sent.0 == mark);
-                stream.marks.drain(..=sent.ok_or("the mark was not sent")?);
+                let waited_for = stream.acknowledge(mark).map_err(|UnknownMark| "the mark was not sent")?;
                 self.tally.applied += 1;
                 self.tally.worst_applied = self.tally.worst_applied.max(lag);
+                if !waited_for {
+                    return Ok(());
+                }
                 Event::Applied { proxy: own, mark }
             }
             Message::Ping | Message::Register { .. } | Message::Subscribe { .. } => {
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -99,17 +99,54 @@
     pub link: Link,
     /// Unacknowledged marks and when each was sent.
     pub marks: VecDeque<(u64, Moment)>,
+    /// Marks that are no longer waited for; a late acknowledgement of one of them is not spoilt.
+    pub dismissed_marks: VecDeque<u64>,
     pub last_contact: Moment,
     /// As given by the proxy when it joined.
     pub zone: usize,
     pub calls_per_s: f64,
     /// Nothing was received for so long that the planner core was told that the proxy left.
     pub silent: bool,
-    /// When the last invalid message was received.
-    pub invalid_at: Option<Moment>,
+    /// When the last message was received that may have been a spoilt acknowledgement.
+    pub spoilt_at: Option<Moment>,
 }
 
+/// Why an acknowledgement was not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownMark;
+
 impl Stream {
+    /// Waits for the acknowledgement of a mark; beyond the maximum number, not for the oldest any more.
+    pub fn expect_mark(&mut self, mark: u64, now: Moment) {
+        self.marks.push_back((mark, now));
+        self.dismiss_down_to(MAX_MARKS);
+    }
+
+    /// Stops waiting for all acknowledgements.
+    pub fn dismiss_marks(&mut self) {
+        self.dismiss_down_to(0);
+    }
+
+    /// Stops waiting for the oldest acknowledgements, so that this many remain.
+    fn dismiss_down_to(&mut self, remaining: usize) {
+        let dismissed = self.marks.len().saturating_sub(remaining);
+        self.dismissed_marks.extend(self.marks.drain(..dismissed).map(|sent| sent.0));
+        let excess = self.dismissed_marks.len().saturating_sub(MAX_MARKS);
+        self.dismissed_marks.drain(..excess);
+    }
+
+    /// Accepts the acknowledgement of a mark and of all earlier ones. Returns whether it was still waited for.
+    pub fn acknowledge(&mut self, mark: u64) -> Result<bool, UnknownMark> {
+        match self.marks.iter().position(|sent| sent.0 == mark) {
+            Some(at) => {
+                self.marks.drain(..=at);
+                Ok(true)
+            }
+            None if self.dismissed_marks.contains(&mark) => Ok(false),
+            None => Err(UnknownMark),
+        }
+    }
+
     /// Whether a healthy proxy would have sent something by now: marks are unacknowledged and nothing else was received.
     /// Two marks are required, since one acknowledgement may have been invalid, and an idle proxy must still be notified
     /// of drains.
@@ -118,11 +155,12 @@
         !self.silent && unanswered && now.since(self.last_contact) > unresponsive_after
     }
 
-    /// Whether a mark has long been unacknowledged and an invalid message was received since it was sent.
+    /// Whether a mark has long been unacknowledged and a message that may have been its acknowledgement, spoilt, was
+    /// received since it was sent.
     pub fn may_have_lost_ack(&self, now: Moment, unresponsive_after: Span) -> bool {
         self.marks.front().is_some_and(|(_, sent)| {
             now.since(*sent) > unresponsive_after
-                && self.invalid_at.is_some_and(|invalid_at| invalid_at >= *sent)
+                && self.spoilt_at.is_some_and(|spoilt_at| spoilt_at >= *sent)
         })
     }
 }
--- a/crates/platform/tests/node.rs
+++ b/crates/platform/tests/node.rs
@@ -281,6 +281,60 @@
     assert!(!harness.take_output().contains("CONFIG whole 1"), "the table is sent again only once");
 }
 
+#[test]
+fn acknowledgements_of_marks_that_were_never_sent_do_not_cut_a_proxy_off_from_drains() {
+    // Guards against two spoilt acknowledgements of a proxy that sends nothing else on its stream: it counted as silent,
+    // and no drain was sent to it any more.
+    let mut harness = Harness::new(&settings(10, 256));
+    let proxy = harness.join(1);
+    harness.advance(200);
+    let list = harness.latest_connection(85);
+    harness.input(Input::Opened { link: list });
+    let rows = [row("s-1", "a", "Ready"), row("s-2", "b", "Ready")].join(",");
+    harness.answer_list(list, &format!(r#"{{"rev":5,"all":true,"targets":[{rows}]}}"#));
+    harness.advance(300);
+    harness.send(proxy, "ACK sidecar 1 version 60001 lag_ms 1");
+    let drained = row("s-2", "b", "Terminating");
+    harness.answer_list(list, &format!(r#"{{"rev":6,"all":false,"targets":[{drained}]}}"#));
+    harness.advance(300);
+    assert!(harness.take_output().contains(&format!("{}: CONFIG lines s-2:0", proxy.0)), "the drain is sent");
+    harness.send(proxy, "ACK sidecar 1 version 60001 lag_ms 1");
+    harness.advance(9_000);
+    let seen = harness.take_output();
+    assert!(
+        seen.contains(&format!("{}: CONFIG whole 1 lines s-1:", proxy.0)),
+        "it gets its table again: {seen}"
+    );
+    let mark = seen.split("ticket ").last().and_then(|rest| rest.split_whitespace().next()).expect("a mark");
+    harness.send(proxy, &format!("ACK sidecar 1 version {mark} lag_ms 1"));
+    harness.advance(20_000);
+    let seen = harness.take_output();
+    assert!(!seen.contains("CONFIG whole 1"), "the table is sent again only once: {seen}");
+}
+
+#[test]
+fn a_late_acknowledgement_is_not_taken_for_a_spoilt_one() {
+    // Guards against whole tables sent again and again into a slow channel: once a table was sent again, the late
+    // acknowledgement of the first one named a mark that was no longer expected.
+    let mut harness = Harness::new(&settings(10, 256));
+    let proxy = harness.join(1);
+    harness.advance(200);
+    let list = harness.latest_connection(85);
+    harness.input(Input::Opened { link: list });
+    let rows = [row("s-1", "a", "Ready"), row("s-2", "b", "Ready")].join(",");
+    harness.answer_list(list, &format!(r#"{{"rev":5,"all":true,"targets":[{rows}]}}"#));
+    harness.advance(300);
+    let seen = harness.take_output();
+    let mark = seen.split("ticket ").last().and_then(|rest| rest.split_whitespace().next()).expect("a mark");
+    harness.send(proxy, "ACK sidecar 1 version x lag_ms 1");
+    harness.advance(7_000);
+    assert!(harness.take_output().contains("CONFIG whole 1"), "the table is sent again");
+    harness.send(proxy, &format!("ACK sidecar 1 version {mark} lag_ms 7000"));
+    harness.advance(7_000);
+    let seen = harness.take_output();
+    assert!(!seen.contains("CONFIG whole 1"), "the late acknowledgement starts nothing: {seen}");
+}
+
 #[test]
 fn a_reset_of_discovery_to_a_lower_version_is_accepted_late_and_undoes_no_drain() {
     let mut harness = Harness::new(&settings(10, 256));
