planner: messages on a standing stream count though acknowledgements were lost

Cause: when a table was sent again after a spoilt answer, the planner was told that the proxy left and joined, which empties the record of its messages, though its stream had stood all the time; rates and subset were lost too. Change: an event of its own, AcknowledgementsLost: the open messages leave the account as for a departed proxy, the table is bound again, and the messages on the stream go on counting.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -223,7 +223,9 @@
                 }
             }
             Event::Applied { proxy, mark } => self.state.acknowledge(now, *proxy, *mark),
-            Event::ProxyLeft { proxy } | Event::ProxyJoined { proxy, .. } => {
+            Event::ProxyLeft { proxy }
+            | Event::ProxyJoined { proxy, .. }
+            | Event::AcknowledgementsLost { proxy } => {
                 // Messages that a mass reconnect leaves in the channel have to count: without them the
                 // channel exceeded its limit.
                 let (drain_time, lines_per_s) = (self.drain_time(), self.channel.lines_per_s);
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -183,6 +183,10 @@
     ProxyLeft {
         proxy: ProxyIndex,
     },
+    /// Acknowledgements of a joined proxy were lost: it is unknown whether it holds what it was sent.
+    AcknowledgementsLost {
+        proxy: ProxyIndex,
+    },
     ServerStats {
         server: ServerIndex,
         zone: ZoneIndex,
@@ -625,6 +629,7 @@
         match event {
             Event::ProxyJoined { proxy, zone, calls_per_s } => self.join(*proxy, *zone, *calls_per_s),
             Event::ProxyLeft { proxy } => *self.proxy(*proxy) = Proxy::default(),
+            Event::AcknowledgementsLost { proxy } => self.unbind(*proxy),
             Event::Arrivals { proxy, route, calls, period, .. } => {
                 self.record_arrivals(*proxy, *route, *calls, *period)
             }
@@ -652,6 +657,13 @@
         self.plan_due = true;
     }
 
+    /// The proxy then waits to be given its table again. Its stream has stood, so that the messages on it still
+    /// count against their limit: counted from 0, a 13th message followed within a window that allows 12.
+    pub fn unbind(&mut self, proxy: ProxyIndex) {
+        let record = self.proxy(proxy);
+        (record.bound_at, record.current_table) = (None, None);
+    }
+
     /// Changes the limit of a route. The levels of all tables have to be sent again.
     pub fn set_route_cap(&mut self, route: usize, level: f64) {
         self.route_caps.resize(self.route_caps.len().max(route + 1), 1.0);
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -191,6 +191,26 @@
     insta::assert_snapshot!(harness.trace);
 }
 
+#[test]
+fn a_table_that_is_sent_again_counts_against_the_messages_of_its_stream() {
+    // Guards against a count of messages from 0 once acknowledgements were lost: the 13th message to a proxy went out
+    // within a window that allows 12.
+    let mut harness = Harness::new(Setup { zones: 1, proxies: 1, max_messages: 4, ..setup() });
+    harness.at(0, &[stored_list(&[0; 10]), joined(0, 0, 10.0)]);
+    for server in 0..6 {
+        let at = 1_000 + 900 * server as u64;
+        harness.at(at, &[list_change(entry(server, 0, ListedState::Stopping, 1.0, None))]);
+        if server == 2 {
+            harness.at(at + 100, &[Event::AcknowledgementsLost { proxy: 0 }]);
+        }
+    }
+    harness.advance(7_000, 9_500);
+    let messages = harness.trace.matches("Mark").count();
+    assert!(messages <= 4, "{messages} messages within 10 s: {}", harness.trace);
+    harness.advance(10_000, 14_000);
+    assert_eq!(harness.trace.matches("bind").count(), 2, "the table is sent again");
+}
+
 #[test]
 fn slices_move_only_when_their_server_leaves_and_exclusive_ones_pause_first() {
     let mut harness = Harness::new(Setup { slices: 2, exclusive: true, ..setup() });
--- a/crates/platform/src/node/streams.rs
+++ b/crates/platform/src/node/streams.rs
@@ -146,9 +146,8 @@
         let unresponsive_after = self.unresponsive_after;
         let affected = |stream: &Stream| !stream.silent && stream.may_have_lost_ack(now, unresponsive_after);
         let affected = self.peers.streams.iter().filter(|(_, stream)| affected(stream));
-        let affected: Vec<(usize, usize, f64)> =
-            affected.map(|(proxy, stream)| (*proxy, stream.zone, stream.calls_per_s)).collect();
-        for (proxy, zone, calls_per_s) in affected {
+        let affected: Vec<usize> = affected.map(|(proxy, _)| *proxy).collect();
+        for proxy in affected {
             if let Some(stream) = self.peers.streams.get_mut(&proxy) {
                 stream.dismiss_marks();
                 stream.spoilt_at = None;
@@ -161,8 +160,7 @@
                 vec![("proxy", self.proxies.name(proxy).to_string())],
                 out,
             );
-            self.event(now, Event::ProxyLeft { proxy }, out);
-            self.event(now, Event::ProxyJoined { proxy, zone, calls_per_s }, out);
+            self.event(now, Event::AcknowledgementsLost { proxy }, out);
         }
     }
 
