raft: a heartbeat no longer names an entry that the leader has compacted

What callers saw: a member that was silent for the election timeout, its disk stalled for example, could be refused as an old copy of its disk for good, though it held all that it had acknowledged.

If that index was compacted by then, the heartbeat named its entry with term 0. The member refused it with an index below the one it had acknowledged, which the leader reports as a regressed log.

Evidence: a trace of a drawn schedule (one voter, two observers) shows `prev: (0, 3)` at a base of 4.

Change: the leader goes back first, then chooses. The function is split by what it sends.

--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -3,7 +3,7 @@
 use crate::log::Snapshot;
 use crate::raft_node::RaftNode;
 use crate::{Action, Body, Id, Index, Member, Members, Payload, RaftError, Role, Term};
-use pewtergap_time::Moment;
+use pewtergap_time::{Moment, Span};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -41,6 +41,24 @@
     acked_round: u64,
 }
 
+impl Progress {
+    /// Whether messages are in flight and nothing was heard for the timeout: a broken connection may have
+    /// lost them.
+    fn is_unresponsive(&self, now: Moment, timeout: Span) -> bool {
+        self.in_flight > 0 && now.since(self.last_contact) >= timeout
+    }
+
+    /// Continues from the last acknowledged index, as if nothing were in flight. A snapshot goes on where it
+    /// stands.
+    fn restart_from_acknowledged(&mut self) {
+        if !matches!(self.mode, ReplicationMode::Snapshot(..)) {
+            self.mode = ReplicationMode::Probe;
+            self.in_flight = 0;
+            self.next_index = self.match_index + 1;
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct LeaderState {
     progress: BTreeMap<Id, Progress>,
@@ -130,76 +148,78 @@
     /// Sends a member what it lacks, up to the in-flight limit. With `heartbeat` it sends at least an empty
     /// message.
     fn replicate_to(&mut self, now: Moment, id: Id, heartbeat: bool) {
-        let (base, last, commit, round) =
-            (self.log.base(), self.log.last().1, self.commit_index, self.leader_state.round);
         let Some(member) = self.leader_state.progress.get_mut(&id) else { return };
-        if member.next_index <= base && !matches!(member.mode, ReplicationMode::Snapshot(..)) {
+        // Before the choice between entries and a snapshot: the last acknowledged index may be compacted.
+        if heartbeat && member.is_unresponsive(now, self.config.election_timeout) {
+            member.restart_from_acknowledged();
+        }
+        if member.next_index <= self.log.base() && !matches!(member.mode, ReplicationMode::Snapshot(..)) {
             let Some(snapshot) = &self.log.snapshot else { return };
             member.mode = ReplicationMode::Snapshot(Arc::new(snapshot.clone()), 0);
             member.in_flight = 0;
         }
+        let messages = match member.mode {
+            ReplicationMode::Snapshot(..) => self.snapshot_messages(now, id, heartbeat),
+            ReplicationMode::Probe | ReplicationMode::Replicate => self.append_messages(now, id, heartbeat),
+        };
+        messages.into_iter().for_each(|payload| self.send_now(id, payload));
+    }
+
+    /// The next chunk for a member that receives a snapshot, unless one is in flight.
+    fn snapshot_messages(&mut self, now: Moment, id: Id, heartbeat: bool) -> Vec<Payload> {
+        let (base, round) = (self.log.base(), self.leader_state.round);
+        let Some(member) = self.leader_state.progress.get_mut(&id) else { return Vec::new() };
+        let ReplicationMode::Snapshot(snapshot, offset) = &member.mode else { return Vec::new() };
         let mut messages = Vec::new();
-        match &member.mode {
-            ReplicationMode::Snapshot(snapshot, offset) => {
-                // Sent again by heartbeats: the connection may have lost the chunk.
-                if member.in_flight == 0
-                    || heartbeat && now.since(member.last_sent) >= self.config.election_timeout
-                {
-                    let from = *offset as usize;
-                    let end = (from + CHUNK_BYTES).min(snapshot.data.len());
-                    let data = snapshot.data[from..end].to_vec();
-                    let (index, term, members) = (snapshot.index, snapshot.term, snapshot.members.clone());
-                    let chunk = Snapshot { index, term, members, data };
-                    messages.push(Payload::SnapshotChunk {
-                        snapshot: chunk,
-                        offset: *offset,
-                        total_bytes: snapshot.data.len() as u64,
-                    });
-                    member.in_flight = 1;
-                    member.last_sent = now;
-                }
-                if heartbeat {
-                    let prev = (self.log.term_at(base).unwrap_or(0), base);
-                    messages.push(Payload::AppendEntries { prev, entries: Vec::new(), commit: 0, round });
-                }
+        // Sent again by heartbeats: the connection may have lost the chunk.
+        let retry = heartbeat && now.since(member.last_sent) >= self.config.election_timeout;
+        if member.in_flight == 0 || retry {
+            let from = *offset as usize;
+            let end = (from + CHUNK_BYTES).min(snapshot.data.len());
+            let data = snapshot.data[from..end].to_vec();
+            let (index, term, members) = (snapshot.index, snapshot.term, snapshot.members.clone());
+            messages.push(Payload::SnapshotChunk {
+                snapshot: Snapshot { index, term, members, data },
+                offset: *offset,
+                total_bytes: snapshot.data.len() as u64,
+            });
+            member.in_flight = 1;
+            member.last_sent = now;
+        }
+        if heartbeat {
+            let prev = (self.log.term_at(base).unwrap_or(0), base);
+            messages.push(Payload::AppendEntries { prev, entries: Vec::new(), commit: 0, round });
+        }
+        messages
+    }
+
+    /// The entries that a member lacks and the in-flight limit allows.
+    fn append_messages(&mut self, now: Moment, id: Id, heartbeat: bool) -> Vec<Payload> {
+        let (last, commit, round) = (self.log.last().1, self.commit_index, self.leader_state.round);
+        let Some(member) = self.leader_state.progress.get_mut(&id) else { return Vec::new() };
+        let streaming = matches!(member.mode, ReplicationMode::Replicate);
+        let window = if streaming { MAX_IN_FLIGHT } else { 1 };
+        let mut messages = Vec::new();
+        while member.next_index <= last && member.in_flight < window {
+            let prev = member.next_index - 1;
+            let Some(term) = self.log.term_at(prev) else { break };
+            let entries = self.log.entries_from(member.next_index, MAX_APPEND_BYTES);
+            if streaming {
+                member.next_index += entries.len() as Index;
             }
-            mode => {
-                let (window, streaming) = match mode {
-                    ReplicationMode::Replicate => (MAX_IN_FLIGHT, true),
-                    _ => (1, false),
-                };
-                // A broken connection loses its messages in flight: continue from the last acknowledged
-                // index.
-                if heartbeat
-                    && member.in_flight > 0
-                    && now.since(member.last_contact) >= self.config.election_timeout
-                {
-                    (member.in_flight, member.next_index) = (0, member.match_index + 1);
-                    member.mode = ReplicationMode::Probe;
-                }
-                let mut sent = false;
-                while member.next_index <= last && member.in_flight < window {
-                    let prev = member.next_index - 1;
-                    let Some(term) = self.log.term_at(prev) else { break };
-                    let entries = self.log.entries_from(member.next_index, MAX_APPEND_BYTES);
-                    if streaming {
-                        member.next_index += entries.len() as Index;
-                    }
-                    member.in_flight += 1;
-                    (sent, member.last_sent) = (true, now);
-                    messages.push(Payload::AppendEntries { prev: (term, prev), entries, commit, round });
-                    if !streaming {
-                        break;
-                    }
-                }
-                if heartbeat && !sent {
-                    let prev = member.next_index.min(last + 1) - 1;
-                    let prev = (self.log.term_at(prev).unwrap_or(0), prev);
-                    messages.push(Payload::AppendEntries { prev, entries: Vec::new(), commit, round });
-                }
+            member.in_flight += 1;
+            member.last_sent = now;
+            messages.push(Payload::AppendEntries { prev: (term, prev), entries, commit, round });
+            if !streaming {
+                break;
             }
         }
-        messages.into_iter().for_each(|payload| self.send_now(id, payload));
+        if heartbeat && messages.is_empty() {
+            let prev = member.next_index.min(last + 1) - 1;
+            let prev = (self.log.term_at(prev).unwrap_or(0), prev);
+            messages.push(Payload::AppendEntries { prev, entries: Vec::new(), commit, round });
+        }
+        messages
     }
 
     pub(crate) fn handle_append_response(
--- a/crates/raft/tests/cluster/mod.rs
+++ b/crates/raft/tests/cluster/mod.rs
@@ -233,6 +233,15 @@
         self.with_raft(link.1, |raft, now| raft.receive(now, link.0, message));
     }
 
+    /// Delivers what a link carries now, and syncs all that the receiver saved.
+    pub fn deliver_all(&mut self, link: (Id, Id)) {
+        let waiting = self.links.get(&link).map_or(0, VecDeque::len);
+        (0..waiting).for_each(|_| self.deliver(link));
+        while self.save_status(link.1).0 {
+            self.sync(link.1);
+        }
+    }
+
     /// Breaks a connection; its messages are lost.
     pub fn drop_link(&mut self, link: (Id, Id)) {
         self.links.remove(&link);
@@ -243,20 +252,25 @@
         self.with_raft(id, |raft, now| raft.tick(now));
     }
 
+    /// Syncs and delivers everything, also what follows from it, without advancing time.
+    pub fn settle(&mut self) {
+        loop {
+            let busy: Vec<Id> =
+                self.ids().into_iter().filter(|id| !self.nodes[id].pending_saves.is_empty()).collect();
+            busy.iter().for_each(|id| self.sync(*id));
+            let links = self.deliverable_links();
+            links.iter().for_each(|link| self.deliver(*link));
+            if busy.is_empty() && links.is_empty() {
+                return;
+            }
+        }
+    }
+
     /// Advances time; syncs and delivers everything as it comes.
     pub fn run(&mut self, ms: u64) {
         let end = self.now + Span::millis(ms);
         while self.now < end {
-            loop {
-                let busy: Vec<Id> =
-                    self.ids().into_iter().filter(|id| !self.nodes[id].pending_saves.is_empty()).collect();
-                busy.iter().for_each(|id| self.sync(*id));
-                let links = self.deliverable_links();
-                links.iter().for_each(|link| self.deliver(*link));
-                if busy.is_empty() && links.is_empty() {
-                    break;
-                }
-            }
+            self.settle();
             self.now = self.now + Span::millis(10);
             self.ids().into_iter().for_each(|id| self.tick(id));
         }
