--- a/crates/raft/src/raft_node.rs
+++ b/crates/raft/src/raft_node.rs
@@ -493,11 +493,12 @@
 
     fn handle_snapshot_chunk(&mut self, from: Id, chunk: Snapshot, offset: u64, total_bytes: u64) {
         let index = chunk.index;
-        if index <= self.commit_index {
-            return self.send_after_sync(
-                from,
-                Payload::AppendResponse { rejected: false, match_index: index, round: 0 },
-            );
+        // If the log holds all that the snapshot covers, restoring it would drop the entries that follow, which
+        // the leader may have counted as stored here.
+        if index <= self.commit_index || self.log.term_at(index) == Some(chunk.term) {
+            self.commit_index = self.commit_index.max(index);
+            let response = Payload::AppendResponse { rejected: false, match_index: index, round: 0 };
+            return self.send_after_sync(from, response);
         }
         if total_bytes > MAX_SNAPSHOT_BYTES {
             return;
--- a/crates/raft/tests/schedules.rs
+++ b/crates/raft/tests/schedules.rs
@@ -99,6 +99,7 @@
     ) {
         let cluster = run_schedule(members, &steps, InjectedFault::None);
         prop_assert_eq!(cluster.violation, None);
+        prop_assert_eq!(cluster.regressed, Vec::new(), "no disk is an old copy");
     }
 }
 
@@ -113,6 +114,7 @@
     ) {
         let cluster = run_schedule_on(TestCluster::with_observers(voters, observer_count, InjectedFault::None), &steps, InjectedFault::None);
         prop_assert_eq!(&cluster.violation, &None);
+        prop_assert_eq!(&cluster.regressed, &Vec::new(), "no disk is an old copy");
         // All faults are over: observers must have everything that is committed.
         let applied = |id| cluster.raft(id).map(|raft| raft.applied_index());
         let leader = cluster.leader().and_then(applied);
--- a/crates/raft/tests/silent_follower.rs
+++ b/crates/raft/tests/silent_follower.rs
@@ -11,6 +11,7 @@
     cluster: TestCluster,
     leader: Id,
     silent: Id,
+    other: Id,
 }
 
 impl SilentFollower {
@@ -20,11 +21,12 @@
         let mut cluster = TestCluster::new(3, InjectedFault::None);
         cluster.run(2_000);
         let leader = cluster.leader().expect("a leader");
-        let silent = cluster.ids().into_iter().find(|id| *id != leader).expect("a follower");
+        let mut followers = cluster.ids().into_iter().filter(|id| *id != leader);
+        let (silent, other) = (followers.next().expect("a follower"), followers.next().expect("a follower"));
         cluster.set_link_cut(leader, silent, true);
         cluster.run(400);
         assert_eq!(cluster.leader(), Some(leader), "one silent follower does not depose the leader");
-        SilentFollower { cluster, leader, silent }
+        SilentFollower { cluster, leader, silent, other }
     }
 
     fn propose(&mut self, command: &[u8]) -> Index {
@@ -59,3 +61,27 @@
     assert_eq!(run.cluster.regressed, Vec::<Id>::new());
     assert_eq!(run.cluster.raft(run.silent).expect("running").last().1, last);
 }
+
+/// Guards against a snapshot that arrives behind newer entries and drops them: the leader had counted them, so that a
+/// committed entry was lost with the leader.
+#[test]
+fn a_snapshot_behind_newer_entries_keeps_what_was_acknowledged() {
+    let mut run = SilentFollower::new();
+    // The silent follower is sent both entries before the first is committed, the other one only the first.
+    run.propose(b"a");
+    run.cluster.deliver((run.leader, run.other));
+    run.cluster.set_link_cut(run.leader, run.other, true);
+    let newest = run.propose(b"b");
+    run.cluster.settle();
+    run.compact_leader();
+    run.send_heartbeats();
+    run.cluster.deliver_all((run.leader, run.silent));
+    run.cluster.deliver_all((run.silent, run.leader));
+    assert_eq!(run.cluster.raft(run.leader).expect("running").commit_index(), newest, "two of three have it");
+    run.cluster.crash(run.leader, 0);
+    run.cluster.heal();
+    run.cluster.run(3_000);
+    assert_eq!(run.cluster.regressed, Vec::<Id>::new());
+    run.cluster.check_final_state();
+    assert_eq!(run.cluster.violation, None);
+}
