planner: a zone without servers takes others' although a class is zone-bound

Cause: `zone_targets` gave each zone its own servers alone once any class is zone-bound. The target of a zone without servers was empty, and an empty target changes no table.

Change: a zone without usable servers takes other zones'. One whose servers are listed as running but believed dead keeps them, zone by zone, since its own class may go nowhere else.

`a_lost_zone_with_a_zone_bound_route_gets_servers_of_other_zones` fails before: no line is written.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -506,19 +506,31 @@
         sum / all
     }
 
+    /// Usable weights. Rule 1: where none is left, servers that are believed dead or not yet confirmed, but
+    /// listed as running, are better than an empty table. With zone-bound calls each zone needs its own.
+    fn weights_or_believed_dead(&self, now: Moment, zone_bound: bool) -> Vec<f64> {
+        let usable = self.usable_weights(now);
+        let same_scope = |a: &Server, b: &Server| !zone_bound || a.zone == b.zone;
+        let servers = &self.state.servers;
+        let has_usable = |server: &Server| {
+            servers.iter().zip(&usable).any(|(other, weight)| same_scope(server, other) && *weight > 0.0)
+        };
+        let weight = |at: ServerIndex| {
+            let server = &servers[at];
+            match matches!(server.state, Ejected | Unverified) && !has_usable(server) {
+                true => server.weight * WARMUP_SHARES[self.warmup_step(now, at)],
+                false => usable[at],
+            }
+        };
+        (0..servers.len()).map(weight).collect()
+    }
+
     /// Target of each zone's proxies and their demand. Calls stay in their own zone, and what it cannot
     /// carry goes to others. A single target for all zones if cross-zone calls are cheap.
     fn zone_targets(&mut self, now: Moment) -> Vec<(Vec<WeightedServer>, f64)> {
         let zones = self.fleet.zones.max(1);
-        let mut weights = self.usable_weights(now);
-        if weights.iter().all(|weight| *weight <= 0.0) {
-            // Rule 1: servers that are believed dead or not yet confirmed, but listed as running, are
-            // better than an empty table.
-            let listed = |s: &Server| matches!(s.state, Ejected | Unverified);
-            for (at, server) in self.state.servers.iter().enumerate().filter(|(_, s)| listed(s)) {
-                weights[at] = server.weight * WARMUP_SHARES[self.warmup_step(now, at)];
-            }
-        }
+        let zone_bound = self.routes.iter().any(|route| route.zone_bound);
+        let weights = self.weights_or_believed_dead(now, zone_bound);
         let mut zone_weight = vec![0.0; zones];
         self.state
             .servers
@@ -553,8 +565,7 @@
         let density = headroom * total_demand / total_weight;
         let spare_at = |z: ZoneIndex| (density * zone_weight[z] - zone_demand[z]).max(0.0);
         let spare: Vec<f64> = (0..zones).map(spare_at).collect();
-        let (known_fraction, zone_bound) =
-            (known_demand / total_demand, self.routes.iter().any(|route| route.zone_bound));
+        let known_fraction = known_demand / total_demand;
         let cost_factor = ((self.fleet.cross_zone_cost - CROSS_ZONE_COSTS.0)
             / (CROSS_ZONE_COSTS.1 - CROSS_ZONE_COSTS.0))
             .clamp(0.0, 1.0);
@@ -569,14 +580,21 @@
         let target = |zone: ZoneIndex| {
             let others_spare: f64 = (0..zones).filter(|z| *z != zone).map(|z| spare[z]).sum();
             let fitting = (density * zone_weight[zone] / zone_demand[zone].max(1e-9)).min(1.0);
-            let own_fraction =
-                if zone_bound || others_spare <= 0.0 { local_fraction } else { local_fraction * fitting };
-            let own_part = own_fraction / zone_weight[zone].max(1e-9);
-            let spill = |z: ZoneIndex| {
-                (local_fraction - own_fraction) * spare[z] / others_spare.max(1e-9) / zone_weight[z].max(1e-9)
+            let own_fraction = match zone_bound || others_spare <= 0.0 {
+                // Not even zone-bound calls can stay where no server is left. The zone's table takes other
+                // zones' servers instead: it serves the other routes, and an empty one would keep the gone.
+                _ if zone_weight[zone] <= 0.0 => 0.0,
+                true => local_fraction,
+                false => local_fraction * fitting,
+            };
+            let own_density = own_fraction / zone_weight[zone].max(1e-9);
+            let spilled = local_fraction - own_fraction;
+            let spill_density = |z: ZoneIndex| match others_spare > 0.0 {
+                true => spilled * spare[z] / others_spare.max(1e-9) / zone_weight[z].max(1e-9),
+                false => spilled / total_weight,
             };
             let density_in = |z: ZoneIndex| {
-                (1.0 - local_fraction) / total_weight + if z == zone { own_part } else { spill(z) }
+                (1.0 - local_fraction) / total_weight + if z == zone { own_density } else { spill_density(z) }
             };
             let lines = shares(&density_in).into_iter().filter(|line| line.1 > 0.0).collect();
             (lines, zone_demand[zone])
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -29,6 +29,8 @@
     pub removal_is_binding: bool,
     pub slices: usize,
     pub exclusive: bool,
+    /// Whether calls of the first route stay in their zone.
+    pub first_route_zone_bound: bool,
     pub routes: Vec<(f64, RetrySafety)>,
 }
 
@@ -48,6 +50,7 @@
         removal_is_binding: true,
         slices: 0,
         exclusive: false,
+        first_route_zone_bound: false,
         routes,
     }
 }
@@ -60,12 +63,12 @@
 
 impl Harness {
     pub fn new(setup: Setup) -> Harness {
-        let route = |(importance, retry_safety): &(f64, RetrySafety)| Route {
+        let route = |(at, (importance, retry_safety)): (usize, &(f64, RetrySafety))| Route {
             importance: *importance,
             slo_time: ms(1000),
             time_limit: ms(3000),
             retry_safety: *retry_safety,
-            zone_bound: false,
+            zone_bound: at == 0 && setup.first_route_zone_bound,
             writes: *retry_safety == RetrySafety::Mutating,
         };
         let planner = Planner::new(
@@ -81,7 +84,7 @@
                 min_server_connections: setup.min_server_connections,
                 keep_alive: ms(15_000),
             },
-            setup.routes.iter().map(route).collect(),
+            setup.routes.iter().enumerate().map(route).collect(),
             ChannelLimits {
                 message_overhead: 3.0,
                 max_queued_lines: setup.max_queued_lines,
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -907,3 +907,17 @@
     let trace = harness.trace.lines().filter(|line| !line.contains("Probe")).collect::<Vec<_>>().join("\n");
     insta::assert_snapshot!(trace);
 }
+
+fn gone(servers: std::ops::Range<usize>, zone_of: impl Fn(usize) -> usize) -> Event {
+    let entries = servers.map(|s| entry(s, zone_of(s), ListedState::Deleted, 1.0, None)).collect();
+    Event::List { kind: ListKind::Changes, entries }
+}
+
+#[test]
+fn a_lost_zone_with_a_zone_bound_route_gets_servers_of_other_zones() {
+    // Guards against tables that keep the gone servers of a zone without any: with a zone-bound route the
+    // zone's target was empty, and an empty target changes nothing.
+    let mut harness = two_zones(Setup { first_route_zone_bound: true, ..setup() });
+    harness.at(1000, &[gone(0..3, |_| 0)]);
+    insta::assert_snapshot!(harness.trace);
+}
