planner: the last servers leave the tables too when they drain or are gone

What callers saw: when the last servers of all zones were drained or deleted, every proxy went on sending to them.

Cause: without a usable server there is no target, and the plan ended before it looked at the tables. A table that nobody is assigned to any more, with proxies that still wait for another, had the same fault.

Change: without a target the servers that drain or are gone are taken out of the desired content, and a table without desired content writes the removals of these.

`tables_are_emptied_when_the_last_servers_are_gone` fails before: no line is written.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -795,7 +795,7 @@
         self.state.mean_demand = self.state.mean_rate(PRIOR_CALLS);
         let mut targets = self.zone_targets(now);
         if targets.is_empty() {
-            return;
+            return self.remove_delisted();
         }
         self.assign_subsets(now, &targets);
         self.limit_cold_servers(now, &mut targets);
@@ -837,6 +837,13 @@
         self.assign_tables(members);
     }
 
+    /// No server is left to send to: takes those that drain or are gone out of all tables, though this may
+    /// leave them empty.
+    fn remove_delisted(&mut self) {
+        let delisted: Vec<bool> = (0..self.state.servers.len()).map(|at| self.is_delisted(at)).collect();
+        self.state.desired.iter_mut().for_each(|desired| desired.retain(|line| !delisted[line.0]));
+    }
+
     /// Groups the subsets into tables if one has no table or the imbalance rose, and sets the desired
     /// contents of the tables.
     fn assign_tables(&mut self, mut members: Vec<GroupMember>) {
@@ -899,7 +906,7 @@
         let is_removal = |line: &WeightedServer| line.1 <= 0.0 && leaving[line.0];
         let pending_changes = |table: TableIndex| {
             let current = &self.state.tables[table];
-            let changes = deltas(&current.lines, &self.state.desired[table]);
+            let changes = self.table_changes(table);
             let cold = changes.iter().any(|change| self.warmup_step(now, change.0) == 0);
             let priority = if changes.iter().any(is_removal) { 2 } else { usize::from(cold) };
             let weight_moved: f64 =
@@ -1043,7 +1050,23 @@
 
     /// Whether a server drains, is gone or has been ejected.
     fn is_leaving(&self, at: ServerIndex) -> bool {
-        matches!(self.state.servers[at].state, ServerState::Absent | Draining | Ejected)
+        self.is_delisted(at) || self.state.servers[at].state == Ejected
+    }
+
+    /// Whether the list has a server as draining or gone.
+    fn is_delisted(&self, at: ServerIndex) -> bool {
+        matches!(self.state.servers[at].state, ServerState::Absent | Draining)
+    }
+
+    /// Lines to write to a table. With no desired content it keeps its lines, except those of servers that
+    /// drain or are gone.
+    fn table_changes(&self, table: TableIndex) -> Vec<WeightedServer> {
+        let (current, desired) = (&self.state.tables[table].lines, &self.state.desired[table]);
+        if desired.is_empty() {
+            let delisted = current.iter().filter(|line| self.is_delisted(line.0));
+            return delisted.map(|line| (line.0, 0.0)).collect();
+        }
+        deltas(current, desired)
     }
 
     /// Proxies to give a table, those that joined first at the front. After a partition, proxies still hold
@@ -1216,9 +1239,6 @@
 /// Lines to write, largest change first and additions ahead of removals. Only weight ratios matter in a
 /// table, so the new weights are scaled to the current ones, and a removal does not rewrite other lines.
 fn deltas(current: &[WeightedServer], desired: &[WeightedServer]) -> Vec<WeightedServer> {
-    if desired.is_empty() {
-        return Vec::new();
-    }
     let current_weight = |at: ServerIndex| current.iter().find(|l| l.0 == at).map_or(0.0, |l| l.1);
     let mut ratios: Vec<f64> =
         desired.iter().map(|l| current_weight(l.0) / l.1).filter(|ratio| *ratio > 0.0).collect();
--- a/crates/planner/tests/traces.rs
+++ b/crates/planner/tests/traces.rs
@@ -921,3 +921,13 @@
     harness.at(1000, &[gone(0..3, |_| 0)]);
     insta::assert_snapshot!(harness.trace);
 }
+
+#[test]
+fn tables_are_emptied_when_the_last_servers_are_gone() {
+    // Guards against proxies that go on sending to gone servers because there are no others.
+    let mut harness = two_zones(setup());
+    harness.at(1000, &[gone(0..6, |s| s / 3)]);
+    harness.comment("one returns");
+    harness.at(3000, &[list_change(entry(4, 1, ListedState::Running, 1.0, Some(2_500)))]);
+    insta::assert_snapshot!(harness.trace);
+}
