--- a/crates/duty/tests/transitions.rs
+++ b/crates/duty/tests/transitions.rs
@@ -81,6 +81,33 @@
     insta::assert_snapshot!(trace);
 }
 
+#[test]
+fn a_pinned_duty_is_moved_on_from_whoever_got_it_before_the_pinned_planner_was_stable() {
+    let planners: Vec<Planner> = (1..=3).map(|id| Planner { id, name: format!("p{id}") }).collect();
+    let names = ["books".to_string()];
+    let assignment =
+        |holder, fencing_token| DutyAssignment { holder, fencing_token, pinned_to: Some(planners[1].id) };
+    // A new leader has heard planner 3 long enough, planner 2 not yet.
+    let mut assigner = DutyAssigner::new(at(0), LEASE, Span::millis(1_000));
+    let mut plan_at = |ms: u64, held: DutyAssignment| {
+        let since = |id| if id == 2 { 1_000 } else { 0 };
+        [2, 3].into_iter().filter(|id| ms >= since(*id)).for_each(|id| assigner.on_renewal(at(ms), id));
+        assigner.plan(at(ms), &names, &[("books".to_string(), held)].into(), &planners, false)
+    };
+    for ms in (0..1_200).step_by(100) {
+        plan_at(ms, assignment(3, 7));
+    }
+    let assigned = Move::Assign { duty: "books".into(), to: 3, expected_fencing_token: 7 };
+    assert_eq!(plan_at(1_200, assignment(0, 7)), [assigned], "planner 2 is not stable");
+    for ms in (1_300..2_000).step_by(100) {
+        assert_eq!(plan_at(ms, assignment(3, 8)), [], "{ms}");
+    }
+    let released = Move::RequestRelease { duty: "books".into(), holder: 3, fencing_token: 8 };
+    assert_eq!(plan_at(2_000, assignment(3, 8)), [released]);
+    let assigned = Move::Assign { duty: "books".into(), to: 2, expected_fencing_token: 8 };
+    assert_eq!(plan_at(2_100, assignment(0, 8)), [assigned]);
+}
+
 #[test]
 fn contradictory_lease_settings_are_rejected() {
     let results = [
