--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -138,7 +138,7 @@
     run.end()
 }
 
-/// Disruptions within the pages' ranges, for exploration: `explore KIND SITE [bound] [LOAD]`.
+/// Disruptions within the pages' ranges, for exploration: `explore KIND SITE [bound]`.
 fn explore() -> ! {
     let args: Vec<String> = std::env::args().collect();
     let (kind, name) = (args[2].as_str(), args[3].as_str());
