--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -12,9 +12,13 @@
     done
     rm -rf "$scratch"
 }
-ROOT=$root RECORD=$here/record.txt SCRATCH=$scratch timeout -k 1 115 "$program" descriptors
+# Whatever ends this script ends the stand-in and the planners that it started.
+trap 'kill "$runner" 2>/dev/null; wait "$runner" 2>/dev/null; clean' EXIT
+trap 'exit 2' INT TERM HUP
+ROOT=$root RECORD=$here/record.txt SCRATCH=$scratch timeout -k 1 115 "$program" descriptors &
+runner=$!
+wait "$runner"
 code=$?
-clean
 case $code in
     0 | 1) exit $code ;;
     *) exit 2 ;;
