planner: a zone that returns cold under a zone-bound class keeps its servers up

Cause: with a zone-bound route the whole target of a zone stayed within it as soon as it had any weight. The table held cold servers alone, and the limit on cold servers passes over a table without a warm one.

Change: only the zone-bound calls stay; what a zone cannot carry spills. The limit counts zone-bound calls by the ratios within the zone, counts this planner's proxies alone against its part, and keeps cold servers out while the zone-bound calls alone would overload them. It stands in cold_servers.rs now. `run` keeps its behaviour, since the plain proxy does not keep such calls in their zone.

--- a/crates/control/tests/service.rs
+++ b/crates/control/tests/service.rs
@@ -72,6 +72,7 @@
         load_on_probe: false,
         ejects_servers: false,
         resend_wait_factor: 0.0,
+        proxies_keep_zone_bound: false,
     };
     let slicing = Slicing { slices: 0, exclusive: false, write_stop_delay: ms(0), write_linger: ms(0) };
     let planner = Planner::new(START, 7, fleet, vec![route], channel, contract, capabilities, slicing);
--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -6,6 +6,7 @@
 //! the rules demand are additions.
 
 use crate::channel::ChannelPace;
+use crate::cold_servers::Target;
 use crate::time::{Moment, Span};
 use crate::types::*;
 use crate::weights::{balance_subsets, centroid, excess, imbalance, normalize};
@@ -39,16 +40,7 @@
 const MAX_LINES_WITH_REMOVALS: usize = 12;
 /// Share of its weight that a cold server gets in each quarter of the longest warm-up. `limit_cold_servers`
 /// keeps it to what the server can carry.
-const WARMUP_SHARES: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
-/// Fraction of the load that would overload a cold server which it may be sent: with spare capacity, and in
-/// a fully loaded fleet.
-const COLD_LOAD_SHARES: (f64, f64) = (0.6, 0.33);
-/// Seconds of work within the overload budget from which random arrivals average out. With a shorter
-/// budget, less of it is used.
-const SMOOTHING_SECONDS: f64 = 8.0;
-/// Fraction of failing tries from which proxies that eject servers would concentrate their calls on cold
-/// ones, and the factor by which the failing fraction estimates those calls.
-const EJECTION_RISK: (f64, f64) = (0.2, 2.0);
+pub(crate) const WARMUP_SHARES: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
 /// Fractions of the limit on queued lines that ordinary changes, changes for cold servers, removals and
 /// bindings may fill. Except for removals, the limit is also what can leave the channel within the grace
 /// period of a removal queued behind them.
@@ -80,6 +72,9 @@
 /// Utilization below which a zone keeps its calls while all servers answer, and the factor by which it may
 /// then exceed its share.
 const LOCAL_SPILL_LIMITS: (f64, f64) = (0.6, 1.15);
+/// Smallest fraction of the weight on a zone's own servers where calls are bound to the zone and it cannot carry
+/// its load.
+const MIN_HOME_SHARE: f64 = 0.02;
 /// Cost of a cross-zone call from which calls are kept in their zone, and from which all are, as far as the
 /// proxies' demand is known.
 const CROSS_ZONE_COSTS: (f64, f64) = (0.02, 0.06);
@@ -97,18 +92,18 @@
 /// answers.
 const WEIGHT_LOSS_FRACTION: f64 = 0.5;
 /// Failed probes in a row that confirm a failure.
-const STRIKES_TO_CONFIRM: usize = 2;
+pub(crate) const STRIKES_TO_CONFIRM: usize = 2;
 /// Servers are not ejected if less than this fraction of the listed weight would remain. The fleet as a whole
 /// is failing if a smaller fraction of the servers answers as it should.
 const QUORUM: f64 = 0.25;
 /// Admitted fraction of calls on the least important routes and on the others, by level step.
-const ADMISSION_LEVELS: [[f64; 2]; 6] =
+pub(crate) const ADMISSION_LEVELS: [[f64; 2]; 6] =
     [[1.0, 1.0], [0.6, 1.0], [0.35, 1.0], [0.2, 1.0], [0.1, 0.8], [0.05, 0.55]];
 /// Fractions of dropped tries at live servers that close the levels by one step and by two.
 const OVERLOAD_DROP_FRACTIONS: (f64, f64) = (0.12, 0.3);
 /// Utilization of a fully loaded fleet, utilization below which levels may open, and the utilization that
 /// levels aim for.
-const BUSY_UTIL: f64 = 0.9;
+pub(crate) const BUSY_UTIL: f64 = 0.9;
 const CALM_UTIL: f64 = 0.75;
 const TARGET_UTIL: f64 = 0.7;
 
@@ -326,7 +321,7 @@
 
     /// Whether hardly any server answers as it should: either the fleet is overloaded or this planner
     /// cannot see it.
-    fn fleet_failing(&self) -> bool {
+    pub(crate) fn fleet_failing(&self) -> bool {
         let tried = |s: &&Server| matches!(s.state, InService | Suspect) && s.tries >= MIN_TRIES;
         let tried: Vec<&Server> = self.state.servers.iter().filter(tried).collect();
         let healthy = tried.iter().filter(|s| s.dropped < OVERLOAD_DROP_FRACTIONS.1 * s.tries).count();
@@ -341,13 +336,13 @@
         self.usable_weights(now).iter().sum::<f64>() - self.usable_weight(now, at) >= QUORUM * listed
     }
 
-    fn warmup_step(&self, now: Moment, at: ServerIndex) -> usize {
+    pub(crate) fn warmup_step(&self, now: Moment, at: ServerIndex) -> usize {
         let Some(started_at) = self.state.servers[at].started_at else { return WARMUP_SHARES.len() - 1 };
         let progress = now.since(started_at).seconds() / self.contract.warmup.seconds().max(1e-9);
         ((progress * 4.0) as usize).min(WARMUP_SHARES.len() - 1)
     }
 
-    fn usable_weight(&self, now: Moment, at: ServerIndex) -> f64 {
+    pub(crate) fn usable_weight(&self, now: Moment, at: ServerIndex) -> f64 {
         let server = &self.state.servers[at];
         let listed = server.weight * (1.0 - server.weight_reduction);
         let weight = listed * WEIGHT_CORRECTIONS[(NEUTRAL_CORRECTION + server.correction) as usize];
@@ -360,11 +355,11 @@
         }
     }
 
-    fn demand(&self, proxy: &Proxy) -> f64 {
+    pub(crate) fn demand(&self, proxy: &Proxy) -> f64 {
         proxy.rate(PRIOR_CALLS).unwrap_or(self.state.mean_demand).max(1e-6)
     }
 
-    fn usable_weights(&self, now: Moment) -> Vec<f64> {
+    pub(crate) fn usable_weights(&self, now: Moment) -> Vec<f64> {
         (0..self.state.servers.len()).map(|at| self.usable_weight(now, at)).collect()
     }
 
@@ -527,9 +522,9 @@
 
     /// Target of each zone's proxies and their demand. Calls stay in their own zone, and what it cannot
     /// carry goes to others. A single target for all zones if cross-zone calls are cheap.
-    fn zone_targets(&mut self, now: Moment) -> Vec<(Vec<WeightedServer>, f64)> {
+    fn zone_targets(&mut self, now: Moment) -> Vec<Target> {
         let zones = self.fleet.zones.max(1);
-        let zone_bound = self.routes.iter().any(|route| route.zone_bound);
+        let zone_bound = self.has_zone_bound_routes();
         let weights = self.weights_or_believed_dead(now, zone_bound);
         let mut zone_weight = vec![0.0; zones];
         self.state
@@ -540,6 +535,7 @@
         let total_weight: f64 = zone_weight.iter().sum();
         let mut zone_demand = vec![0.0; zones];
         self.state.proxies.iter().filter(|p| p.joined).for_each(|p| zone_demand[p.zone] += self.demand(p));
+        let joined_demand = zone_demand.clone();
         let known_demand: f64 = zone_demand.iter().sum();
         if total_weight <= 0.0 || known_demand <= 0.0 {
             return Vec::new();
@@ -575,17 +571,27 @@
             lines.map(|(at, weight)| (at, weight * density_in(self.state.servers[at].zone))).collect()
         };
         if local_fraction <= 0.0 {
-            return vec![(shares(&|_| 1.0 / total_weight), total_demand)];
+            let lines = shares(&|_| 1.0 / total_weight);
+            let (demand, joined_demand) = (total_demand, known_demand);
+            return vec![Target { lines, demand, joined_demand, bound_zone: None }];
         }
+        // Where proxies keep zone-bound calls in their zone, these stay whatever the weights are: only the other
+        // calls can leave a zone that cannot carry all.
+        let bound_fraction = self.zone_bound_fraction().unwrap_or(0.0);
+        let may_spill = self.capabilities.proxies_keep_zone_bound;
+        let without_bound_calls = |fitting: f64| match fitting < 1.0 && bound_fraction > 0.0 {
+            true => ((fitting - bound_fraction) / (1.0 - bound_fraction).max(1e-9)).max(MIN_HOME_SHARE),
+            false => fitting,
+        };
         let target = |zone: ZoneIndex| {
             let others_spare: f64 = (0..zones).filter(|z| *z != zone).map(|z| spare[z]).sum();
             let fitting = (density * zone_weight[zone] / zone_demand[zone].max(1e-9)).min(1.0);
-            let own_fraction = match zone_bound || others_spare <= 0.0 {
+            let own_fraction = match others_spare <= 0.0 || zone_bound && !may_spill {
                 // Not even zone-bound calls can stay where no server is left. The zone's table takes other
                 // zones' servers instead: it serves the other routes, and an empty one would keep the gone.
                 _ if zone_weight[zone] <= 0.0 => 0.0,
                 true => local_fraction,
-                false => local_fraction * fitting,
+                false => local_fraction * without_bound_calls(fitting),
             };
             let own_density = own_fraction / zone_weight[zone].max(1e-9);
             let spilled = local_fraction - own_fraction;
@@ -596,91 +602,16 @@
             let density_in = |z: ZoneIndex| {
                 (1.0 - local_fraction) / total_weight + if z == zone { own_density } else { spill_density(z) }
             };
-            let lines = shares(&density_in).into_iter().filter(|line| line.1 > 0.0).collect();
-            (lines, zone_demand[zone])
+            Target {
+                lines: shares(&density_in).into_iter().filter(|line| line.1 > 0.0).collect(),
+                demand: zone_demand[zone],
+                joined_demand: joined_demand[zone],
+                bound_zone: (zone_bound && may_spill).then_some(zone),
+            }
         };
         (0..zones).map(target).collect()
     }
 
-    /// Enforces rule 4: all proxies together send a cold server a safe fraction of what it can certainly
-    /// carry, and the warm servers get the rest. This is harmful when the load is low and few servers are
-    /// warm.
-    fn limit_cold_servers(&mut self, now: Moment, rows: &mut [(Vec<WeightedServer>, f64)]) {
-        let warm_step = WARMUP_SHARES.len() - 1;
-        let total_demand: f64 = rows.iter().map(|row| row.1).sum();
-        let warmup: Vec<usize> = (0..self.state.servers.len()).map(|at| self.warmup_step(now, at)).collect();
-        let cold = |at: ServerIndex| warmup[at] < warm_step;
-        // The total demand as server weight. The utilization of a full fleet does not tell it, but the cost
-        // of calls under normal load does. A planner that restarted after a crash knows neither and assumes
-        // twice the listed weight.
-        let counts = |s: &&Server| !matches!(s.state, ServerState::Absent | Unverified);
-        let listed: f64 = self.state.servers.iter().filter(counts).map(|s| s.weight).sum();
-        let demand_weight = self
-            .state
-            .weight_per_call
-            .map_or(2.0 * listed, |weight_per_call| 1.2 * weight_per_call * total_demand);
-        let saturated = self.state.level_step > 0
-            || self.state.mean_util > BUSY_UTIL
-            || self.state.weight_per_call.is_none();
-        let smoothing = (self.contract.overload_factor * self.contract.overload_time.seconds()
-            / SMOOTHING_SECONDS)
-            .min(1.0)
-            .powi(2);
-        let capacity_fraction = |at: usize| {
-            1.0 - (1.0 - self.contract.cold_capacity) * (1.0 - warmup[at] as f64 / warm_step as f64)
-        };
-        let tolerated_weight =
-            |at: usize| self.contract.overload_factor * capacity_fraction(at) * self.state.servers[at].weight;
-        // Proxies that eject failing servers concentrate all calls on the last ones that answer, the cold
-        // ones. Cold servers therefore wait until they could carry those calls, and while the fleet is
-        // overloaded. This is harmful to a fleet that drops calls for lack of new servers.
-        let weights = self.usable_weights(now);
-        let total_tolerated: f64 =
-            (0..warmup.len()).filter(|at| cold(*at) && weights[*at] > 0.0).map(tolerated_weight).sum();
-        let (tries, dropped) = self.state.try_totals(|_| true);
-        let failed =
-            self.state.servers.iter().filter(|s| s.state == Ejected || s.strikes >= STRIKES_TO_CONFIRM);
-        let failed = failed.map(|s| s.weight).sum::<f64>() / listed.max(1e-9);
-        let failing = (dropped / tries).max(failed).max(1.0 - weights.iter().sum::<f64>() / demand_weight);
-        let redirected = if self.capabilities.ejects_servers {
-            (EJECTION_RISK.1 * failing).min(1.0) * demand_weight
-        } else {
-            0.0
-        };
-        let withheld = failing > EJECTION_RISK.0 && total_tolerated < redirected || self.fleet_failing();
-        let load_share =
-            if withheld { 0.0 } else { [COLD_LOAD_SHARES.0, COLD_LOAD_SHARES.1][usize::from(saturated)] };
-        let mut planned = vec![0.0; warmup.len()];
-        rows.iter()
-            .for_each(|row| row.0.iter().for_each(|line| planned[line.0] += line.1 * row.1 / total_demand));
-        // This planner's fraction of the load that all planners may send. No line is written beyond it,
-        // however many proxies join this planner at once.
-        let joined_demand = self.state.joined_demand(|p| self.demand(p)).max(1e-9);
-        let own_fraction =
-            self.state.cold_share.map_or(1.0, |fraction| (fraction * total_demand / joined_demand).min(1.0));
-        let limits: Vec<f64> = (0..warmup.len())
-            .map(|at| own_fraction * load_share * smoothing * tolerated_weight(at) / demand_weight)
-            .collect();
-        let exceeds = |at: ServerIndex| cold(at) && planned[at] > limits[at];
-        let mut only_cold = false;
-        for (row, _) in rows {
-            let warm: f64 = row.iter().filter(|line| !cold(line.0)).map(|line| line.1).sum();
-            only_cold |= warm <= 0.0 && row.iter().any(|line| exceeds(line.0));
-            if warm > 0.0 {
-                let limited = row.iter_mut().filter(|line| exceeds(line.0));
-                limited.for_each(|line| line.1 *= limits[line.0] / planned[line.0]);
-                let cold_weight: f64 = row.iter().filter(|line| cold(line.0)).map(|line| line.1).sum();
-                row.iter_mut()
-                    .filter(|line| !cold(line.0))
-                    .for_each(|line| line.1 *= (1.0 - cold_weight) / warm);
-                row.retain(|line| line.1 > 0.0);
-            }
-        }
-        // No warm server is left to take the rest, as when the last ones drain. From now on the admission
-        // levels enforce rule 4.
-        self.state.level_step = if only_cold { ADMISSION_LEVELS.len() - 1 } else { self.state.level_step };
-    }
-
     fn subset_width(&self, planners: usize) -> usize {
         let servers = self.state.servers.iter().filter(|s| s.state == InService).count();
         let proxies = self.fleet.proxies.max(1) as f64;
@@ -699,7 +630,7 @@
     /// of its servers at once: its proxies crowd onto the rest until the next plan. If proxies of other
     /// planners have joined this one, those that hold no table yet go to narrower subsets: with subsets of
     /// the usual width, removals waited in the channel beyond their grace period.
-    fn assign_subsets(&mut self, now: Moment, targets: &[(Vec<WeightedServer>, f64)]) {
+    fn assign_subsets(&mut self, now: Moment, targets: &[Target]) {
         let widths = self
             .state
             .subset_widths
@@ -720,7 +651,7 @@
             let (target_index, demand) = (proxy.zone.min(targets.len() - 1), self.demand(proxy));
             let same_kind = |subset: &Subset| (subset.target_index, subset.width) == (target_index, width);
             if !self.state.subsets.iter().any(same_kind) {
-                let lines = targets[target_index].0.len();
+                let lines = targets[target_index].lines.len();
                 let max_count = (SUBSETS_PER_SERVER * lines as f64 / width as f64).ceil() as usize;
                 let min_count = [1, lines / width][crowded];
                 let shared_count =
@@ -744,15 +675,14 @@
             self.state.proxies[at].subset = subset;
         }
         let targets_by_width = |width| {
-            targets.iter().enumerate().map(move |(target_index, target)| (target_index, &target.0, width))
+            targets.iter().enumerate().map(move |(target_index, target)| (target_index, target, width))
         };
         for (target_index, target, width) in BTreeSet::from(widths).into_iter().flat_map(targets_by_width) {
             let warm_weight = |line: &WeightedServer| line.1 / WARMUP_SHARES[self.warmup_step(now, line.0)];
             let warm_weights: BTreeMap<ServerIndex, f64> =
-                target.iter().map(|line| (line.0, warm_weight(line))).collect();
+                target.lines.iter().map(|line| (line.0, warm_weight(line))).collect();
             let total_weight: f64 = warm_weights.values().sum();
-            let is_warm = |at: &ServerIndex| self.warmup_step(now, *at) == WARMUP_SHARES.len() - 1;
-            let warm_servers: Vec<ServerIndex> = warm_weights.keys().copied().filter(is_warm).collect();
+            let warm_servers: Vec<ServerIndex> = self.required_warm_servers(now, target);
             let same_kind = |subset: &&mut Subset| {
                 (subset.target_index, subset.width, subset.full) == (target_index, width, false)
             };
@@ -771,8 +701,8 @@
                     memberships += 1.0;
                 }
             }
-            // A subset of only cold servers used to get all lines of its target, which filled the channel
-            // during deployments.
+            // A subset without any of these servers gets a few. One of only cold servers used to get all lines
+            // of its target, which filled the channel during deployments.
             let count_memberships =
                 |at: ServerIndex| subsets.iter().filter(|subset| subset.servers.contains(&at)).count();
             let mut memberships: Vec<(usize, ServerIndex)> =
@@ -790,6 +720,19 @@
         }
     }
 
+    /// Warm servers of which each subset needs some: with zone-bound calls those of the zone, if it has any.
+    fn required_warm_servers(&self, now: Moment, target: &Target) -> Vec<ServerIndex> {
+        let servers = target.lines.iter().map(|line| line.0);
+        let warm: Vec<ServerIndex> = servers.filter(|at| self.is_warm(now, *at)).collect();
+        let in_zone = |at: &ServerIndex| target.bound_zone == Some(self.state.servers[*at].zone);
+        let of_zone: Vec<ServerIndex> = warm.iter().copied().filter(in_zone).collect();
+        if of_zone.is_empty() {
+            warm
+        } else {
+            of_zone
+        }
+    }
+
     fn plan(&mut self, now: Moment) {
         (self.state.planned_at, self.state.plan_due, self.state.urgent) = (now, false, false);
         self.state.mean_demand = self.state.mean_rate(PRIOR_CALLS);
@@ -800,32 +743,34 @@
         self.assign_subsets(now, &targets);
         self.limit_cold_servers(now, &mut targets);
         let subset_demand = self.state.subset_demand(|proxy| self.demand(proxy));
-        let mut rows: Vec<(Vec<WeightedServer>, f64)> =
-            subset_demand.iter().map(|subset_demand| (Vec::new(), subset_demand.1)).collect();
+        let mut rows: Vec<Target> =
+            self.state.subsets.iter().zip(&subset_demand).map(row_of_subset(&targets)).collect();
         let active: Vec<usize> =
             (0..subset_demand.len()).filter(|subset| subset_demand[*subset].0 > 0).collect();
-        for (target_index, (target, total_demand)) in targets.iter().enumerate() {
+        for (target_index, target) in targets.iter().enumerate() {
             let of_target =
                 active.iter().filter(|subset| self.state.subsets[**subset].target_index == target_index);
             let subsets: Vec<_> =
                 of_target.clone().map(|at| (&self.state.subsets[*at], subset_demand[*at].1)).collect();
             let known_demand: f64 = subsets.iter().map(|subset| subset.1).sum();
             for (at, row) in
-                of_target.zip(balance_subsets(target, &subsets, BALANCE_SWEEPS.0, BALANCE_SWEEPS.1))
+                of_target.zip(balance_subsets(&target.lines, &subsets, BALANCE_SWEEPS.0, BALANCE_SWEEPS.1))
             {
                 // A subset of only cold servers would overload them, and an empty one would keep servers
                 // that drain.
-                let cold = row.iter().all(|line| self.warmup_step(now, line.0) < WARMUP_SHARES.len() - 1);
-                rows[*at].0 = if cold { target.clone() } else { row };
+                let cold = row.iter().all(|line| !self.is_warm(now, line.0));
+                rows[*at].lines = if cold { target.lines.clone() } else { row };
             }
-            rows.push((target.clone(), (total_demand - known_demand).max(0.0)));
+            let demand = (target.demand - known_demand).max(0.0);
+            rows.push(Target { demand, joined_demand: 0.0, ..target.clone() });
         }
         self.limit_cold_servers(now, &mut rows);
         let recently_bound = |proxy: &Proxy| proxy.bound_at.is_some_and(|at| now.since(at) < REBIND_INTERVAL);
         let member = |subset: usize| GroupMember {
             subset,
             demand: subset_demand[subset].1,
-            target: &rows[subset].0,
+            target: &rows[subset].lines,
+            bound_zone: rows[subset].bound_zone,
             group: self.state.subsets[subset].table,
             settled: self
                 .state
@@ -956,9 +901,8 @@
             };
             let fits = (room / followers.len().max(1) as f64 - overhead).max(0.0) as usize;
             let removed = |at: ServerIndex| changes.iter().any(|change| change.0 == at && is_removal(change));
-            let is_warm = |line: &WeightedServer| self.warmup_step(now, line.0) == WARMUP_SHARES.len() - 1;
-            let keeps_warm =
-                self.state.tables[table].lines.iter().any(|line| is_warm(line) && !removed(line.0));
+            let is_warm = |line: &WeightedServer| self.is_warm(now, line.0);
+            let keeps_warm = self.keeps_warm_lines(now, table, removed);
             // During an operator's hold, removals continue, and so do the lines that a table without a warm
             // server needs (rule 1).
             let on_hold = self.state.changes_held && keeps_warm;
@@ -992,6 +936,10 @@
                 let increases =
                     |(at, weight): &WeightedServer| *weight > self.state.tables[table].weight(*at);
                 changes.sort_by_key(|change| increases(change) && !is_warm(change));
+                // Zone-bound calls would all go to the few that fit.
+                if self.calls_follow_zone_ratios() {
+                    changes.retain(|change| is_warm(change) || !increases(change));
+                }
             }
             // Removals are sent completely, unless even an empty channel could not take them.
             let max_removals = (limits[2] / followers.len().max(1) as f64 - overhead).max(1.0) as usize;
@@ -1040,6 +988,35 @@
         actions.extend(self.state.record_messages(now, &message_cost, self.channel.message_window));
     }
 
+    pub(crate) fn has_zone_bound_routes(&self) -> bool {
+        self.routes.iter().any(|route| route.zone_bound)
+    }
+
+    /// Whether zone-bound calls follow the ratios within a zone, and not the weights of the whole table.
+    fn calls_follow_zone_ratios(&self) -> bool {
+        self.has_zone_bound_routes() && self.capabilities.proxies_keep_zone_bound
+    }
+
+    /// Whether a table keeps a warm server without the removed ones. With zone-bound routes, each zone that is
+    /// left in the table has to keep one.
+    fn keeps_warm_lines(
+        &self,
+        now: Moment,
+        table: TableIndex,
+        removed: impl Fn(ServerIndex) -> bool,
+    ) -> bool {
+        let lines = &self.state.tables[table].lines;
+        let remaining: Vec<ServerIndex> =
+            lines.iter().map(|line| line.0).filter(|at| !removed(*at)).collect();
+        let zone = |at: &ServerIndex| self.state.servers[*at].zone;
+        let mut warm = remaining.iter().filter(|at| self.is_warm(now, **at));
+        if !self.calls_follow_zone_ratios() {
+            return warm.next().is_some();
+        }
+        let warm_zones: BTreeSet<ZoneIndex> = warm.map(zone).collect();
+        !warm_zones.is_empty() && remaining.iter().all(|at| warm_zones.contains(&zone(at)))
+    }
+
     /// Fraction of a table's weight on lines of leaving servers that the changes remove.
     fn removed_weight_share(&self, table: TableIndex, changes: &[WeightedServer]) -> f64 {
         let current = &self.state.tables[table];
@@ -1205,6 +1182,16 @@
     (groups, total_excess)
 }
 
+/// A row for a subset, without lines yet.
+fn row_of_subset(targets: &[Target]) -> impl Fn((&Subset, &(usize, f64))) -> Target + '_ {
+    |(subset, (_, demand))| Target {
+        lines: Vec::new(),
+        demand: *demand,
+        joined_demand: *demand,
+        bound_zone: targets.get(subset.target_index).and_then(|target| target.bound_zone),
+    }
+}
+
 fn trim_lines(
     mut table: Vec<WeightedServer>,
     members: &[&GroupMember],
@@ -1222,9 +1209,12 @@
             normalize(&mut remaining);
             (members.iter().map(|m| m.demand * excess(&remaining, m.target)).sum::<f64>(), remaining)
         };
+        // The zone-bound calls follow the ratios within the zone, however thin its lines are in the table.
+        let takes_bound_calls = |at: ServerIndex| members.iter().any(|m| m.bound_zone == Some(zones[at]));
         // Only the thinnest lines are examined: after a fleet doubles all of its lines are thin, and
         // examining all took too much CPU time.
-        let droppable = thin.into_iter().filter(|line| !last_in_zone(line.0)).take(TRIM_CANDIDATES);
+        let needed = |line: &WeightedServer| last_in_zone(line.0) || takes_bound_calls(line.0);
+        let droppable = thin.into_iter().filter(|line| !needed(line)).take(TRIM_CANDIDATES);
         let best = droppable.map(without).min_by(|a, b| a.0.total_cmp(&b.0));
         let Some((_, remaining)) = best else { return table };
         table = remaining;
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -1,10 +1,12 @@
 //! The planner of pewtergap: turns events into actions, without any network, clock or I/O of its own.
 //!
 //! Create a [`Planner`], pass it each batch of [`Event`]s with the batch's [`Moment`], and execute the
-//! returned [`Action`]s in order. All decisions are in `decide.rs`.
+//! returned [`Action`]s in order. The decisions are in `decide.rs` and
+//! `cold_servers.rs`.
 #![forbid(unsafe_code)]
 
 mod channel;
+mod cold_servers;
 mod decide;
 mod histogram;
 pub mod interner;
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -121,6 +121,8 @@
     pub ejects_servers: bool,
     /// How long a try waits before the next one may start, as a multiple of the SLO time.
     pub resend_wait_factor: f64,
+    /// Proxies send zone-bound calls to servers of their own zone alone, whatever else their table holds.
+    pub proxies_keep_zone_bound: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -718,6 +720,8 @@
     pub subset: usize,
     pub demand: f64,
     pub target: &'a [WeightedServer],
+    /// The zone within which its zone-bound calls stay, if there are such routes.
+    pub bound_zone: Option<ZoneIndex>,
     pub group: Option<TableIndex>,
     /// Some of its proxies were given the table recently.
     pub settled: bool,
--- a/crates/planner/tests/harness/mod.rs
+++ b/crates/planner/tests/harness/mod.rs
@@ -107,6 +107,7 @@
                 load_on_probe: false,
                 ejects_servers: setup.ejects_servers,
                 resend_wait_factor: 1.0,
+                proxies_keep_zone_bound: true,
             },
             Slicing {
                 slices: setup.slices,
@@ -184,6 +185,10 @@
     Event::ServerStats { server, zone: 0, tries, dropped, mean_latency: ms(100), period: ms(1000), load }
 }
 
+pub fn arrivals(proxy: usize, route: usize, calls: f64, period: Span) -> Event {
+    Event::Arrivals { proxy, route, calls, dropped: 0.0, period }
+}
+
 pub fn probe_ended(server: usize, outcome: ProbeOutcome) -> Event {
     Event::ProbeEnded { server, outcome, load: Load::default() }
 }
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -428,6 +428,8 @@
             load_on_probe: probing.1,
             ejects_servers: part.or_default("proxies_shun", false),
             resend_wait_factor: 0.0,
+            // The plain proxy knows no zones of servers: it uses its table for all routes.
+            proxies_keep_zone_bound: false,
         };
         let reports = part.part_or_default("reports", "reports", |part| ReportConfig {
             interval: part.or_default("every", Span::millis(1_000)),
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -178,6 +178,7 @@
             load_on_probe: string(config, "Feedback.How")? == "on_probe",
             ejects_servers: number(config, "FamilyInfo.FailsToEject")? > 0.0,
             resend_wait_factor: number(config, "FamilyInfo.FirstWait")?,
+            proxies_keep_zone_bound: true,
         },
         slicing: Slicing {
             slices: number(config, "FamilyInfo.PartitionsN")? as usize,
