planner: messages are kept for drains that are still to come

Cause: cold successors took half of the messages at once, the first drains the rest one by one; nothing was kept for later ones.

Change: message_budget.rs sends a message only if removals that follow one another from then on still find theirs; a removal that finds fewer waits, at most until its grace less the transit, for others to go with it. Lines of weight 0 for absent servers are no longer written.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -7,6 +7,7 @@
 
 use crate::channel::ChannelPace;
 use crate::cold_servers::Target;
+use crate::message_budget::Purpose;
 use crate::time::{Moment, Span};
 use crate::types::*;
 use crate::weights::{balance_subsets, centroid, excess, imbalance, normalize};
@@ -23,8 +24,6 @@
 /// Minimum interval between pushes, per proxy and at most: lines sent together share the overhead of one
 /// message.
 const PUSH_INTERVAL: (Span, Span) = (Span::millis(1), Span::millis(100));
-/// Minimum interval between ordinary messages to one proxy. Removals need not wait for it.
-const MESSAGE_GAP: Span = Span::millis(900);
 /// Imbalance, as a fraction of all demand, below which a grouping or a table is left unchanged.
 const IMBALANCE_MARGIN: f64 = 0.02;
 /// Cluster means are computed once the seeds alone come within this multiple of the margin.
@@ -38,6 +37,8 @@
 const MAX_REMOVED_WEIGHT_SHARE: f64 = 0.25;
 /// Additions sent with removals that would otherwise leave only cold servers in a table.
 const MAX_LINES_WITH_REMOVALS: usize = 12;
+/// Part of its weight below which a server that has just started has to lose the rest at once.
+const MAX_KEPT_WEIGHT: f64 = 0.5;
 /// Share of its weight that a cold server gets in each quarter of the longest warm-up. `limit_cold_servers`
 /// keeps it to what the server can carry.
 pub(crate) const WARMUP_SHARES: [f64; 5] = [0.25, 0.5, 0.75, 1.0, 1.0];
@@ -300,6 +301,7 @@
         match effect {
             Admit | Readmit | Remove => {
                 server.started_at = if *effect == Readmit { Some(now) } else { start.or(server.started_at) };
+                server.left_at = if *effect == Remove { server.left_at.or(Some(now)) } else { None };
                 server.reset_measurements();
                 (self.state.plan_due, self.state.urgent) = (true, true);
             }
@@ -948,7 +950,14 @@
             let over_limit = !followers.is_empty() && queued + cost * followers.len() as f64 > limits[2];
             let nothing_due = changes.is_empty() && !send_levels;
             delayed += if priority == 2 && over_limit { cost * followers.len() as f64 } else { 0.0 };
-            if nothing_due || over_limit || !followers.iter().all(|p| self.may_message(now, *p, priority)) {
+            if nothing_due || over_limit {
+                continue;
+            }
+            let purpose = self.purpose(now, table, priority, &changes);
+            if !followers.iter().all(|p| self.may_message(now, *p, purpose)) {
+                if let Purpose::Removal { since } = purpose {
+                    self.wake_by(now, since + self.removal_wait(), actions);
+                }
                 continue;
             }
             for (server, weight) in changes {
@@ -985,7 +994,7 @@
             (record.bound_at, record.current_table) = (Some(now), Some(table));
             actions.push(Action::Bind { proxy, table, routes: 0 });
         }
-        actions.extend(self.state.record_messages(now, &message_cost, self.channel.message_window));
+        actions.extend(self.state.record_messages(now, &message_cost, self.counted_time()));
     }
 
     pub(crate) fn has_zone_bound_routes(&self) -> bool {
@@ -1017,6 +1026,36 @@
         !warm_zones.is_empty() && remaining.iter().all(|at| warm_zones.contains(&zone(at)))
     }
 
+    /// Why a table's changes are to be sent.
+    fn purpose(
+        &self,
+        now: Moment,
+        table: TableIndex,
+        priority: usize,
+        changes: &[WeightedServer],
+    ) -> Purpose {
+        let leaving = changes.iter().filter(|change| change.1 <= 0.0 && self.is_leaving(change.0));
+        let left_at = leaving.filter_map(|change| self.state.servers[change.0].left_at).min();
+        let loses_weight = |change: &WeightedServer| {
+            self.warmup_step(now, change.0) == 0
+                && change.1 < MAX_KEPT_WEIGHT * self.state.tables[table].weight(change.0)
+        };
+        match priority {
+            2 => Purpose::Removal { since: left_at.unwrap_or(now) },
+            _ if changes.iter().any(loses_weight) => Purpose::Urgent,
+            1 => Purpose::ColdServers,
+            _ => Purpose::Ordinary,
+        }
+    }
+
+    /// Asks for a turn at the given time unless one is due before.
+    fn wake_by(&mut self, now: Moment, at: Moment, actions: &mut Vec<Action>) {
+        if now < at && at < self.state.wake_at {
+            self.state.wake_at = at;
+            actions.push(Action::Wake { at });
+        }
+    }
+
     /// Fraction of a table's weight on lines of leaving servers that the changes remove.
     fn removed_weight_share(&self, table: TableIndex, changes: &[WeightedServer]) -> f64 {
         let current = &self.state.tables[table];
@@ -1066,7 +1105,7 @@
             let level_lines = current.level_step.map_or(0, |_| self.routes.len());
             let cost = (current.lines.len() + level_lines) as f64 + self.channel.message_overhead + 2.0;
             let fits = *queued + cost < limit;
-            if !current.lines.is_empty() && fits && self.may_message(now, proxy, 2) {
+            if !current.lines.is_empty() && fits && self.may_message(now, proxy, Purpose::Urgent) {
                 binds.push((proxy, table));
                 message_cost[proxy] += cost;
                 *queued += cost;
@@ -1075,17 +1114,6 @@
         binds
     }
 
-    /// Whether a message may be sent to a proxy. Half of the message limit is reserved for removals,
-    /// because lines of cold servers once used all of it.
-    fn may_message(&self, now: Moment, at: ProxyIndex, priority: usize) -> bool {
-        let (sent, max_messages) = (&self.state.proxies[at].sent_at, self.channel.max_messages);
-        let recent = sent.iter().filter(|sent| now.since(**sent) <= self.channel.message_window).count();
-        let elapsed = sent.last().map_or(Span(u64::MAX), |last| now.since(*last));
-        let removal_gap_over = elapsed >= self.contract.drain_grace.times(0.4);
-        recent < max_messages / 2 && (priority > 0 || elapsed >= MESSAGE_GAP)
-            || priority == 2 && recent + 1 < max_messages && removal_gap_over
-    }
-
     fn set_table_level(&mut self, table: TableIndex, actions: &mut Vec<Action>) {
         let step = self.state.level_step;
         // Enforces rule 2. Retries are never allowed: what one full server rejects would only fill the
@@ -1237,6 +1265,8 @@
     let mut changes: Vec<(ServerIndex, f64, f64)> = desired
         .iter()
         .map(|(at, weight)| (*at, weight * scale, current_weight(*at)))
+        // A weight that rounds to 0 would remove a line that is not there, again in every turn.
+        .filter(|(_, weight, current_weight)| *current_weight > 0.0 || round_weight(*weight) > 0.0)
         .filter(|(_, weight, current_weight)| (weight - current_weight).abs() > weight / WEIGHT_STEPS)
         .map(|(at, weight, current_weight)| (at, round_weight(weight), (weight - current_weight).abs()))
         .collect();
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -1,8 +1,8 @@
 //! The planner of pewtergap: turns events into actions, without any network, clock or I/O of its own.
 //!
 //! Create a [`Planner`], pass it each batch of [`Event`]s with the batch's [`Moment`], and execute the
-//! returned [`Action`]s in order. The decisions are in `decide.rs` and
-//! `cold_servers.rs`.
+//! returned [`Action`]s in order. The decisions are in `decide.rs`,
+//! `cold_servers.rs` and `message_budget.rs`.
 #![forbid(unsafe_code)]
 
 mod channel;
@@ -10,6 +10,7 @@
 mod decide;
 mod histogram;
 pub mod interner;
+mod message_budget;
 mod types;
 mod weights;
 
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -357,6 +357,8 @@
     pub weight: f64,
     /// Last start time as listed or, after an outage, as observed by probes.
     pub started_at: Option<Moment>,
+    /// Since when it has to leave the tables: it drains, is gone or has been ejected.
+    pub left_at: Option<Moment>,
     pub strikes: usize,
     pub probed_at: Option<Moment>,
     pub util: Histogram,
