planner: proxies of killed planners get narrow tables, ahead of ordinary changes

Subsets for a crowd were told from the usual ones by their width, which may be the same; a narrow subset with little demand was grouped into a wide table; and the planner counted as crowded only from 1.8 times an equal part of the proxies on. Ordinary changes went ahead of the first tables.

Change: subsets for a crowd are a kind of their own, grouped apart; crowded is also what exceeds 1.2 times the usual number of proxies; during the rush the channel carries tables and removals.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -62,9 +62,9 @@
 /// from rewriting many tables twice.
 const MIN_MEMBERSHIP_SHARE: f64 = 0.7;
 const BALANCE_SWEEPS: (usize, f64) = (8, 1.5);
-/// Multiple of this planner's share of the proxies above which its channel may have to send tables to all
-/// proxies.
-const CROWDED_FACTOR: f64 = 1.8;
+/// Multiples of the usual number of joined proxies, and of an equal share of all proxies, above which the
+/// channel may have to send tables to all proxies. Zones with few planners have more than an equal share.
+const CROWDED_FACTORS: (f64, f64) = (1.2, 1.8);
 /// Weight, in calls, of the rate that a proxy declares when it joins. The estimate for a proxy with few
 /// calls stays near that rate until it has reported often.
 const PRIOR_CALLS: f64 = 3.0;
@@ -150,6 +150,7 @@
         if now >= self.state.wake_at {
             self.schedule_probes(now);
             self.set_levels(now);
+            self.state.update_usual_joined(now);
             if now.since(self.state.reviewed_at) >= REVIEW_INTERVAL {
                 self.review_servers(now);
                 self.release_servers(now, &mut actions);
@@ -226,6 +227,9 @@
                 // channel exceeded its limit.
                 let (drain_time, lines_per_s) = (self.drain_time(), self.channel.lines_per_s);
                 self.state.abandon_messages(now, *proxy, drain_time, lines_per_s);
+                if matches!(event, Event::ProxyJoined { .. }) {
+                    self.state.last_join = Some(now);
+                }
                 self.state.apply_event(event);
             }
             Event::Arrivals { proxy, .. } => {
@@ -626,6 +630,28 @@
         by_channel.min(by_connections).min(by_keep_alive).clamp(MIN_SUBSET_WIDTH, 1e6) as usize
     }
 
+    /// Whether proxies of other planners have joined this one, as when those have been killed.
+    fn is_crowded(&self) -> bool {
+        let joined = self.state.proxies.iter().filter(|p| p.joined).count() as f64;
+        if self.fleet.planners <= 1 {
+            return false;
+        }
+        let part = self.fleet.proxies as f64 / self.fleet.planners as f64;
+        let beyond_usual = |usual: f64| joined > CROWDED_FACTORS.0 * usual;
+        self.state.usual_joined.is_some_and(beyond_usual) || joined > CROWDED_FACTORS.1 * part
+    }
+
+    /// Whether proxies of other planners are coming to this one. The channel then carries their tables and
+    /// removals alone.
+    fn is_rushed(&self, now: Moment) -> bool {
+        self.state.last_join.is_some_and(|at| now.since(at) < self.contract.drain_grace) && self.is_crowded()
+    }
+
+    /// Whether a subset was made narrower than usual, for proxies of other planners.
+    fn is_narrow(&self, subset: &Subset) -> bool {
+        subset.crowded && !subset.full
+    }
+
     /// Assigns each proxy to a subset of the servers, and servers to the subsets. Subsets contain all
     /// servers unless that makes tables too wide. Otherwise light proxies go to overlapping subsets, and
     /// each server is in as many of them as its weight requires. This is harmful when a subset loses most
@@ -639,23 +665,24 @@
             .unwrap_or([self.fleet.planners, 1].map(|sharing_planners| self.subset_width(sharing_planners)));
         self.state.subset_widths = Some(widths);
         let mut subset_demand = self.state.subset_demand(|proxy| self.demand(proxy));
-        let joined = self.state.proxies.iter().filter(|p| p.joined).count() * self.fleet.planners;
-        let crowded = usize::from(joined as f64 > CROWDED_FACTOR * self.fleet.proxies as f64);
-        let (width, sharing_planners) = (widths[crowded], [self.fleet.planners, 1][crowded]);
-        let heavy_demand = [HEAVY_DEMAND_FACTOR, PROXIES_PER_SUBSET as f64][crowded] * self.state.mean_demand;
-        let other_width = |subset: usize| self.state.subsets[subset].width != width;
+        let crowded = self.is_crowded();
+        let kind = usize::from(crowded);
+        let (width, sharing_planners) = (widths[kind], [self.fleet.planners, 1][kind]);
+        let heavy_demand = [HEAVY_DEMAND_FACTOR, PROXIES_PER_SUBSET as f64][kind] * self.state.mean_demand;
+        let other_kind = |subset: usize| self.state.subsets[subset].crowded != crowded;
         let unassigned = |p: &Proxy| {
-            p.joined && p.subset.is_none_or(|subset| p.current_table.is_none() && other_width(subset))
+            p.joined && p.subset.is_none_or(|subset| p.current_table.is_none() && other_kind(subset))
         };
         let newcomers = (0..self.state.proxies.len()).filter(|at| unassigned(&self.state.proxies[*at]));
         for at in newcomers.collect::<Vec<ProxyIndex>>() {
             let proxy = &self.state.proxies[at];
             let (target_index, demand) = (proxy.zone.min(targets.len() - 1), self.demand(proxy));
-            let same_kind = |subset: &Subset| (subset.target_index, subset.width) == (target_index, width);
+            let same_kind =
+                |subset: &Subset| (subset.target_index, subset.crowded) == (target_index, crowded);
             if !self.state.subsets.iter().any(same_kind) {
                 let lines = targets[target_index].lines.len();
                 let max_count = (SUBSETS_PER_SERVER * lines as f64 / width as f64).ceil() as usize;
-                let min_count = [1, lines / width][crowded];
+                let min_count = [1, lines / width][kind];
                 let shared_count =
                     self.fleet.proxies / sharing_planners.max(targets.len()) / PROXIES_PER_SUBSET;
                 let narrow_count =
@@ -664,6 +691,7 @@
                     target_index,
                     full: at == 0,
                     width,
+                    crowded,
                     ..Subset::default()
                 });
                 self.state.subsets.extend(subsets);
@@ -676,48 +704,57 @@
             subset.iter().for_each(|subset| subset_demand[*subset].1 += demand);
             self.state.proxies[at].subset = subset;
         }
-        let targets_by_width = |width| {
-            targets.iter().enumerate().map(move |(target_index, target)| (target_index, target, width))
+        for (kind, width) in widths.into_iter().enumerate() {
+            for (target_index, target) in targets.iter().enumerate() {
+                self.seat_servers(now, target_index, target, kind == 1, width);
+            }
+        }
+    }
+
+    /// Assigns the servers of a target to its subsets of one kind, each to as many as its weight requires.
+    fn seat_servers(
+        &mut self,
+        now: Moment,
+        target_index: usize,
+        target: &Target,
+        crowded: bool,
+        width: usize,
+    ) {
+        let warm_weight = |line: &WeightedServer| line.1 / WARMUP_SHARES[self.warmup_step(now, line.0)];
+        let warm_weights: BTreeMap<ServerIndex, f64> =
+            target.lines.iter().map(|line| (line.0, warm_weight(line))).collect();
+        let total_weight: f64 = warm_weights.values().sum();
+        let warm_servers: Vec<ServerIndex> = self.required_warm_servers(now, target);
+        let same_kind = |subset: &&mut Subset| {
+            (subset.target_index, subset.crowded, subset.full) == (target_index, crowded, false)
         };
-        for (target_index, target, width) in BTreeSet::from(widths).into_iter().flat_map(targets_by_width) {
-            let warm_weight = |line: &WeightedServer| line.1 / WARMUP_SHARES[self.warmup_step(now, line.0)];
-            let warm_weights: BTreeMap<ServerIndex, f64> =
-                target.lines.iter().map(|line| (line.0, warm_weight(line))).collect();
-            let total_weight: f64 = warm_weights.values().sum();
-            let warm_servers: Vec<ServerIndex> = self.required_warm_servers(now, target);
-            let same_kind = |subset: &&mut Subset| {
-                (subset.target_index, subset.width, subset.full) == (target_index, width, false)
-            };
-            let mut subsets: Vec<&mut Subset> = self.state.subsets.iter_mut().filter(same_kind).collect();
-            subsets.iter_mut().for_each(|subset| subset.servers.retain(|at| warm_weights.contains_key(at)));
-            let count = subsets.len() as f64;
-            for (at, share) in &warm_weights {
-                let wanted = (share / total_weight * count * width as f64).round().clamp(1.0, count.max(1.0));
-                let mut memberships =
-                    subsets.iter().filter(|subset| subset.servers.contains(at)).count() as f64;
-                while memberships < wanted * MIN_MEMBERSHIP_SHARE {
-                    self.rng.shuffle(&mut subsets);
-                    let candidates = subsets.iter_mut().filter(|subset| !subset.servers.contains(at));
-                    let Some(subset) = candidates.min_by_key(|subset| subset.servers.len()) else { break };
-                    subset.servers.insert(*at);
-                    memberships += 1.0;
-                }
+        let mut subsets: Vec<&mut Subset> = self.state.subsets.iter_mut().filter(same_kind).collect();
+        subsets.iter_mut().for_each(|subset| subset.servers.retain(|at| warm_weights.contains_key(at)));
+        let count = subsets.len() as f64;
+        for (at, share) in &warm_weights {
+            let wanted = (share / total_weight * count * width as f64).round().clamp(1.0, count.max(1.0));
+            let mut memberships = subsets.iter().filter(|subset| subset.servers.contains(at)).count() as f64;
+            while memberships < wanted * MIN_MEMBERSHIP_SHARE {
+                self.rng.shuffle(&mut subsets);
+                let candidates = subsets.iter_mut().filter(|subset| !subset.servers.contains(at));
+                let Some(subset) = candidates.min_by_key(|subset| subset.servers.len()) else { break };
+                subset.servers.insert(*at);
+                memberships += 1.0;
             }
-            // A subset without any of these servers gets a few. One of only cold servers used to get all lines
-            // of its target, which filled the channel during deployments.
-            let count_memberships =
-                |at: ServerIndex| subsets.iter().filter(|subset| subset.servers.contains(&at)).count();
-            let mut memberships: Vec<(usize, ServerIndex)> =
-                warm_servers.iter().map(|at| (count_memberships(*at), *at)).collect();
-            for subset in subsets
-                .into_iter()
-                .filter(|subset| !warm_servers.iter().any(|at| subset.servers.contains(at)))
-            {
-                memberships.sort();
-                for (membership, at) in memberships.iter_mut().take(SUBSETS_PER_SERVER as usize) {
-                    *membership += 1;
-                    subset.servers.insert(*at);
-                }
+        }
+        // A subset without any of these servers gets a few. One of only cold servers used to get all lines
+        // of its target, which filled the channel during deployments.
+        let count_memberships =
+            |at: ServerIndex| subsets.iter().filter(|subset| subset.servers.contains(&at)).count();
+        let mut memberships: Vec<(usize, ServerIndex)> =
+            warm_servers.iter().map(|at| (count_memberships(*at), *at)).collect();
+        for subset in
+            subsets.into_iter().filter(|subset| !warm_servers.iter().any(|at| subset.servers.contains(at)))
+        {
+            memberships.sort();
+            for (membership, at) in memberships.iter_mut().take(SUBSETS_PER_SERVER as usize) {
+                *membership += 1;
+                subset.servers.insert(*at);
             }
         }
     }
@@ -774,6 +811,7 @@
             target: &rows[subset].lines,
             bound_zone: rows[subset].bound_zone,
             group: self.state.subsets[subset].table,
+            narrow: self.is_narrow(&self.state.subsets[subset]),
             settled: self
                 .state
                 .proxies
@@ -797,7 +835,7 @@
         let newcomers = members.iter().any(|m| m.group.is_none());
         let regroup = imbalance(&members) > self.state.grouping_imbalance + IMBALANCE_MARGIN;
         if newcomers || regroup {
-            let groups = group_members(&members);
+            let groups = group_by_width(&members);
             let mut tables: Vec<TableIndex> = Vec::new();
             for group_index in 0..=groups.iter().copied().max().unwrap_or(0) {
                 let in_group =
@@ -863,6 +901,8 @@
         let mut pending: Vec<(usize, f64, TableIndex, Vec<WeightedServer>)> =
             (0..followers.len()).map(pending_changes).collect();
         pending.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
+        // Lines of tables that nobody uses yet cost nothing, and proxies may wait for them.
+        pending.sort_by_key(|pending| !followers[pending.2].is_empty());
         // Lines that the removals alone would take. If they exceed their limit, the smallest messages go
         // first, so that most proxies are updated in time. Levels are never included beyond the limit of
         // ordinary lines.
@@ -878,9 +918,11 @@
                 .sort_by_key(|pending| if pending.0 == 2 { removal_count(&pending.3) } else { usize::MAX });
         }
         let (mut binds, mut delayed) = (None, 0.0);
+        let rushed = self.is_rushed(now);
         for (priority, _, table, mut changes) in pending {
             let beyond_ordinary = queued + doubtful > limits[0];
-            if priority < 2 && binds.is_none() && beyond_ordinary {
+            if priority < 2 && binds.is_none() && (beyond_ordinary || rushed && !followers[table].is_empty())
+            {
                 let bound = self.pending_binds(now, limits[3], &mut queued, &mut message_cost);
                 // Later changes to their tables go to these proxies too. Without counting them, the queue
                 // exceeded its limit.
@@ -905,9 +947,10 @@
             let removed = |at: ServerIndex| changes.iter().any(|change| change.0 == at && is_removal(change));
             let is_warm = |line: &WeightedServer| self.is_warm(now, line.0);
             let keeps_warm = self.keeps_warm_lines(now, table, removed);
-            // During an operator's hold, removals continue, and so do the lines that a table without a warm
-            // server needs (rule 1).
-            let on_hold = self.state.changes_held && keeps_warm;
+            // During an operator's hold or a rush, removals continue, and so do the lines that a table without a
+            // warm server needs (rule 1).
+            let used = !followers.is_empty();
+            let on_hold = (self.state.changes_held || rushed && used) && keeps_warm;
             let limited = fits < changes.len() || beyond_ordinary || on_hold;
             if priority == 2 && limited {
                 // Removals are sent alone, because they have waited for seconds behind lines of cold
@@ -931,7 +974,7 @@
                 changes.retain(|change| allowed(change) || sent_along.contains(&change.0));
             }
             if priority < 2 && on_hold {
-                changes.clear();
+                changes.retain(|change| !self.state.changes_held && self.loses_weight(now, table, change));
             } else if priority < 2 && fits < changes.len() {
                 // The lines beyond the limit wait, those of cold servers first: sent ahead of warm ones, a
                 // cold server once had a quarter of a table.
@@ -1036,18 +1079,20 @@
     ) -> Purpose {
         let leaving = changes.iter().filter(|change| change.1 <= 0.0 && self.is_leaving(change.0));
         let left_at = leaving.filter_map(|change| self.state.servers[change.0].left_at).min();
-        let loses_weight = |change: &WeightedServer| {
-            self.warmup_step(now, change.0) == 0
-                && change.1 < MAX_KEPT_WEIGHT * self.state.tables[table].weight(change.0)
-        };
         match priority {
             2 => Purpose::Removal { since: left_at.unwrap_or(now) },
-            _ if changes.iter().any(loses_weight) => Purpose::Urgent,
+            _ if changes.iter().any(|change| self.loses_weight(now, table, change)) => Purpose::Urgent,
             1 => Purpose::ColdServers,
             _ => Purpose::Ordinary,
         }
     }
 
+    /// Whether a change takes most of its weight from a server that has just started (rule 4).
+    fn loses_weight(&self, now: Moment, table: TableIndex, change: &WeightedServer) -> bool {
+        self.warmup_step(now, change.0) == 0
+            && change.1 < MAX_KEPT_WEIGHT * self.state.tables[table].weight(change.0)
+    }
+
     /// Asks for a turn at the given time unless one is due before.
     fn wake_by(&mut self, now: Moment, at: Moment, actions: &mut Vec<Action>) {
         if now < at && at < self.state.wake_at {
@@ -1160,6 +1205,22 @@
     }
 }
 
+/// Groups narrow subsets apart from the others. A narrow one with little demand would otherwise share a wide
+/// table, within the margin, and all proxies that come to it later would be sent that table.
+fn group_by_width(members: &[GroupMember]) -> Vec<usize> {
+    let mut groups = vec![0; members.len()];
+    let mut group_count = 0;
+    for narrow in [false, true] {
+        let indices: Vec<usize> = (0..members.len()).filter(|at| members[*at].narrow == narrow).collect();
+        let of_width: Vec<GroupMember> = indices.iter().map(|at| members[*at]).collect();
+        let of_width = if of_width.is_empty() { Vec::new() } else { group_members(&of_width) };
+        let next_count = of_width.iter().map(|group| group_count + group + 1).max().unwrap_or(group_count);
+        indices.iter().zip(of_width).for_each(|(at, group)| groups[*at] = group_count + group);
+        group_count = next_count;
+    }
+    groups
+}
+
 /// Demand-weighted k-means, seeded with the members of highest demand, with as few groups as the margin
 /// allows. While the seeds alone are far from the margin no means are computed: with a hundred subsets they
 /// took most of a second.
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -440,6 +440,8 @@
     pub full: bool,
     /// Intended number of lines of its table when the subset was created.
     pub width: usize,
+    /// Created for proxies of other planners.
+    pub crowded: bool,
     pub table: Option<TableIndex>,
     pub servers: BTreeSet<ServerIndex>,
 }
@@ -463,12 +465,20 @@
     pub paused_until: Option<Moment>,
 }
 
+/// Time without a joining proxy from which the number of joined ones is the usual one.
+const SETTLING_TIME: Span = Span::millis(3_000);
+/// Factor by which the usual number of joined proxies falls at a tick while fewer are joined.
+const USUAL_JOINED_DECAY: f64 = 0.996;
+
 /// State of a planner instance.
 #[derive(Clone, Debug, Default)]
 pub struct State {
     pub servers: Vec<Server>,
     pub proxies: Vec<Proxy>,
     pub join_count: u64,
+    pub last_join: Option<Moment>,
+    /// The usual number of joined proxies: how many there were when none had joined for a while.
+    pub usual_joined: Option<f64>,
     pub tables: Vec<Table>,
     /// Desired contents of each table; the difference to the current contents is sent as changes.
     pub desired: Vec<Vec<WeightedServer>>,
@@ -653,6 +663,17 @@
         }
     }
 
+    /// Updates the usual number of joined proxies, at each tick. It follows a lower number slowly, so that
+    /// proxies that return after a partition do not count as those of other planners.
+    pub fn update_usual_joined(&mut self, now: Moment) {
+        if self.last_join.is_none_or(|at| now.since(at) < SETTLING_TIME) {
+            return;
+        }
+        let joined = self.proxies.iter().filter(|proxy| proxy.joined).count() as f64;
+        let lowest = self.usual_joined.map_or(0.0, |usual| usual * USUAL_JOINED_DECAY);
+        self.usual_joined = Some(joined.max(lowest)).filter(|usual| *usual >= 1.0);
+    }
+
     /// Registers a proxy, discarding what was known about an earlier one with this index.
     pub fn join(&mut self, proxy: ProxyIndex, zone: ZoneIndex, declared_rate: f64) {
         self.join_count += 1;
@@ -718,6 +739,7 @@
 }
 
 /// A subset with its demand and current table, as input to the grouping.
+#[derive(Clone, Copy)]
 pub struct GroupMember<'a> {
     pub subset: usize,
     pub demand: f64,
@@ -725,6 +747,8 @@
     /// The zone within which its zone-bound calls stay, if there are such routes.
     pub bound_zone: Option<ZoneIndex>,
     pub group: Option<TableIndex>,
+    /// Its table has to stay narrower than usual, because proxies of other planners have joined this one.
+    pub narrow: bool,
     /// Some of its proxies were given the table recently.
     pub settled: bool,
 }
--- a/crates/planner/tests/reconnect.rs
+++ b/crates/planner/tests/reconnect.rs
@@ -151,9 +151,40 @@
 
 #[test]
 fn drains_that_follow_one_another_during_a_mass_reconnect_are_all_received_in_time() {
-    let updated = count_updated(|proxy| if proxy % 12 == 0 { 40.0 } else { 6.0 }, &[5_600, 7_000]);
+    let updated = count_updated(|proxy| if proxy % 12 == 0 { 40.0 } else { 6.0 }, &[5_600, 7_000, 8_400]);
     assert_eq!(
         updated, [240; 3],
         "proxies without the drained servers 2.3 s after the planner received each drain"
     );
 }
+
+#[test]
+fn newcomers_get_narrow_tables_where_the_usual_width_is_the_same() {
+    // Guards against the few wide subsets of usual times for the proxies of killed planners: with calls this rare the usual
+    // width is that of a crowd, and their tables had 67 lines (review/9).
+    let setup = Setup { zones: 3, proxies: 240, planners: 10, max_queued_lines: 4_400.0, ..setup() };
+    let mut harness = Harness::new(setup);
+    harness.acknowledging = 240;
+    let zones: Vec<usize> = (0..200).map(|server| server % 3).collect();
+    let own = (0..24).map(|proxy| joined(proxy, 0, 2.0));
+    harness.at(0, &[stored_list(&zones)].into_iter().chain(own).collect::<Vec<_>>());
+    harness.advance(500, 5_000);
+    harness.trace.clear();
+    for step in 0..14 {
+        let newcomers = 24 + 12 * step..36 + 12 * step;
+        harness.at(
+            5_000 + 100 * step as u64,
+            &newcomers.map(|proxy| joined(proxy, proxy % 3, 2.0)).collect::<Vec<_>>(),
+        );
+    }
+    harness.advance(6_500, 8_000);
+    let bound: Vec<&str> = harness.trace.lines().filter(|line| line.contains(" bind ")).collect();
+    assert_eq!(bound.len(), 168, "all newcomers have a table");
+    let table = |line: &&str| line.split_whitespace().nth(3).unwrap().to_string();
+    let widest = bound.iter().map(table).map(|table| {
+        let lines = harness.trace.lines().filter(|line| line.contains(&format!(" line {table} ")));
+        lines.map(|line| line.split_whitespace().nth(3).unwrap()).collect::<BTreeSet<_>>().len()
+    });
+    let widest = widest.max().unwrap();
+    assert!(widest <= 24, "a newcomer's table has {widest} lines, 12 are meant");
+}
