reactor: an accepted link that its peer has reset is closed, and not read any further

Cause: after a failed write the reactor read what had arrived before the reset, which is meant for answers of servers; and it did not look at the reset of a paused link.

Change: a reset closes an accepted link at once.

Evidence: nothing_is_read_of_an_accepted_link_that_its_peer_has_reset. The test of reads after a failed write asked for this very fault, since it played the server on an accepted link; it plays it on an opened one now, as strictly.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `TimerFired` may come late, never early. Timers cannot be cancelled: a node must tolerate one it no longer needs.
 //! - Writes to a file are executed in order, and each ends with one `Synced`. After an error the state of the file is
 //!   unknown: a failed sync is never retried and then trusted.
+//! - An accepted link that its peer has reset is closed at once, paused or not: what was not read of it is dropped.
 //! - Bytes sent on a link are written in order. If the unwritten bytes of a link exceed the driver's limit, the
 //!   link is closed with `Ended::Overflow`: buffering for a peer that does not read is bounded.
 #![forbid(unsafe_code)]
@@ -168,6 +169,11 @@
     Resume {
         link: Link,
     },
+    /// Delivers an empty `Bytes` for the link after the inputs of other links: for a node that has received more on
+    /// it than it handles at once. Works on a paused link too.
+    Continue {
+        link: Link,
+    },
     SetTimer {
         timer: u64,
         at: Moment,
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -168,6 +168,8 @@
     pending: VecDeque<(usize, Pending)>,
     /// Links that may have more to read.
     readable: VecDeque<(usize, Link)>,
+    /// Links for which a node has asked to be called again.
+    continued: VecDeque<(usize, Link)>,
     /// Links whose last write was interrupted.
     interrupted_writes: Vec<(usize, Link)>,
     /// Listeners that may have more connections to accept, and when to try again.
@@ -202,6 +204,7 @@
             timers_set: 0,
             pending: VecDeque::new(),
             readable: VecDeque::new(),
+            continued: VecDeque::new(),
             interrupted_writes: Vec::new(),
             accept_queue: Vec::new(),
             max_unwritten,
@@ -252,7 +255,8 @@
         let mut events = Events::with_capacity(1024);
         self.deliver_pending();
         while self.exit.is_none() {
-            let idle = self.readable.is_empty() && self.interrupted_writes.is_empty();
+            let idle =
+                self.readable.is_empty() && self.continued.is_empty() && self.interrupted_writes.is_empty();
             let poll_timeout = if idle { self.poll_timeout() } else { Some(Duration::ZERO) };
             let now = self.clock.now();
             let listeners = self.accept_queue.iter().map(|listener| duration(listener.2.since(now)));
@@ -271,6 +275,9 @@
                     WAKER => self.drain_events(),
                     SIGNALS => self.handle_signals(),
                     token => {
+                        if event.is_error() || event.is_read_closed() && event.is_write_closed() {
+                            self.reset_by_peer(token);
+                        }
                         self.ready(token, event.is_readable() || event.is_read_closed(), event.is_writable())
                     }
                 }
@@ -288,6 +295,12 @@
                     self.deliver_pending();
                 }
             }
+            for (node, link) in std::mem::take(&mut self.continued) {
+                if self.exit.is_none() && self.slots[node].links.contains_key(&link) {
+                    self.deliver(node, Input::Bytes { link, bytes: &[] });
+                    self.deliver_pending();
+                }
+            }
             if self.exit.is_some() {
                 break;
             }
@@ -462,6 +475,7 @@
                     self.readable.push_back((node, link));
                 }
             }
+            Effect::Continue { link } => self.continued.push_back((node, link)),
             Effect::SetTimer { timer, at } => {
                 self.timers_set += 1;
                 self.timers.push(Timer(std::cmp::Reverse((at, self.timers_set)), node, timer));
@@ -567,13 +581,23 @@
         }
     }
 
+    /// Closes an accepted link that its peer has reset, with what was not read of it: on a paused link the node would
+    /// otherwise be given requests of a client that is gone.
+    fn reset_by_peer(&mut self, token: Token) {
+        let Some(Source::Link { node, link }) = self.sources.get(&token) else { return };
+        let (node, link) = (*node, *link);
+        if self.slots[node].links.get(&link).is_some_and(|(_, conn)| conn.accepted) {
+            self.drop_link(node, link, Ended::Reset);
+        }
+    }
+
     /// Handles a failed write. Bytes that the peer sent before it reset the connection may still be unread and are read
     /// first: otherwise a server's answer right before its reset is lost and the server taken for dead.
     fn write_failed(&mut self, node: usize, link: Link, why: Ended) {
         let Some((_, conn)) = self.slots[node].links.get_mut(&link) else { return };
         conn.stop_writing(why);
-        // These links are not read, so their end would never be noticed.
-        if conn.paused || conn.finishing {
+        // These links are not read, so their end would never be noticed, or nobody waits for what is done with it.
+        if conn.paused || conn.finishing || conn.accepted {
             return self.drop_link(node, link, why);
         }
         self.readable.push_back((node, link));
--- a/crates/reactor/src/sockets.rs
+++ b/crates/reactor/src/sockets.rs
@@ -31,7 +31,7 @@
     /// Accepts the next connection. An error concerns this call alone: the next one may succeed.
     pub fn accept(&mut self) -> io::Result<Option<(Conn, SocketAddr)>> {
         match self.listener.accept() {
-            Ok((stream, from)) => Ok(Some((Conn::new(stream, true), from))),
+            Ok((stream, from)) => Ok(Some((Conn::accepted(stream), from))),
             Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(None),
             Err(e) => Err(e),
         }
@@ -55,6 +55,8 @@
 pub struct Conn {
     pub stream: TcpStream,
     pub open: bool,
+    /// Accepted from a listener. Once the peer has reset it, nobody waits for answers any more.
+    pub accepted: bool,
     pub paused: bool,
     pub finishing: bool,
     unwritten: VecDeque<Vec<u8>>,
@@ -68,12 +70,17 @@
 }
 
 impl Conn {
-    fn new(stream: TcpStream, open: bool) -> Conn {
+    fn accepted(stream: TcpStream) -> Conn {
+        Conn { open: true, accepted: true, ..Conn::connecting(stream) }
+    }
+
+    fn connecting(stream: TcpStream) -> Conn {
         let _ = stream.set_nodelay(true);
         let unwritten = VecDeque::new();
         Conn {
             stream,
-            open,
+            open: false,
+            accepted: false,
             paused: false,
             finishing: false,
             unwritten,
@@ -84,9 +91,9 @@
         }
     }
 
-    /// Wraps an established connection from another reactor.
+    /// Wraps an accepted connection from another reactor.
     pub fn from_std(stream: std::net::TcpStream) -> Conn {
-        Conn::new(TcpStream::from_std(stream), true)
+        Conn::accepted(TcpStream::from_std(stream))
     }
 
     pub fn into_std(self) -> std::net::TcpStream {
@@ -106,7 +113,7 @@
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) => return Err(e),
         }
-        Ok(Conn::new(TcpStream::from_std(socket.into()), false))
+        Ok(Conn::connecting(TcpStream::from_std(socket.into())))
     }
 
     /// Whether a pending connect has completed.
--- a/crates/reactor/tests/sockets.rs
+++ b/crates/reactor/tests/sockets.rs
@@ -6,7 +6,7 @@
 use socket2::SockRef;
 use std::any::Any;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
@@ -43,6 +43,20 @@
                 format!("{} bytes", bytes.len())
             }
             Input::Closed { why, .. } => format!("closed {why:?}"),
+            Input::Opened { .. } => "opened".into(),
+            Input::Command(word) if word.starts_with("connect ") => {
+                let to = word["connect ".len()..].parse().unwrap();
+                self.links.push(out.connect(to, None));
+                return;
+            }
+            Input::Command("pause") => {
+                self.links.iter().for_each(|link| out.push(Effect::Pause { link: *link }));
+                return;
+            }
+            Input::Command("continue") => {
+                self.links.iter().for_each(|link| out.push(Effect::Continue { link: *link }));
+                return;
+            }
             Input::TimerFired { timer } => format!("due {timer}"),
             Input::File { name, bytes } => {
                 format!("{name}: {:?}", bytes.map(|b| b.len()).map_err(|_| "missing"))
@@ -179,20 +193,65 @@
     // A server's complete answer right before its reset: writing the request fails, and the unread answer must not be
     // lost with the link.
     let setup = setup();
-    let mut peer = setup.connect();
+    let server = TcpListener::bind("127.0.0.1:0").unwrap();
+    setup.command(&format!("connect {}", server.local_addr().unwrap()));
+    let (mut peer, _) = server.accept().unwrap();
+    assert_eq!(setup.next_report(), "opened");
     let gate = setup.gate.lock().unwrap();
     setup.command("hold");
     assert_eq!(setup.next_report(), "holding");
     // Queued behind `hold` in the same round, so that the write precedes the read of what has arrived.
     setup.command("send");
     peer.write_all(b"answer").unwrap();
-    SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
-    drop(peer);
+    reset(peer);
     drop(gate);
     assert_eq!(setup.next_report(), "6 bytes");
     assert_eq!(setup.next_report(), format!("closed {:?}", Ended::Reset));
 }
 
+fn reset(peer: TcpStream) {
+    SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(peer);
+}
+
+#[test]
+fn nothing_is_read_of_an_accepted_link_that_its_peer_has_reset() {
+    // Guards against requests that are carried out for a client that is gone: what it had sent was read after its
+    // reset, at once or when its link was resumed.
+    for held_by in ["hold", "pause"] {
+        let setup = setup();
+        let mut peer = setup.connect();
+        let gate = setup.gate.lock().unwrap();
+        setup.command("hold");
+        assert_eq!(setup.next_report(), "holding");
+        if held_by == "pause" {
+            setup.command("pause");
+        }
+        setup.command("send");
+        peer.write_all(b"request").unwrap();
+        reset(peer);
+        drop(gate);
+        assert_eq!(setup.next_report(), format!("closed {:?}", Ended::Reset), "{held_by}");
+    }
+}
+
+#[test]
+fn a_continued_link_is_called_again_behind_others() {
+    let setup = setup();
+    let (_continued, mut other) = (setup.connect(), setup.connect());
+    let gate = setup.gate.lock().unwrap();
+    setup.command("hold");
+    assert_eq!(setup.next_report(), "holding");
+    other.write_all(b"hello").unwrap();
+    setup.command("pause");
+    setup.command("continue");
+    drop(gate);
+    // Both links are called again, paused as they are, and neither is read.
+    assert_eq!([setup.next_report(), setup.next_report()], ["0 bytes", "0 bytes"]);
+    setup.command("finish");
+    assert_eq!([setup.next_report(), setup.next_report()], ["closed Ours", "closed Ours"]);
+}
+
 #[test]
 fn inputs_behind_an_exit_in_the_same_round_are_dropped() {
     let setup = setup();
--- a/crates/virtual/src/lib.rs
+++ b/crates/virtual/src/lib.rs
@@ -58,6 +58,8 @@
     Stands(u64, usize),
     /// Whatever is due on this direction.
     Flow(u64, usize),
+    /// The node asked to be called again for a link.
+    Continue(Link),
     Closed(Link, u8),
     File(String),
     Synced(u64),
@@ -287,6 +289,10 @@
             What::Listening(door, at) => self.give(place, Input::Listening { listener: door, at }),
             What::Stands(wire, end) => self.stands(wire, end),
             What::Flow(wire, way) => self.flow(wire, way),
+            What::Continue(link) if self.machines[place].links.contains_key(&link) => {
+                self.give(place, Input::Bytes { link, bytes: &[] })
+            }
+            What::Continue(_) => {}
             What::Closed(link, why) => {
                 if self.machines[place].links.remove(&link).is_some() || why == OURS || why == REFUSED {
                     self.give(place, Input::Closed { link, why: ended(why) });
@@ -353,6 +359,7 @@
             Effect::Send { link, bytes } => self.send(place, link, bytes),
             Effect::Finish { link } => self.close(place, link, true),
             Effect::Cut { link } => self.close(place, link, false),
+            Effect::Continue { link } => self.at(self.now, place, What::Continue(link)),
             Effect::SetTimer { timer, at } => {
                 let at = self.true_time(place, at);
                 // Never early, by whatever rounding.
