proxy: clients' requests are read one in a round, within limits on memory and time

Hundreds of clients that stopped half way through a large request held up to 256 KiB each without any bound on all of them, for good. A client that sent requests behind one another while no line was left ended the process: each was answered within the other, and the stack overflowed. Each such call left a timer behind until its time limit.

Cause: nothing counted what all clients had sent; no request had a time limit; the next request was read within the answer to the one before.

Change: clients.rs reads clients' requests. Incomplete and forwarded ones together take 64 MiB at most: beyond it the largest incomplete one is answered 503. One that has not arrived within 60 s is answered 408. The next request of a connection is taken in a later round, behind other clients. A call that fails at once sets no timer. With all 10,000 connections in use the idlest makes room. A head that arrives in small pieces is parsed when it can be complete or has doubled, not at each piece. These stand in one commit, since they are one rewrite of the same code.

Evidence: crates/proxy/tests/clients.rs. On the code before: stack overflow (the test process was aborted), no 408, all 600 incomplete requests held. Now all six pass, and so do the other tests of proxy and http.

--- a/crates/http/src/read.rs
+++ b/crates/http/src/read.rs
@@ -6,6 +6,12 @@
 /// Bytes of a chunk size line with its extensions, or of a trailer line.
 const MAX_LINE_LEN: usize = 1024;
 const MAX_TRAILERS: usize = 16;
+/// Buffer capacity retained between messages, and the multiple of the buffered bytes above which it is reduced.
+const RETAINED_CAPACITY: usize = 4 * 1024;
+const SHRINK_FACTOR: usize = 2;
+
+/// Line break before and at the end of a head.
+const BLANK_LINE: &[u8] = b"\n\r\n";
 
 /// Which kind of message is read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,21 +114,54 @@
     consumed: u64,
     body: u64,
     no_body: bool,
+    /// Bytes of an incomplete head that hold no blank line, and the size at which it is parsed without one. Parsed at
+    /// each byte, a head that arrives slowly would cost the square of its size.
+    searched: usize,
+    parse_at: usize,
 }
 
 impl Reader {
     pub fn new(side: Side, limits: Limits) -> Reader {
         let state = State::Head;
-        Reader { side, limits, state, buffer: Vec::new(), from: 0, consumed: 0, body: 0, no_body: false }
+        Reader {
+            side,
+            limits,
+            state,
+            buffer: Vec::new(),
+            from: 0,
+            consumed: 0,
+            body: 0,
+            no_body: false,
+            searched: 0,
+            parse_at: 0,
+        }
     }
 
     /// All parts must be taken after each push: what remains buffered is then less than a head.
     pub fn push(&mut self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
         self.buffer.drain(..self.from);
         self.from = 0;
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Allocated size of the buffer in bytes.
+    pub fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Releases the memory of a large read once little of it is left.
+    pub fn shrink(&mut self) {
+        let left = self.buffer.len() - self.from;
+        if self.buffer.capacity() > RETAINED_CAPACITY.max(SHRINK_FACTOR * left) {
+            self.buffer.drain(..self.from);
+            self.from = 0;
+            self.buffer.shrink_to(RETAINED_CAPACITY);
+        }
+    }
+
     /// The next response answers a HEAD request and has no body.
     pub fn expect_no_body(&mut self) {
         self.no_body = true;
@@ -253,6 +292,11 @@
 
     fn head(&mut self) -> Result<Option<Part>, ParseError> {
         let rest = &self.buffer[self.from..];
+        let unsearched = &rest[self.searched.saturating_sub(BLANK_LINE.len() - 1)..];
+        if rest.len() < self.parse_at.min(self.limits.head) && !has_blank_line(unsearched) {
+            self.searched = rest.len();
+            return Ok(None);
+        }
         if rest.is_empty() {
             return Ok(None);
         }
@@ -282,8 +326,10 @@
         let httparse::Status::Complete(size) = status else {
             let full = rest.len() >= self.limits.head;
             let reason = format!("a head of more than {} bytes", self.limits.head);
+            (self.searched, self.parse_at) = (rest.len(), 2 * rest.len());
             return if full { Err(self.error(431, &reason)) } else { Ok(None) };
         };
+        (self.searched, self.parse_at) = (0, 0);
         let mut head = Head { first, headers, keep_alive: false, length: None };
         head.keep_alive = is_keep_alive(&head, version);
         let state = self.framing(&mut head, version)?;
@@ -342,6 +388,12 @@
     }
 }
 
+/// Whether a head may end here: at a line break that another one follows, with or without CR.
+fn has_blank_line(bytes: &[u8]) -> bool {
+    bytes.windows(BLANK_LINE.len()).any(|three| three == BLANK_LINE || three.ends_with(b"\n\n"))
+        || bytes.starts_with(b"\n\n")
+}
+
 fn to_owned_headers(headers: &[httparse::Header]) -> Vec<(String, String)> {
     let text = |value: &[u8]| String::from_utf8_lossy(value).trim().to_string();
     headers.iter().map(|h| (h.name.to_ascii_lowercase(), text(h.value))).collect()
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 #![forbid(unsafe_code)]
 
 mod calls;
+mod clients;
 mod multi_worker;
 mod node;
 mod picker;
--- a/crates/proxy/src/multi_worker.rs
+++ b/crates/proxy/src/multi_worker.rs
@@ -197,7 +197,7 @@
             Input::Start => out.set_timer(timer::HOUSEKEEPING, now + HOUSEKEEPING),
             Input::Accepted { link, .. } => {
                 self.accepted += 1;
-                self.inner.accept(link, out);
+                self.inner.accept(now, link, out);
             }
             Input::Bytes { link, bytes } => self.inner.receive(now, link, bytes, out),
             Input::Closed { link, why } => self.inner.closed(now, link, why, out),
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -97,7 +97,7 @@
         match input {
             Input::Start => self.planner_client.start(now, self.front.listen, out),
             Input::Listening { .. } | Input::NotListening { .. } => log_listener(&input, out),
-            Input::Accepted { link, .. } => self.worker.accept(link, out),
+            Input::Accepted { link, .. } => self.worker.accept(now, link, out),
             Input::Opened { link } if self.planner_client.is_link(link) => {
                 self.planner_client.connected(now, out)
             }
--- a/crates/proxy/src/worker.rs
+++ b/crates/proxy/src/worker.rs
@@ -4,12 +4,13 @@
 use crate::calls::{
     forwarded_headers, retry_decision, Call, CallError, RetryDecision, RetrySafety, TryFailure,
 };
+use crate::clients::{Clients, Request, MAX_REQUEST_MEMORY};
 use crate::picker::{AdmissionLevel, WeightedPicker};
 use crate::servers::{Servers, TryOutcome};
 use crate::tables::Tables;
 use crate::{EjectionConfig, FrontConfig, Route, ENDED_HEADER, NOT_RUN_HEADER};
-use pewtergap_http::{chunk, request, response, Head, Limits, Part, Reader, Side, StartLine, LAST_CHUNK};
-use pewtergap_node::{Effect, Ended, Level as LogLevel, Link, Outbox};
+use pewtergap_http::{chunk, request, response, Limits, Part, Reader, Side, StartLine, LAST_CHUNK};
+use pewtergap_node::{Ended, Level as LogLevel, Link, Outbox};
 use pewtergap_protocol::load_report::{LoadReport, HEADER};
 use pewtergap_protocol::ServerStatsRow;
 use pewtergap_time::{Moment, Span};
@@ -17,7 +18,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-const MAX_CLIENTS: usize = 10_000;
 /// Ids of calls, which are also the ids of their timers, start here.
 pub const FIRST_CALL_ID: u64 = 16;
 
@@ -28,14 +28,6 @@
     pub dropped: u64,
 }
 
-struct Client {
-    reader: Reader,
-    head: Option<Head>,
-    body: Vec<u8>,
-    call: Option<u64>,
-    keep_alive: bool,
-}
-
 pub struct Worker {
     via: String,
     config: FrontConfig,
@@ -46,8 +38,10 @@
     pickers: HashMap<u32, WeightedPicker>,
     levels: Vec<AdmissionLevel>,
     servers: Servers,
-    clients: BTreeMap<Link, Client>,
+    clients: Clients,
     calls: BTreeMap<u64, Call>,
+    /// Memory of the requests in `calls`, in bytes.
+    call_memory: usize,
     by_server_link: HashMap<Link, u64>,
     next_call: u64,
     arrivals: Vec<ArrivalCount>,
@@ -75,8 +69,9 @@
             rng: fastrand::Rng::with_seed(seed),
             tables: tables.clone(),
             servers: Servers::default(),
-            clients: BTreeMap::new(),
+            clients: Clients::default(),
             calls: BTreeMap::new(),
+            call_memory: 0,
             by_server_link: HashMap::new(),
             next_call: FIRST_CALL_ID,
             stopping: false,
@@ -121,29 +116,26 @@
         self.routes.iter().map(|route| route.time_limit).max().unwrap_or_default()
     }
 
-    pub fn accept(&mut self, link: Link, out: &mut Outbox) {
-        if self.clients.len() >= MAX_CLIENTS {
-            return out.cut(link);
-        }
-        let reader = Reader::new(Side::Requests, Limits { head: 16 * 1024, body: 256 * 1024 });
-        let client = Client { reader, head: None, body: Vec::new(), call: None, keep_alive: false };
-        self.clients.insert(link, client);
+    pub fn accept(&mut self, now: Moment, link: Link, out: &mut Outbox) {
+        self.clients.accept(now, link, out);
     }
 
     pub fn receive(&mut self, now: Moment, link: Link, bytes: &[u8], out: &mut Outbox) {
-        if self.clients.contains_key(&link) {
-            self.receive_from_client(now, link, bytes, out)
+        if self.clients.contains(link) {
+            if let Some(request) = self.clients.receive(now, link, bytes, out) {
+                self.start_call(now, link, request, out);
+            }
         } else {
             self.receive_from_server(now, link, bytes, out)
         }
     }
 
     pub fn closed(&mut self, now: Moment, link: Link, why: Ended, out: &mut Outbox) {
-        let Some(client) = self.clients.remove(&link) else {
+        let Some(call) = self.clients.remove(link) else {
             return self.server_closed(now, link, why, out);
         };
         // The client is gone, so the response is discarded. The request already sent cannot be revoked.
-        if let Some(call) = client.call.and_then(|id| self.calls.remove(&id)) {
+        if let Some(call) = call.and_then(|id| self.remove_call(id)) {
             self.by_server_link.remove(&call.link);
             out.cut(call.link);
             self.record_try(&call.server, TryOutcome::Failure, now, out);
@@ -156,54 +148,27 @@
             if let Some(server) = self.calls.get(&id).filter(|c| c.tries > 0).map(|c| c.server.clone()) {
                 self.record_try(&server, TryOutcome::Failure, now, out);
             }
-            self.fail_call(now, id, CallError::TimedOut, out);
+            self.fail_call(id, CallError::TimedOut, out);
         }
     }
 
+    /// Closes idle connections to servers, and rejects requests that have not arrived in time.
     pub fn close_idle(&mut self, now: Moment, out: &mut Outbox) {
+        self.clients.time_out(now, out);
         let tables = &self.tables;
         for link in self.servers.expire_idle(now, self.config.keep_alive, |server| tables.contains(server)) {
             out.finish(link);
         }
     }
 
-    fn receive_from_client(&mut self, now: Moment, link: Link, bytes: &[u8], out: &mut Outbox) {
-        let Some(client) = self.clients.get_mut(&link) else { return };
-        client.reader.push(bytes);
-        self.read_client(now, link, out);
+    fn remove_call(&mut self, id: u64) -> Option<Call> {
+        let call = self.calls.remove(&id)?;
+        self.call_memory -= call.request.len();
+        Some(call)
     }
 
-    /// Reads the next request of a client, one at a time: reading is paused while a call is in flight.
-    fn read_client(&mut self, now: Moment, link: Link, out: &mut Outbox) {
-        loop {
-            let Some(client) = self.clients.get_mut(&link) else { return };
-            if client.call.is_some() {
-                out.push(Effect::Pause { link });
-                return;
-            }
-            match client.reader.next_part() {
-                Ok(None) => return,
-                Ok(Some(Part::Head(head))) => {
-                    client.keep_alive = head.keep_alive;
-                    client.head = Some(head);
-                    client.body.clear();
-                }
-                Ok(Some(Part::Data(data))) => client.body.extend_from_slice(&data),
-                Ok(Some(Part::End)) => self.start_call(now, link, out),
-                Err(error) => {
-                    let body = error.to_string();
-                    out.send(link, response(error.status, &[("connection", "close")], Some(body.as_bytes())));
-                    out.finish(link);
-                    self.clients.remove(&link);
-                    return;
-                }
-            }
-        }
-    }
-
-    fn start_call(&mut self, now: Moment, link: Link, out: &mut Outbox) {
-        let Some(client) = self.clients.get_mut(&link) else { return };
-        let (Some(head), body) = (client.head.take(), std::mem::take(&mut client.body)) else { return };
+    fn start_call(&mut self, now: Moment, link: Link, received: Request, out: &mut Outbox) {
+        let Request { head, body } = received;
         let StartLine::Request { method, target } = &head.first else { return };
         let first = target.trim_start_matches('/').split(['/', '?']).next().unwrap_or("");
         let Some(route) = self.routes.iter().position(|route| route.name == first) else {
@@ -214,7 +179,8 @@
         if !self.levels[route].admits(level) {
             return self.respond_locally(link, CallError::Throttled, out);
         }
-        if self.calls.len() >= self.config.max_calls {
+        let memory = self.clients.memory() + self.call_memory + body.len();
+        if self.calls.len() >= self.config.max_calls || memory > MAX_REQUEST_MEMORY {
             return self.respond_locally(link, CallError::TooManyCalls, out);
         }
         let mut headers = forwarded_headers(&head);
@@ -242,10 +208,14 @@
             report: LoadReport::default(),
             reuse_connection: false,
         };
-        out.set_timer(id, call.deadline);
-        self.clients.entry(link).and_modify(|client| client.call = Some(id));
+        self.clients.set_call(link, id);
+        self.call_memory += call.request.len();
         self.calls.insert(id, call);
         self.try_next(now, id, out);
+        // A call that failed at once needs no timer, and clients can make many of them.
+        if let Some(call) = self.calls.get(&id) {
+            out.set_timer(id, call.deadline);
+        }
     }
 
     /// Admission level and resend policy of a route.
@@ -256,7 +226,7 @@
 
     /// Responds to a client without a server's response.
     fn respond_locally(&mut self, link: Link, error: CallError, out: &mut Outbox) {
-        let keep_alive = self.clients.get(&link).is_some_and(|client| client.keep_alive);
+        let keep_alive = self.clients.keeps_alive(link);
         let mut headers = vec![(ENDED_HEADER, error.name())];
         if !keep_alive {
             headers.push(("connection", "close"));
@@ -267,18 +237,15 @@
 
     /// Ends a call after its response: the connection is kept for the next call, or closed.
     fn finish_response(&mut self, link: Link, keep_alive: bool, out: &mut Outbox) {
-        let Some(client) = self.clients.get_mut(&link) else { return };
-        client.call = None;
-        if !keep_alive || self.stopping {
-            out.finish(link);
-            self.clients.remove(&link);
+        if self.clients.contains(link) {
+            self.clients.answered(link, keep_alive && !self.stopping, out);
         }
     }
 
     fn try_next(&mut self, now: Moment, id: u64, out: &mut Outbox) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some((table, found)) = self.tables.for_route(call.route) else {
-            return self.fail_call(now, id, CallError::NoLine, out);
+            return self.fail_call(id, CallError::NoLine, out);
         };
         let picker = self.pickers.entry(table).or_default();
         let servers = &self.servers;
@@ -288,7 +255,7 @@
         let server = picker.pick(&found.lines, is_usable).or_else(|| picker.pick(&found.lines, is_untried));
         let Some(server) = server else {
             let error = if call.tries > 0 { CallError::Failed } else { CallError::NoLine };
-            return self.fail_call(now, id, error, out);
+            return self.fail_call(id, error, out);
         };
         call.tries += 1;
         call.try_started = now;
@@ -319,7 +286,7 @@
         if retry {
             return self.try_next(now, id, out);
         }
-        self.fail_call(now, id, CallError::Failed, out);
+        self.fail_call(id, CallError::Failed, out);
     }
 
     fn may_retry(&self, call: &Call, failure: TryFailure) -> bool {
@@ -341,8 +308,8 @@
     }
 
     /// Ends a call without a server's response.
-    fn fail_call(&mut self, now: Moment, id: u64, error: CallError, out: &mut Outbox) {
-        let Some(call) = self.calls.remove(&id) else { return };
+    fn fail_call(&mut self, id: u64, error: CallError, out: &mut Outbox) {
+        let Some(call) = self.remove_call(id) else { return };
         if error != CallError::NoLine {
             self.arrivals[call.route].dropped += 1;
         }
@@ -352,18 +319,10 @@
         if call.head_forwarded {
             // Part of a response was already forwarded: only closing the connection tells the client that it is incomplete.
             out.cut(call.client);
-            self.clients.remove(&call.client);
+            self.clients.remove(call.client);
             return;
         }
         self.respond_locally(call.client, error, out);
-        self.resume_client(now, call.client, out);
-    }
-
-    fn resume_client(&mut self, now: Moment, client: Link, out: &mut Outbox) {
-        if self.clients.contains_key(&client) {
-            out.push(Effect::Resume { link: client });
-            self.read_client(now, client, out);
-        }
     }
 
     fn receive_from_server(&mut self, now: Moment, link: Link, bytes: &[u8], out: &mut Outbox) {
@@ -437,7 +396,7 @@
                 if call.chunked {
                     out.send(call.client, LAST_CHUNK.to_vec());
                 }
-                let Some(call) = self.calls.remove(&id) else { return };
+                let Some(call) = self.remove_call(id) else { return };
                 self.by_server_link.remove(&call.link);
                 if call.reuse_connection && self.tables.contains(&call.server) {
                     self.servers.put_idle(&call.server, call.link, now);
@@ -451,9 +410,8 @@
                     TryOutcome::Failure
                 };
                 self.record_try(&call.server, outcome, now, out);
-                let keep_alive = self.clients.get(&call.client).is_some_and(|client| client.keep_alive);
+                let keep_alive = self.clients.keeps_alive(call.client);
                 self.finish_response(call.client, keep_alive, out);
-                self.resume_client(now, call.client, out);
             }
         }
     }
