control: the operators' endpoint reads one request of a connection in a round

Change: the next request of a connection is read after the answer to the one before, in a later round; answers so keep the order of their requests.

--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -811,19 +811,17 @@
     // ---- health and metrics
 
     fn admin(&mut self, link: Link, bytes: &[u8], out: &mut Outbox) {
-        for request in self.admin.receive(link, bytes, out) {
-            if self.external_paths.iter().any(|prefix| request.target.starts_with(prefix)) {
-                self.external_requests.push(request);
-                continue;
-            }
-            let (status, body) = match request.target.as_str() {
-                "/healthz" if self.list_received => (200, "ok\n".to_string()),
-                "/healthz" => (503, "no list yet\n".to_string()),
-                "/metrics" => (200, self.metrics()),
-                _ => (404, "there are /healthz and /metrics\n".to_string()),
-            };
-            self.admin.answer(link, status, "text/plain; version=0.0.4", &body, out);
+        let Some(request) = self.admin.receive(link, bytes, out) else { return };
+        if self.external_paths.iter().any(|prefix| request.target.starts_with(prefix)) {
+            return self.external_requests.push(request);
         }
+        let (status, body) = match request.target.as_str() {
+            "/healthz" if self.list_received => (200, "ok\n".to_string()),
+            "/healthz" => (503, "no list yet\n".to_string()),
+            "/metrics" => (200, self.metrics()),
+            _ => (404, "there are /healthz and /metrics\n".to_string()),
+        };
+        self.admin.answer(link, status, "text/plain; version=0.0.4", &body, out);
     }
 
     /// Answers an external request, unless its connection has been closed.
--- a/crates/tier/src/control_machine.rs
+++ b/crates/tier/src/control_machine.rs
@@ -230,7 +230,7 @@
         }
     }
 
-    fn answer(&self, link: Link, status: u16, json: &str, out: &mut Outbox) {
+    fn answer(&mut self, link: Link, status: u16, json: &str, out: &mut Outbox) {
         self.admin.answer(link, status, "application/json", json, out);
     }
 
@@ -361,7 +361,7 @@
             Input::Accepted { link, .. } if self.stopping => out.cut(link),
             Input::Accepted { link, .. } => self.watch_server.accepted(now, link, out),
             Input::Bytes { link, bytes } if self.admin.owns_link(link) => {
-                for request in self.admin.receive(link, bytes, out) {
+                if let Some(request) = self.admin.receive(link, bytes, out) {
                     self.handle_admin(now, request, out);
                 }
             }
