fronts: what all connections hold of incomplete messages is bounded, largest first

Peers of `node` that sent half a message of many short items took several times what was counted; peers of `run` could hold 1 MiB each and those of the record 4 MiB before they had said who they were; peers that sent a byte now and then kept proxies out of `run`.

Cause: limits stood on each connection, bytes were counted and not what they take, and the time to wait for a first message ran anew with each byte.

Change: each listener bounds what is allocated for incomplete messages, 64 MiB (`node` a sixteenth of its memory as before), and closes the largest beyond it rather than whoever sends next. In `run` a peer without a hello has a fixed time and makes room for newcomers. A member's first message has 64 KiB at most. Buffers are released as they empty, without a copy at each small read.

The new ones were not run on the code before, where most of the calls they make did not exist.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod report_queue;
 mod saved_list;
 mod service;
-mod streams;
+pub mod streams;
 pub mod tables;
 mod traffic;
 
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -8,7 +8,7 @@
 use crate::probes::{ProbeConfig, Probes};
 use crate::report_queue::ReportQueue;
 use crate::saved_list;
-use crate::streams::{ReportConfig, Sent, Stream, Streams, MAX_UNANSWERED};
+use crate::streams::{ReportConfig, Sent, Stream, Streams, MAX_UNANSWERED, TOO_MUCH_MEMORY};
 use crate::tables::Tables;
 use crate::traffic::TrafficStats;
 use pewtergap_node::{Effect, Ended, Input, Level, Link, Node, Outbox};
@@ -469,7 +469,7 @@
         loop {
             let Some(stream) = self.streams.by_link.get_mut(&link) else { return };
             let result = match stream.frames.next_message() {
-                Ok(None) => return,
+                Ok(None) => break,
                 Ok(Some(message)) => match message.kind {
                     Some(kind) => self.message(now, link, kind, out),
                     None => Ok(()),
@@ -481,6 +481,9 @@
                 return;
             }
         }
+        if let Some(largest) = self.streams.account(link) {
+            self.close(now, largest, TOO_MUCH_MEMORY, out);
+        }
     }
 
     fn message(
@@ -977,6 +980,12 @@
         }
         if self.streams.by_link.len() >= self.reports.max_streams {
             self.counts.refused_streams += 1;
+            // A peer that has not said who it is makes room, so that a proxy can always join.
+            if let Some(stranger) = self.streams.oldest_stranger() {
+                self.close(now, stranger, "other peers wait", out);
+                self.streams.by_link.insert(link, Stream::new(now));
+                return;
+            }
             let reason = format!("{} streams are open, no more are taken", self.streams.by_link.len());
             out.send(link, encode(&PlannerMessage::new(planner_message::Kind::Bye(Bye { reason }))));
             out.finish(link);
--- a/crates/control/src/streams.rs
+++ b/crates/control/src/streams.rs
@@ -1,7 +1,7 @@
 //! Proxies' streams: the proxy of each, and the messages sent and not yet acknowledged.
 
 use pewtergap_node::Link;
-use pewtergap_protocol::{FrameReader, ProxyMessage};
+use pewtergap_protocol::{largest_beyond_limit, FrameReader, ProxyMessage, RETAINED_CAPACITY};
 use pewtergap_time::{Moment, Span};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -35,6 +35,9 @@
 
 pub struct Stream {
     pub frames: FrameReader<ProxyMessage>,
+    /// Memory of what was received of its next message, in bytes.
+    pub allocated: usize,
+    pub accepted_at: Moment,
     /// Known once it has sent its hello.
     pub proxy: Option<usize>,
     pub zone: usize,
@@ -54,6 +57,8 @@
     pub fn new(now: Moment) -> Stream {
         Stream {
             frames: FrameReader::default(),
+            allocated: 0,
+            accepted_at: now,
             proxy: None,
             zone: 0,
             calls_per_s: 0.0,
@@ -87,7 +92,9 @@
         interval: Span,
         unresponsive_after: Span,
     ) -> Option<&'static str> {
-        let silent = now.since(self.last_contact) > interval.times(MAX_MISSED_REPORTS);
+        // Before its hello, a peer that sends a byte now and then does not keep its place.
+        let silent_since = if self.proxy.is_some() { self.last_contact } else { self.accepted_at };
+        let silent = now.since(silent_since) > interval.times(MAX_MISSED_REPORTS);
         let unresponsive =
             self.unanswered.front().is_some_and(|sent| now.since(sent.sent_at) > unresponsive_after);
         match (self.proxy, silent, unresponsive) {
@@ -110,6 +117,9 @@
     }
 }
 
+/// Why a stream is closed whose incomplete message is the largest when all take too much memory.
+pub const TOO_MUCH_MEMORY: &str = "incomplete messages take too much memory";
+
 /// All streams, by link and by proxy.
 #[derive(Default)]
 pub struct Streams {
@@ -123,6 +133,22 @@
         self.by_link.get_mut(&link).map(|stream| (link, stream))
     }
 
+    /// Notes the memory of a stream's incomplete message. Returns the stream to close if all take too much.
+    pub fn account(&mut self, link: Link) -> Option<Link> {
+        let stream = self.by_link.get_mut(&link)?;
+        stream.allocated = stream.frames.shrink();
+        if stream.allocated <= RETAINED_CAPACITY {
+            return None;
+        }
+        largest_beyond_limit(self.by_link.iter().map(|(link, stream)| (*link, stream.allocated)))
+    }
+
+    /// The peer that has waited for longest without a hello.
+    pub fn oldest_stranger(&self) -> Option<Link> {
+        let strangers = self.by_link.iter().filter(|(_, stream)| stream.proxy.is_none());
+        strangers.min_by_key(|(_, stream)| stream.accepted_at).map(|(link, _)| *link)
+    }
+
     /// Calls per second at all joined proxies.
     pub fn total_rate(&self) -> f64 {
         self.by_link.values().filter(|stream| stream.proxy.is_some()).map(|stream| stream.rate).sum()
--- a/crates/control/tests/service.rs
+++ b/crates/control/tests/service.rs
@@ -366,3 +366,45 @@
     harness.advance(300);
     insta::assert_snapshot!(harness.trace);
 }
+
+#[test]
+fn peers_without_a_hello_make_room_and_cannot_keep_their_place_byte_by_byte() {
+    // Guards against proxies that are refused for good: peers that send a byte now and then held all streams.
+    let mut harness = Harness::new(100.0, None, LIST);
+    let strangers: Vec<Link> = (0..5).map(|number| harness.open(&format!("stranger {number}"))).collect();
+    let proxy = harness.join("proxy");
+    assert!(harness.trace.contains("to stranger 0: bye: other peers wait"), "{}", harness.trace);
+    // The header of a frame of 4,096 bytes, and the first of its bytes.
+    for byte in [0, 0, 16, 0, 1, 1, 1, 1, 1, 1] {
+        harness.advance(500);
+        harness.ack(proxy);
+        strangers[1..].iter().for_each(|link| harness.input(Input::Bytes { link: *link, bytes: &[byte] }));
+    }
+    for number in 1..5 {
+        assert!(harness.trace.contains(&format!("cuts stranger {number}")), "{}", harness.trace);
+    }
+    assert!(!harness.trace.contains("cuts proxy"), "{}", harness.trace);
+}
+
+#[test]
+fn incomplete_messages_of_many_peers_are_closed_largest_first() {
+    // Guards against hundreds of peers that each stop half way through a large message.
+    let mut streams = pewtergap_control::streams::Streams::default();
+    let mut closed = Vec::new();
+    for number in 0..200 {
+        let link = Link(number);
+        let mut stream = pewtergap_control::streams::Stream::new(START);
+        let length = if number == 0 { 8 * 1024 } else { 1024 * 1024 };
+        stream.frames.push(&(length as u32).to_be_bytes());
+        stream.frames.push(&vec![0; length - 1]);
+        assert!(stream.frames.next_message().is_ok_and(|message| message.is_none()));
+        streams.by_link.insert(link, stream);
+        while let Some(largest) = streams.account(link) {
+            streams.by_link.remove(&largest);
+            closed.push(largest);
+        }
+    }
+    let held: usize = streams.by_link.values().map(|stream| stream.allocated).sum();
+    assert!(held <= 64 * 1024 * 1024, "{held} bytes");
+    assert!(closed.len() < 170 && !closed.contains(&Link(0)), "{} closed", closed.len());
+}
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -24,6 +24,8 @@
 const MAX_INCOMING: usize = 2 * (MAX_MEMBERS + MAX_OBSERVERS) + 18;
 /// An incoming connection without a hello is closed after this time.
 const HELLO_TIMEOUT: Span = Span::millis(2_000);
+/// Maximum length of the first message of a connection, in bytes.
+const MAX_HELLO_LEN: usize = 64 * 1024;
 
 /// `Urgent` carries elections and other short messages, `Bulk` all long ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -160,7 +162,10 @@
         if self.incoming.len() >= MAX_INCOMING {
             return out.cut(link);
         }
-        self.incoming.insert(link, IncomingLink { frames: FrameReader::default(), hello: None, since: now });
+        self.incoming.insert(
+            link,
+            IncomingLink { frames: FrameReader::with_limit(MAX_HELLO_LEN), hello: None, since: now },
+        );
     }
 
     /// Handles a closed connection; returns the id of the member that can no longer be reached over it.
@@ -181,8 +186,14 @@
             let mut messages = Vec::new();
             loop {
                 match frames.next_message() {
-                    Ok(Some(message)) => messages.push(message),
-                    Ok(None) => return Ok(messages),
+                    Ok(Some(message)) => {
+                        frames.lift_limit();
+                        messages.push(message);
+                    }
+                    Ok(None) => {
+                        frames.shrink();
+                        return Ok(messages);
+                    }
                     Err(error) => return Err(error.to_string()),
                 }
             }
--- a/crates/platform/src/node/streams.rs
+++ b/crates/platform/src/node/streams.rs
@@ -22,7 +22,7 @@
     /// Closes a connection; a peer that has not joined is told why.
     pub(super) fn reject(&mut self, now: Moment, link: Link, why: &str, out: &mut Outbox) {
         let Some(peer) = self.peers.all.remove(&link) else { return };
-        self.peers.buffered -= peer.reader.buffered();
+        self.peers.held -= peer.reader.held();
         self.left(now, link, &peer, out);
         if peer.role == PeerRole::Stranger {
             self.tally.turned_away += 1;
@@ -53,7 +53,7 @@
 
     pub(super) fn closed(&mut self, now: Moment, link: Link, why: Ended, out: &mut Outbox) {
         if let Some(peer) = self.peers.all.remove(&link) {
-            self.peers.buffered -= peer.reader.buffered();
+            self.peers.held -= peer.reader.held();
             if why == Ended::Overflow {
                 let fields = vec![("stand", format!("{:?}", peer.role)), ("why", "does not read".into())];
                 self.log(now, Level::Warn, "closed", fields, out);
@@ -64,7 +64,7 @@
 
     pub(super) fn receive(&mut self, now: Moment, link: Link, bytes: &[u8], out: &mut Outbox) {
         let Some(mut peer) = self.peers.all.remove(&link) else { return };
-        self.peers.buffered -= peer.reader.buffered();
+        self.peers.held -= peer.reader.held();
         if peer.role == PeerRole::Proxy {
             self.resume(now, link, peer.proxy, out);
         }
@@ -74,21 +74,26 @@
         let new_collector =
             (previous_role != peer.role && peer.role == PeerRole::Collector).then_some(peer.zone);
         peer.reader.shrink();
-        self.peers.buffered += peer.reader.buffered();
+        self.peers.held += peer.reader.held();
         self.peers.all.insert(link, peer);
-        let max_buffered = (self.limits.memory_mb * 1024 * 1024 / BUFFER_MEMORY_DIVISOR) as usize;
-        match result {
-            Err(why) => self.reject(now, link, &why, out),
-            Ok(()) if self.peers.buffered > max_buffered => {
-                self.reject(now, link, "messages too long for all", out)
-            }
-            Ok(()) => {}
+        if let Err(why) = result {
+            self.reject(now, link, &why, out);
         }
+        self.shed_incomplete(now, out);
         if let Some(zone) = new_collector {
             self.close_old_collectors(now, zone, out);
         }
     }
 
+    /// Closes the peers with the largest incomplete messages while all together take too much memory.
+    fn shed_incomplete(&mut self, now: Moment, out: &mut Outbox) {
+        let max_held = (self.limits.memory_mb * 1024 * 1024 / BUFFER_MEMORY_DIVISOR) as usize;
+        while self.peers.held > max_held {
+            let Some(largest) = self.peers.largest_incomplete() else { return };
+            self.reject(now, largest, "messages too long for all", out);
+        }
+    }
+
     /// Closes old connections of a zone's collector. A collector reconnects after a network cut while its old connection
     /// stays open and silent; without a limit, the connections would in the end use up the descriptors for proxies.
     fn close_old_collectors(&mut self, now: Moment, zone: usize, out: &mut Outbox) {
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -170,11 +170,17 @@
 pub struct Peers {
     pub all: BTreeMap<Link, Peer>,
     pub streams: BTreeMap<usize, Stream>,
-    /// Bytes buffered of incomplete messages, of all peers together.
-    pub buffered: usize,
+    /// Memory of incomplete messages in bytes, of all peers together.
+    pub held: usize,
 }
 
 impl Peers {
+    /// The peer whose incomplete message takes the most memory.
+    pub fn largest_incomplete(&self) -> Option<Link> {
+        let held = self.all.iter().map(|(link, peer)| (*link, peer.reader.held()));
+        held.max_by_key(|(_, held)| *held).filter(|(_, held)| *held > 0).map(|(link, _)| link)
+    }
+
     /// Connections that have not joined or were replaced, oldest first.
     pub fn unjoined(&self) -> impl Iterator<Item = (Link, &Peer)> + '_ {
         let unjoined = |peer: &Peer| matches!(peer.role, Stranger | Former);
--- a/crates/platform/tests/node.rs
+++ b/crates/platform/tests/node.rs
@@ -491,3 +491,25 @@
     };
     insta::assert_snapshot!(changes.iter().map(describe).collect::<Vec<_>>().join("\n"));
 }
+
+#[test]
+fn incomplete_messages_of_many_short_items_are_closed_largest_first() {
+    // Guards against memory beyond the limit: each item of an incomplete message takes 16 bytes that were not counted, so
+    // that hundreds of peers took several times what they had sent.
+    let mut harness = Harness::new(&settings(100, 256));
+    let small = harness.join(0);
+    harness.input(Input::Bytes { link: small, bytes: b"*3\r\n$4\r\nRATE\r\n" });
+    let large: Vec<Link> = (1..60).map(|number| harness.join(number)).collect();
+    harness.take_output();
+    let incomplete = format!("*4000\r\n{}", "$0\r\n\r\n".repeat(3_000));
+    for link in &large {
+        harness.input(Input::Bytes { link: *link, bytes: incomplete.as_bytes() });
+    }
+    let output = harness.take_output();
+    let is_closed = |link: &Link| output.lines().any(|line| line == format!("{}: cut", link.0));
+    let open = large.iter().filter(|link| !is_closed(link)).count();
+    // A sixteenth of 32 MB, and 3,000 items of 16 bytes for each peer.
+    assert!(open * 3_000 * 16 <= 2 * 1024 * 1024, "{open} of 59 peers keep their incomplete messages");
+    assert!(open > 10, "{open} of 59 peers keep theirs although there is room for more");
+    assert!(!is_closed(&small), "the largest are closed, not the last one to send");
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,5 +7,8 @@
 pub mod load_report;
 mod messages;
 
-pub use frames::{encode, FrameReader, FramingError, Validate, HEADER_LEN};
+pub use frames::{
+    encode, largest_beyond_limit, FrameReader, FramingError, Validate, HEADER_LEN, MAX_INCOMPLETE_MEMORY,
+    RETAINED_CAPACITY,
+};
 pub use messages::*;
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -148,3 +148,16 @@
     assert_eq!(LoadReport::parse(&report.to_text()), report);
     insta::assert_snapshot!(trace);
 }
+
+#[test]
+fn a_reader_for_a_stranger_takes_short_messages_alone_until_it_is_known() {
+    // Guards against memory for peers that have not said who they are: each could have sent half of the largest message.
+    let mut reader = FrameReader::<ProxyMessage>::with_limit(16);
+    reader.push(&17_u32.to_be_bytes());
+    let error = reader.next_message().expect_err("too long for a stranger").to_string();
+    assert!(error.contains("17 bytes, at most 16 are allowed"), "{error}");
+    let mut reader = FrameReader::<ProxyMessage>::with_limit(16);
+    reader.lift_limit();
+    reader.push(&17_u32.to_be_bytes());
+    assert!(reader.next_message().is_ok_and(|message| message.is_none()), "the rest is waited for");
+}
--- a/crates/resp/src/array.rs
+++ b/crates/resp/src/array.rs
@@ -8,6 +8,8 @@
 const ITEM_OVERHEAD: usize = 16;
 /// Buffer capacity retained between messages.
 const RETAINED_CAPACITY: usize = 4 * 1024;
+/// Multiple of the buffered bytes above which the capacity is reduced.
+const SHRINK_FACTOR: usize = 2;
 
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -83,10 +85,10 @@
         self.buffer.len() - self.start
     }
 
-    /// Releases the memory of a large read, even if the next message is partially buffered. Retained for hundreds of
-    /// peers it exceeded the memory limit without showing up in `buffered`.
+    /// Releases the memory of a large read once little of it is left. Retained for hundreds of peers it exceeded the
+    /// memory limit without showing up in `buffered`.
     pub fn shrink(&mut self) {
-        if self.buffer.capacity() > RETAINED_CAPACITY {
+        if self.buffer.capacity() > RETAINED_CAPACITY.max(SHRINK_FACTOR * self.buffered()) {
             self.compact();
             self.buffer.shrink_to(RETAINED_CAPACITY);
         }
@@ -97,6 +99,15 @@
         self.buffer.capacity()
     }
 
+    /// Memory of an incomplete message in bytes, with that of its items: those of many short items take more than their
+    /// bytes. 0 if nothing is received of the next one.
+    pub fn held(&self) -> usize {
+        match self.buffered() {
+            0 => 0,
+            _ => self.buffer.capacity() + self.items.capacity() * std::mem::size_of::<(usize, usize)>(),
+        }
+    }
+
     fn compact(&mut self) {
         self.discarded += self.start as u64;
         self.buffer.drain(..self.start);
--- a/crates/watch/src/watch_server.rs
+++ b/crates/watch/src/watch_server.rs
@@ -5,7 +5,7 @@
 use crate::roster::Roster;
 use crate::server::{Action, Server, WatchServerStats};
 use pewtergap_node::{Input, Level, Link, Outbox};
-use pewtergap_protocol::{encode, FrameReader};
+use pewtergap_protocol::{encode, largest_beyond_limit, FrameReader, RETAINED_CAPACITY};
 use pewtergap_time::{Moment, Span};
 use std::collections::BTreeMap;
 
@@ -14,6 +14,8 @@
     pub roster: Roster,
     timer: u64,
     frames: BTreeMap<Link, FrameReader<WatchMessage>>,
+    /// Memory of incomplete messages, in bytes, of links that hold more than usual.
+    allocated: BTreeMap<Link, usize>,
     next_timer: Option<Moment>,
     bytes_sent: u64,
     bytes_received: u64,
@@ -26,6 +28,7 @@
             server: Server::new(config, machine, seed),
             timer: config.timer,
             frames: BTreeMap::new(),
+            allocated: BTreeMap::new(),
             next_timer: None,
             bytes_sent: 0,
             bytes_received: 0,
@@ -115,8 +118,10 @@
                         }
                     }
                 }
+                self.account(now, link, &mut actions);
             }
             Input::Closed { link, .. } if self.frames.remove(&link).is_some() => {
+                self.allocated.remove(&link);
                 self.server.closed(now, link, &mut actions);
             }
             Input::TimerFired { timer }
@@ -130,6 +135,22 @@
         self.execute(actions, out);
     }
 
+    /// Notes the memory of a link's incomplete message. The largest one is rejected if all take too much.
+    fn account(&mut self, now: Moment, link: Link, actions: &mut Vec<Action>) {
+        let Some(allocated) = self.frames.get_mut(&link).map(FrameReader::shrink) else { return };
+        if allocated <= RETAINED_CAPACITY {
+            self.allocated.remove(&link);
+            return;
+        }
+        self.allocated.insert(link, allocated);
+        let allocated = self.allocated.iter().map(|(link, allocated)| (*link, *allocated));
+        if let Some(largest) = largest_beyond_limit(allocated) {
+            self.frames.insert(largest, FrameReader::default());
+            self.allocated.remove(&largest);
+            self.server.protocol_error(now, largest, "incomplete messages take too much memory", actions);
+        }
+    }
+
     /// Sends all planners, also new ones, to other machines.
     pub fn stop(&mut self, now: Moment, out: &mut Outbox) {
         let mut actions = Vec::new();
