platform: proxies may use the descriptors that probes and the process leave

Cause: 32 descriptors were kept for the process, which needs some ten, and up to 32 for probes, in use or not.

Change: 12 are kept for the process and one for a probe; probes use what accepted connections leave.

--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -25,9 +25,11 @@
 const SWEEP_INTERVAL: Span = Span::millis(100);
 /// A connection that has not joined by then is closed.
 const JOIN_TIMEOUT: Span = Span::millis(1_050);
-/// Descriptors for the discovery connection and its successor, the listener, and what a process has open anyway.
-const RESERVED_SOCKETS: usize = 32;
-const MAX_PROBES: usize = 32;
+/// Descriptors for discovery, the listener, a connection that is being rejected, the configuration file, and what a
+/// process has open anyway.
+const RESERVED_SOCKETS: usize = 12;
+/// Concurrent probes: at least, however many proxies have joined, and at most.
+const PROBES: (usize, usize) = (1, 32);
 /// Upper bound on the time a full channel takes to drain; used if the settings give no or a larger limit.
 const MAX_CHANNEL_DRAIN: Span = Span::millis(5_000);
 const PROBE_TIMEOUT: Span = Span::millis(400);
@@ -125,9 +127,10 @@
     log_allowance: (Moment, f64),
 }
 
-/// Maximum concurrent probes, fewer if sockets are scarce.
-fn max_probes(limits: Limits) -> usize {
-    MAX_PROBES.min(limits.sockets / 8)
+/// Maximum concurrent probes: the descriptors that the accepted connections leave, within bounds.
+fn max_probes(limits: Limits, connections: usize) -> usize {
+    let left = limits.sockets.saturating_sub(RESERVED_SOCKETS + connections);
+    left.min(limits.sockets / 8).clamp(PROBES.0, PROBES.1)
 }
 
 impl Platform {
@@ -145,7 +148,7 @@
         let probing = ProbeConfig {
             path: "/metrics/load".into(),
             timeout: PROBE_TIMEOUT,
-            max_open: max_probes(limits),
+            max_open: max_probes(limits, 0),
             body_fields: Some((UTIL, IN_FLIGHT)),
         };
         Platform {
@@ -521,7 +524,7 @@
                 let fields = vec![("discovery", config.discovery.to_string())];
                 self.log(now, Level::Info, "configuration", fields, out);
                 self.limits = config.limits;
-                self.probes.set_max_open(max_probes(self.limits));
+                self.probes.set_max_open(max_probes(self.limits, self.peers.all.len()));
                 if config.discovery != self.discovery.address() {
                     self.discovery.set_address(now, config.discovery, out);
                     out.set_timer(timer::DISCOVERY, self.discovery.deadline());
--- a/crates/platform/src/node/streams.rs
+++ b/crates/platform/src/node/streams.rs
@@ -5,7 +5,7 @@
 impl Platform {
     /// Maximum number of accepted connections.
     fn max_connections(&self) -> usize {
-        self.limits.sockets.saturating_sub(RESERVED_SOCKETS + max_probes(self.limits))
+        self.limits.sockets.saturating_sub(RESERVED_SOCKETS + PROBES.0)
     }
 
     pub(super) fn accepted(&mut self, now: Moment, link: Link, out: &mut Outbox) {
@@ -14,9 +14,10 @@
         self.peers.all.insert(link, peer);
         // Connections that have not joined are closed in favour of newer ones, so that a peer can always join.
         while self.peers.all.len() > self.max_connections() {
-            let Some(oldest) = self.peers.unjoined().next().map(|unjoined| unjoined.0) else { return };
+            let Some(oldest) = self.peers.unjoined().next().map(|unjoined| unjoined.0) else { break };
             self.reject(now, oldest, "no room", out);
         }
+        self.probes.set_max_open(max_probes(self.limits, self.peers.all.len()));
     }
 
     /// Closes a connection; a peer that has not joined is told why.
@@ -59,6 +60,7 @@
                 self.log(now, Level::Warn, "closed", fields, out);
             }
             self.left(now, link, &peer, out);
+            self.probes.set_max_open(max_probes(self.limits, self.peers.all.len()));
         }
     }
 
--- a/crates/platform/tests/node.rs
+++ b/crates/platform/tests/node.rs
@@ -513,3 +513,21 @@
     assert!(open > 10, "{open} of 59 peers keep theirs although there is room for more");
     assert!(!is_closed(&small), "the largest are closed, not the last one to send");
 }
+
+#[test]
+fn all_proxies_are_accepted_while_descriptors_are_free() {
+    // Guards against proxies that are refused and learn of no drain: 32 descriptors and those of all probes were kept from
+    // them, whether in use or not (review/8).
+    for sockets in [256, 280, 320] {
+        let mut harness = Harness::new(&settings(240, sockets));
+        for zone in ["a", "b", "a"] {
+            let collector = harness.accept();
+            harness.send(collector, &format!("SOURCE az {zone}"));
+        }
+        harness.take_output();
+        (0..240).for_each(|number| drop(harness.join(number)));
+        let output = harness.take_output();
+        let refused = output.lines().filter(|line| line.ends_with(": finished")).count();
+        assert_eq!(refused, 0, "refused of 240 proxies with {sockets} descriptors");
+    }
+}
