platform: a poll answer in slow pieces is asked for anew before its change counts as told

Cause: every answer had 5 s from its request, also one to a call that may wait, whose change counts as told 2 s after the end of the wait.

Change: such an answer has 1.2 s from its first piece or from the end of the wait, twice that after each failure in a row.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -17,6 +17,10 @@
 /// Time allowed for a whole answer, in however many pieces: after it, a change delayed with them would already
 /// count as announced.
 const MAX_ANSWER_TIME: Span = Span::millis(5_000);
+/// Time allowed for the pieces of a long-poll answer, from its first or from the end of the poll: a change in it counts as
+/// announced 2 s after the wait has ended. It doubles with each failure, so that an answer that is slow every time
+/// arrives at last.
+const POLL_ANSWER_TIME: Span = Span::millis(1_200);
 const CONNECT_TIMEOUT: Span = Span::millis(500);
 /// Delay between connection attempts: the first, and the longest.
 const BACK_OFF: (Span, Span) = (Span::millis(40), Span::millis(640));
@@ -46,6 +50,8 @@
     failures: i32,
     /// When the pending request was sent.
     requested: Moment,
+    /// When the pending answer has to be complete, once its first bytes have arrived.
+    complete_by: Option<Moment>,
     /// The answer announced that the connection ends with it.
     last_answer: bool,
     /// The version from which the next connection continues.
@@ -64,6 +70,7 @@
             status: 0,
             failures: 0,
             requested: Moment(0),
+            complete_by: None,
             last_answer: false,
             resume_from: None,
         }
@@ -157,12 +164,24 @@
         let host = self.address.to_string();
         out.send(link, request("GET", &target, &[("host", &host)], None));
         (self.phase, self.deadline, self.requested) = (phase, now + timeout, now);
+        self.complete_by = None;
+    }
+
+    /// When the answer whose first bytes have just arrived has to be complete.
+    fn answer_deadline(&self, now: Moment) -> Moment {
+        let latest = self.requested + MAX_ANSWER_TIME;
+        if self.phase != Phase::Watching {
+            return latest;
+        }
+        let poll_ended = now.min(self.requested + POLL_TIMEOUT);
+        latest.min(poll_ended + POLL_ANSWER_TIME.times(2f64.powi(self.failures.min(16))))
     }
 
     /// Processes received bytes and returns the body of a complete answer.
     pub fn receive(&mut self, now: Moment, bytes: &[u8]) -> Result<Option<Vec<u8>>, &'static str> {
         self.reader.push(bytes);
-        self.deadline = self.deadline.max((now + ANSWER_TIMEOUT).min(self.requested + MAX_ANSWER_TIME));
+        let complete_by = *self.complete_by.get_or_insert(self.answer_deadline(now));
+        self.deadline = (now + ANSWER_TIMEOUT).min(complete_by);
         loop {
             match self.reader.next_part() {
                 Ok(None) => return Ok(None),
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -238,7 +238,8 @@
 
     fn discovery_received(&mut self, now: Moment, bytes: &[u8], out: &mut Outbox) {
         match self.discovery.receive(now, bytes) {
-            Ok(None) => {}
+            // The first piece of an answer brings its deadline forward.
+            Ok(None) => out.set_timer(timer::DISCOVERY, self.discovery.deadline()),
             Ok(Some(body)) => self.apply_answer(now, &body, out),
             Err(why) => self.discovery_failed(now, why, out),
         }
--- a/crates/platform/tests/node.rs
+++ b/crates/platform/tests/node.rs
@@ -514,6 +514,31 @@
     assert!(!is_closed(&small), "the largest are closed, not the last one to send");
 }
 
+#[test]
+fn a_poll_answer_that_comes_in_slow_pieces_is_asked_for_anew_in_time() {
+    // Guards against drains that are taken in late: an answer in pieces was waited for up to 5 s, while its change counts as
+    // announced 2 s after the end of the wait (review/10).
+    let mut harness = Harness::new(&settings(10, 256));
+    let list = harness.latest_connection(85);
+    harness.input(Input::Opened { link: list });
+    harness.answer_list(list, &format!(r#"{{"rev":5,"all":true,"targets":[{}]}}"#, row("s-1", "a", "Ready")));
+    harness.advance(300);
+    let began = harness.now;
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 5000\r\n\r\n{}", " ".repeat(5_000));
+    for piece in answer.as_bytes().chunks(600) {
+        if harness.latest_connection(85) != list {
+            break;
+        }
+        harness.input(Input::Bytes { link: list, bytes: piece });
+        for _ in 0..58 {
+            harness.advance(10);
+        }
+    }
+    let reconnected = harness.now.since(began);
+    assert!(harness.latest_connection(85) != list, "still waiting after {reconnected}");
+    assert!(reconnected < Span::millis(2_000), "reconnected after {reconnected}");
+}
+
 #[test]
 fn all_proxies_are_accepted_while_descriptors_are_free() {
     // Guards against proxies that are refused and learn of no drain: 32 descriptors and those of all probes were kept from
