planner: tables of proxies that join in number go ahead of ordinary lines after a cut too

What callers saw: after a cut, tables of the proxies that joined again waited beside the removals of drains one by one, and up to 41 pairs of proxy and server passed the grace (known failure tables_after_a_cut_are_in_time_beside_the_drains_that_follow).

Cause: ordinary lines and those of cold servers took the channel beside them; only proxies of other planners held these back.

Change: they are held back too where the tables of those that joined within one grace take more than ordinary lines may fill.

--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -227,10 +227,10 @@
                 // channel exceeded its limit.
                 let (drain_time, lines_per_s) = (self.drain_time(), self.channel.lines_per_s);
                 self.state.abandon_messages(now, *proxy, drain_time, lines_per_s);
+                self.state.apply_event(event);
                 if matches!(event, Event::ProxyJoined { .. }) {
-                    self.state.last_join = Some(now);
+                    (self.state.last_join, self.state.proxy(*proxy).joined_at) = (Some(now), Some(now));
                 }
-                self.state.apply_event(event);
             }
             Event::Arrivals { proxy, .. } => {
                 self.state.proxy(*proxy).last_heard = now;
@@ -641,10 +641,20 @@
         self.state.usual_joined.is_some_and(beyond_usual) || joined > CROWDED_FACTORS.1 * part
     }
 
-    /// Whether proxies of other planners are coming to this one. The channel then carries their tables and
-    /// removals alone.
+    /// Whether proxies are joining in number: those of other planners, or after a cut more than have room beside
+    /// ordinary lines. The channel then carries their tables and removals alone.
     fn is_rushed(&self, now: Moment) -> bool {
-        self.state.last_join.is_some_and(|at| now.since(at) < self.contract.drain_grace) && self.is_crowded()
+        let is_recent = |at: Moment| now.since(at) < self.contract.drain_grace;
+        if !self.state.last_join.is_some_and(is_recent) {
+            return false;
+        }
+        let recent = self.state.proxies.iter().filter(|proxy| proxy.joined_at.is_some_and(is_recent));
+        let table_lines = |proxy: &Proxy| {
+            let table = self.state.table_of(proxy).map_or(0, |table| self.state.tables[table].lines.len());
+            table as f64 + self.channel.message_overhead + 2.0
+        };
+        let joining: f64 = recent.map(table_lines).sum();
+        self.is_crowded() || joining > self.queue_limits(self.channel.lines_per_s)[0]
     }
 
     /// Whether a subset was made narrower than usual, for proxies of other planners.
--- a/crates/planner/src/types.rs
+++ b/crates/planner/src/types.rs
@@ -401,6 +401,7 @@
     pub current_table: Option<TableIndex>,
     /// Messages not yet acknowledged, oldest first.
     pub unacknowledged: Vec<SentMessage>,
+    pub joined_at: Option<Moment>,
     /// When it last acknowledged a message or was named in a report.
     pub last_heard: Moment,
     pub sent_at: Vec<Moment>,
