--- a/crates/planner/src/decide.rs
+++ b/crates/planner/src/decide.rs
@@ -7,11 +7,12 @@
 
 use crate::channel::ChannelPace;
 use crate::cold_servers::Target;
+use crate::grouping::{group_by_width, trim_lines};
 use crate::message_budget::Purpose;
 use crate::time::{Moment, Span};
 use crate::types::*;
-use crate::weights::{balance_subsets, centroid, excess, imbalance, normalize};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::weights::{balance_subsets, centroid, imbalance};
+use std::collections::BTreeSet;
 
 const TICK_INTERVAL: Span = Span::millis(500);
 const PLAN_INTERVAL: Span = Span::millis(3_000);
@@ -25,14 +26,9 @@
 /// message.
 const PUSH_INTERVAL: (Span, Span) = (Span::millis(1), Span::millis(100));
 /// Imbalance, as a fraction of all demand, below which a grouping or a table is left unchanged.
-const IMBALANCE_MARGIN: f64 = 0.02;
-/// Cluster means are computed once the seeds alone come within this multiple of the margin.
-const SEED_MARGIN_FACTOR: f64 = 4.0;
+pub(crate) const IMBALANCE_MARGIN: f64 = 0.02;
 /// Weights are rounded to three binary digits, so that they stay within the error of their own values.
 const WEIGHT_STEPS: f64 = 8.0;
-/// Lines below this fraction of the average share may be trimmed.
-const THIN_LINE_SHARE: f64 = 0.1;
-const TRIM_CANDIDATES: usize = 4;
 /// Fraction of a table's weight up to which removals leave cold servers that the plan drops in the table.
 const MAX_REMOVED_WEIGHT_SHARE: f64 = 0.25;
 /// Additions sent with removals that would otherwise leave only cold servers in a table.
@@ -46,25 +42,7 @@
 /// bindings may fill. Except for removals, the limit is also what can leave the channel within the grace
 /// period of a removal queued behind them.
 const QUEUE_FILL_LIMITS: [f64; 4] = [0.3, 0.6, 0.95, 0.85];
-/// Limits on the number of lines in a table: the time in which the channel can send all tables again, the
-/// fraction of a server's connections that all proxies together may hold, and the calls on a line within
-/// the lifetime of an idle connection.
-const REDISTRIBUTION_TIME: Span = Span::millis(1_800);
-const MAX_CONNECTION_SHARE: f64 = 0.3;
-const CALLS_PER_KEEP_ALIVE: f64 = 2.5;
-const MIN_SUBSET_WIDTH: f64 = 8.0;
-/// Proxies per subset of servers, subsets per server, and the multiple of the mean demand above which a
-/// proxy uses all servers.
-const PROXIES_PER_SUBSET: usize = 8;
-const SUBSETS_PER_SERVER: f64 = 4.0;
-const HEAVY_DEMAND_FACTOR: f64 = 4.0;
-/// Fraction of its intended subsets below which a server is added to more. The tolerance keeps a deployment
-/// from rewriting many tables twice.
-const MIN_MEMBERSHIP_SHARE: f64 = 0.7;
 const BALANCE_SWEEPS: (usize, f64) = (8, 1.5);
-/// Multiples of the usual number of joined proxies, and of an equal share of all proxies, above which the
-/// channel may have to send tables to all proxies. Zones with few planners have more than an equal share.
-const CROWDED_FACTORS: (f64, f64) = (1.2, 1.8);
 /// Weight, in calls, of the rate that a proxy declares when it joins. The estimate for a proxy with few
 /// calls stays near that rate until it has reported often.
 const PRIOR_CALLS: f64 = 3.0;
@@ -243,7 +221,7 @@
     /// Limits on queued lines for ordinary changes, cold servers, removals and bindings. Queued lines count
     /// against the grace period at the present throughput, because the channel has stayed full long after
     /// it became slow. Bindings are as urgent as removals: behind a slow channel they have waited for 15 s.
-    fn queue_limits(&self, throughput: f64) -> [f64; 4] {
+    pub(crate) fn queue_limits(&self, throughput: f64) -> [f64; 4] {
         let max = self.channel.max_queued_lines;
         let grace = self.contract.drain_grace.seconds() - self.channel.max_transit.seconds();
         // A grace period shorter than the transit time cannot be kept, and a limit derived from it would
@@ -618,170 +596,6 @@
         (0..zones).map(target).collect()
     }
 
-    fn subset_width(&self, planners: usize) -> usize {
-        let servers = self.state.servers.iter().filter(|s| s.state == InService).count();
-        let proxies = self.fleet.proxies.max(1) as f64;
-        let lines = REDISTRIBUTION_TIME.seconds() * self.channel.lines_per_s;
-        let by_channel = lines * planners.max(1) as f64 / proxies - self.channel.message_overhead;
-        let by_connections =
-            MAX_CONNECTION_SHARE * self.fleet.min_server_connections * servers as f64 / proxies;
-        let by_keep_alive =
-            self.fleet.keep_alive.seconds() * self.state.mean_demand.max(1.0) / CALLS_PER_KEEP_ALIVE;
-        by_channel.min(by_connections).min(by_keep_alive).clamp(MIN_SUBSET_WIDTH, 1e6) as usize
-    }
-
-    /// Whether proxies of other planners have joined this one, as when those have been killed.
-    fn is_crowded(&self) -> bool {
-        let joined = self.state.proxies.iter().filter(|p| p.joined).count() as f64;
-        if self.fleet.planners <= 1 {
-            return false;
-        }
-        let part = self.fleet.proxies as f64 / self.fleet.planners as f64;
-        let beyond_usual = |usual: f64| joined > CROWDED_FACTORS.0 * usual;
-        self.state.usual_joined.is_some_and(beyond_usual) || joined > CROWDED_FACTORS.1 * part
-    }
-
-    /// Whether proxies are joining in number: those of other planners, or after a cut more than have room beside
-    /// ordinary lines. The channel then carries their tables and removals alone.
-    fn is_rushed(&self, now: Moment) -> bool {
-        let is_recent = |at: Moment| now.since(at) < self.contract.drain_grace;
-        if !self.state.last_join.is_some_and(is_recent) {
-            return false;
-        }
-        let recent = self.state.proxies.iter().filter(|proxy| proxy.joined_at.is_some_and(is_recent));
-        let table_lines = |proxy: &Proxy| {
-            let table = self.state.table_of(proxy).map_or(0, |table| self.state.tables[table].lines.len());
-            table as f64 + self.channel.message_overhead + 2.0
-        };
-        let joining: f64 = recent.map(table_lines).sum();
-        self.is_crowded() || joining > self.queue_limits(self.channel.lines_per_s)[0]
-    }
-
-    /// Whether a subset was made narrower than usual, for proxies of other planners.
-    fn is_narrow(&self, subset: &Subset) -> bool {
-        subset.crowded && !subset.full
-    }
-
-    /// Assigns each proxy to a subset of the servers, and servers to the subsets. Subsets contain all
-    /// servers unless that makes tables too wide. Otherwise light proxies go to overlapping subsets, and
-    /// each server is in as many of them as its weight requires. This is harmful when a subset loses most
-    /// of its servers at once: its proxies crowd onto the rest until the next plan. If proxies of other
-    /// planners have joined this one, those that hold no table yet go to narrower subsets: with subsets of
-    /// the usual width, removals waited in the channel beyond their grace period.
-    fn assign_subsets(&mut self, now: Moment, targets: &[Target]) {
-        let widths = self
-            .state
-            .subset_widths
-            .unwrap_or([self.fleet.planners, 1].map(|sharing_planners| self.subset_width(sharing_planners)));
-        self.state.subset_widths = Some(widths);
-        let mut subset_demand = self.state.subset_demand(|proxy| self.demand(proxy));
-        let crowded = self.is_crowded();
-        let kind = usize::from(crowded);
-        let (width, sharing_planners) = (widths[kind], [self.fleet.planners, 1][kind]);
-        let heavy_demand = [HEAVY_DEMAND_FACTOR, PROXIES_PER_SUBSET as f64][kind] * self.state.mean_demand;
-        let other_kind = |subset: usize| self.state.subsets[subset].crowded != crowded;
-        let unassigned = |p: &Proxy| {
-            p.joined && p.subset.is_none_or(|subset| p.current_table.is_none() && other_kind(subset))
-        };
-        let newcomers = (0..self.state.proxies.len()).filter(|at| unassigned(&self.state.proxies[*at]));
-        for at in newcomers.collect::<Vec<ProxyIndex>>() {
-            let proxy = &self.state.proxies[at];
-            let (target_index, demand) = (proxy.zone.min(targets.len() - 1), self.demand(proxy));
-            let same_kind =
-                |subset: &Subset| (subset.target_index, subset.crowded) == (target_index, crowded);
-            if !self.state.subsets.iter().any(same_kind) {
-                let lines = targets[target_index].lines.len();
-                let max_count = (SUBSETS_PER_SERVER * lines as f64 / width as f64).ceil() as usize;
-                let min_count = [1, lines / width][kind];
-                let shared_count =
-                    self.fleet.proxies / sharing_planners.max(targets.len()) / PROXIES_PER_SUBSET;
-                let narrow_count =
-                    if width * 4 / 3 < lines { shared_count.clamp(min_count, max_count) } else { 0 };
-                let subsets = (0..=narrow_count).map(|at| Subset {
-                    target_index,
-                    full: at == 0,
-                    width,
-                    crowded,
-                    ..Subset::default()
-                });
-                self.state.subsets.extend(subsets);
-                subset_demand.resize(self.state.subsets.len(), (0, 0.0));
-            }
-            let mismatched = |at: usize| self.state.subsets[at].full != (demand > heavy_demand);
-            let candidates = (0..subset_demand.len()).filter(|at| same_kind(&self.state.subsets[*at]));
-            let by_demand = |a: &usize, b: &usize| subset_demand[*a].1.total_cmp(&subset_demand[*b].1);
-            let subset = candidates.min_by(|a, b| mismatched(*a).cmp(&mismatched(*b)).then(by_demand(a, b)));
-            subset.iter().for_each(|subset| subset_demand[*subset].1 += demand);
-            self.state.proxies[at].subset = subset;
-        }
-        for (kind, width) in widths.into_iter().enumerate() {
-            for (target_index, target) in targets.iter().enumerate() {
-                self.seat_servers(now, target_index, target, kind == 1, width);
-            }
-        }
-    }
-
-    /// Assigns the servers of a target to its subsets of one kind, each to as many as its weight requires.
-    fn seat_servers(
-        &mut self,
-        now: Moment,
-        target_index: usize,
-        target: &Target,
-        crowded: bool,
-        width: usize,
-    ) {
-        let warm_weight = |line: &WeightedServer| line.1 / WARMUP_SHARES[self.warmup_step(now, line.0)];
-        let warm_weights: BTreeMap<ServerIndex, f64> =
-            target.lines.iter().map(|line| (line.0, warm_weight(line))).collect();
-        let total_weight: f64 = warm_weights.values().sum();
-        let warm_servers: Vec<ServerIndex> = self.required_warm_servers(now, target);
-        let same_kind = |subset: &&mut Subset| {
-            (subset.target_index, subset.crowded, subset.full) == (target_index, crowded, false)
-        };
-        let mut subsets: Vec<&mut Subset> = self.state.subsets.iter_mut().filter(same_kind).collect();
-        subsets.iter_mut().for_each(|subset| subset.servers.retain(|at| warm_weights.contains_key(at)));
-        let count = subsets.len() as f64;
-        for (at, share) in &warm_weights {
-            let wanted = (share / total_weight * count * width as f64).round().clamp(1.0, count.max(1.0));
-            let mut memberships = subsets.iter().filter(|subset| subset.servers.contains(at)).count() as f64;
-            while memberships < wanted * MIN_MEMBERSHIP_SHARE {
-                self.rng.shuffle(&mut subsets);
-                let candidates = subsets.iter_mut().filter(|subset| !subset.servers.contains(at));
-                let Some(subset) = candidates.min_by_key(|subset| subset.servers.len()) else { break };
-                subset.servers.insert(*at);
-                memberships += 1.0;
-            }
-        }
-        // A subset without any of these servers gets a few. One of only cold servers used to get all lines
-        // of its target, which filled the channel during deployments.
-        let count_memberships =
-            |at: ServerIndex| subsets.iter().filter(|subset| subset.servers.contains(&at)).count();
-        let mut memberships: Vec<(usize, ServerIndex)> =
-            warm_servers.iter().map(|at| (count_memberships(*at), *at)).collect();
-        for subset in
-            subsets.into_iter().filter(|subset| !warm_servers.iter().any(|at| subset.servers.contains(at)))
-        {
-            memberships.sort();
-            for (membership, at) in memberships.iter_mut().take(SUBSETS_PER_SERVER as usize) {
-                *membership += 1;
-                subset.servers.insert(*at);
-            }
-        }
-    }
-
-    /// Warm servers of which each subset needs some: with zone-bound calls those of the zone, if it has any.
-    fn required_warm_servers(&self, now: Moment, target: &Target) -> Vec<ServerIndex> {
-        let servers = target.lines.iter().map(|line| line.0);
-        let warm: Vec<ServerIndex> = servers.filter(|at| self.is_warm(now, *at)).collect();
-        let in_zone = |at: &ServerIndex| target.bound_zone == Some(self.state.servers[*at].zone);
-        let of_zone: Vec<ServerIndex> = warm.iter().copied().filter(in_zone).collect();
-        if of_zone.is_empty() {
-            warm
-        } else {
-            of_zone
-        }
-    }
-
     fn plan(&mut self, now: Moment) {
         (self.state.planned_at, self.state.plan_due, self.state.urgent) = (now, false, false);
         self.state.mean_demand = self.state.mean_rate(PRIOR_CALLS);
@@ -1215,72 +1029,6 @@
     }
 }
 
-/// Groups narrow subsets apart from the others. A narrow one with little demand would otherwise share a wide
-/// table, within the margin, and all proxies that come to it later would be sent that table.
-fn group_by_width(members: &[GroupMember]) -> Vec<usize> {
-    let mut groups = vec![0; members.len()];
-    let mut group_count = 0;
-    for narrow in [false, true] {
-        let indices: Vec<usize> = (0..members.len()).filter(|at| members[*at].narrow == narrow).collect();
-        let of_width: Vec<GroupMember> = indices.iter().map(|at| members[*at]).collect();
-        let of_width = if of_width.is_empty() { Vec::new() } else { group_members(&of_width) };
-        let next_count = of_width.iter().map(|group| group_count + group + 1).max().unwrap_or(group_count);
-        indices.iter().zip(of_width).for_each(|(at, group)| groups[*at] = group_count + group);
-        group_count = next_count;
-    }
-    groups
-}
-
-/// Demand-weighted k-means, seeded with the members of highest demand, with as few groups as the margin
-/// allows. While the seeds alone are far from the margin no means are computed: with a hundred subsets they
-/// took most of a second.
-fn group_members(members: &[GroupMember]) -> Vec<usize> {
-    let mut by_demand: Vec<&GroupMember> = members.iter().collect();
-    by_demand.sort_by(|a, b| b.demand.total_cmp(&a.demand));
-    let mut seeds: Vec<&GroupMember> = Vec::new();
-    let mut nearest: Vec<(f64, usize)> = vec![(f64::INFINITY, 0); members.len()];
-    let max_excess = IMBALANCE_MARGIN * members.iter().map(|m| m.demand).sum::<f64>();
-    for next in &by_demand {
-        if seeds.iter().any(|seed| excess(seed.target, next.target) < IMBALANCE_MARGIN) {
-            continue;
-        }
-        for (member, near) in members.iter().zip(&mut nearest) {
-            let cost = excess(next.target, member.target);
-            *near = if cost < near.0 { (cost, seeds.len()) } else { *near };
-        }
-        seeds.push(next);
-        if members.iter().zip(&nearest).map(|(m, near)| m.demand * near.0).sum::<f64>()
-            <= SEED_MARGIN_FACTOR * max_excess
-        {
-            let (groups, total_excess) = k_means(members, &seeds);
-            if total_excess <= max_excess {
-                return groups;
-            }
-        }
-    }
-    k_means(members, &seeds).0
-}
-
-/// Groups around the means that the seeds lead to, and the weight that these give beyond the members'
-/// targets.
-fn k_means(members: &[GroupMember], seeds: &[&GroupMember]) -> (Vec<usize>, f64) {
-    let mut centres: Vec<Vec<WeightedServer>> = seeds.iter().map(|seed| seed.target.to_vec()).collect();
-    let mut groups: Vec<usize> = vec![0; members.len()];
-    for _ in 0..3 {
-        let nearest = |member: &GroupMember| {
-            let cost: Vec<f64> = centres.iter().map(|centre| excess(centre, member.target)).collect();
-            (0..cost.len()).min_by(|a, b| cost[*a].total_cmp(&cost[*b])).unwrap_or(0)
-        };
-        groups = members.iter().map(nearest).collect();
-        for (group, centre) in centres.iter_mut().enumerate().filter(|(group, _)| groups.contains(group)) {
-            *centre = centroid(members.iter().zip(&groups).filter(|p| *p.1 == group).map(|p| p.0));
-        }
-    }
-    let total_excess =
-        members.iter().zip(&groups).map(|(m, g)| m.demand * excess(&centres[*g], m.target)).sum();
-    (groups, total_excess)
-}
-
 /// A row for a subset, without lines yet.
 fn row_of_subset(targets: &[Target]) -> impl Fn((&Subset, &(usize, f64))) -> Target + '_ {
     |(subset, (_, demand))| Target {
@@ -1291,35 +1039,6 @@
     }
 }
 
-fn trim_lines(
-    mut table: Vec<WeightedServer>,
-    members: &[&GroupMember],
-    zones: &[ZoneIndex],
-) -> Vec<WeightedServer> {
-    loop {
-        normalize(&mut table);
-        let threshold = THIN_LINE_SHARE / table.len().max(1) as f64;
-        let mut thin: Vec<&WeightedServer> = table.iter().filter(|line| line.1 < threshold).collect();
-        thin.sort_by(|a, b| a.1.total_cmp(&b.1));
-        let last_in_zone = |at: ServerIndex| !table.iter().any(|l| l.0 != at && zones[l.0] == zones[at]);
-        let without = |thin: &WeightedServer| {
-            let mut remaining: Vec<WeightedServer> =
-                table.iter().filter(|line| line.0 != thin.0).copied().collect();
-            normalize(&mut remaining);
-            (members.iter().map(|m| m.demand * excess(&remaining, m.target)).sum::<f64>(), remaining)
-        };
-        // The zone-bound calls follow the ratios within the zone, however thin its lines are in the table.
-        let takes_bound_calls = |at: ServerIndex| members.iter().any(|m| m.bound_zone == Some(zones[at]));
-        // Only the thinnest lines are examined: after a fleet doubles all of its lines are thin, and
-        // examining all took too much CPU time.
-        let needed = |line: &WeightedServer| last_in_zone(line.0) || takes_bound_calls(line.0);
-        let droppable = thin.into_iter().filter(|line| !needed(line)).take(TRIM_CANDIDATES);
-        let best = droppable.map(without).min_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((_, remaining)) = best else { return table };
-        table = remaining;
-    }
-}
-
 fn round_weight(weight: f64) -> f64 {
     let scale = 2f64.powi(weight.max(1e-9).log2().floor() as i32) / WEIGHT_STEPS;
     (weight / scale).round() * scale
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -2,15 +2,17 @@
 //!
 //! Create a [`Planner`], pass it each batch of [`Event`]s with the batch's [`Moment`], and execute the
 //! returned [`Action`]s in order. The decisions are in `decide.rs`,
-//! `cold_servers.rs` and `message_budget.rs`.
+//! `subsets.rs`, `grouping.rs`, `cold_servers.rs` and `message_budget.rs`.
 #![forbid(unsafe_code)]
 
 mod channel;
 mod cold_servers;
 mod decide;
+mod grouping;
 mod histogram;
 pub mod interner;
 mod message_budget;
+mod subsets;
 mod types;
 mod weights;
 
