proxy: the end of a client's connection ends its call again

Since requests are taken one in a round the link was paused during every call, so that a client that gave up was noticed only after the answer.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -120,7 +120,12 @@
         let client = self.by_link.get_mut(&link)?;
         client.reader.push(bytes);
         client.last_used = now;
-        let request = if client.busy { None } else { self.next_request(now, link, out) };
+        let request = if client.busy {
+            client.pause(link, out);
+            None
+        } else {
+            self.next_request(now, link, out)
+        };
         self.account(link);
         self.shed(out);
         request
@@ -142,7 +147,10 @@
                 }
                 Ok(Some(Part::Data(data))) => client.body.extend_from_slice(&data),
                 Ok(Some(Part::End)) => {
-                    client.pause(link, out);
+                    // Without more received, the link is read on: the end of the connection ends the call.
+                    if !client.reader.idle() {
+                        client.pause(link, out);
+                    }
                     client.busy = true;
                     client.request_began = None;
                     let body = std::mem::take(&mut client.body);
@@ -174,6 +182,7 @@
         if client.reader.idle() {
             client.resume(link, out);
         } else {
+            client.pause(link, out);
             out.push(Effect::Continue { link });
         }
     }
--- a/crates/proxy/tests/clients.rs
+++ b/crates/proxy/tests/clients.rs
@@ -210,3 +210,12 @@
     }
     assert_eq!(setup.responses(client, "200"), 3);
 }
+
+#[test]
+fn a_client_that_ends_its_connection_during_its_call_ends_the_call() {
+    let mut setup = Setup::new(&["127.0.0.1:8001"]);
+    let client = setup.connect();
+    setup.receive(client, REQUEST);
+    setup.give(Input::Closed { link: client, why: Ended::Done });
+    assert!(setup.ended.contains(&setup.servers[0]), "the server's connection is closed");
+}
