--- a/crates/platform/tests/node.rs
+++ b/crates/platform/tests/node.rs
@@ -550,7 +550,9 @@
             harness.send(collector, &format!("SOURCE az {zone}"));
         }
         harness.take_output();
-        (0..240).for_each(|number| drop(harness.join(number)));
+        for number in 0..240 {
+            harness.join(number);
+        }
         let output = harness.take_output();
         let refused = output.lines().filter(|line| line.ends_with(": finished")).count();
         assert_eq!(refused, 0, "refused of 240 proxies with {sockets} descriptors");
